--- /dev/null
+++ b/deploy/policy.lua
@@ -0,0 +1,39 @@
+-- pebblefold's default policy.
+--
+-- The script runs once, at start, and returns a table. Every field may be left
+-- out; its default is the value shown here. `site` holds facts from the
+-- platform's settings: report_s, lease_s, gang_wait_s, cancel_s, list_lag_s,
+-- cloud_rps, nodes, and wait_s (the shortest time to start that an objective
+-- asks for, or nil).
+
+return {
+  -- Time between placement cycles, in seconds.
+  cycle_s = 0.5,
+  -- Life of the leader's lease in the state service.
+  leader_lease_s = 3.0,
+  -- Fetch estimate for an image while nothing is known yet.
+  first_fetch_s = 30.0,
+
+  -- Renting: work that has waited this long asks for machines.
+  rent_after_s = 1.0,
+  -- Most machines that may be on their way at once.
+  most_booting = 24,
+  -- Pause for a zone and kind of machine that had no capacity.
+  no_capacity_pause_s = 20.0,
+  -- A machine that is not up after this many usual boot times is given up.
+  boot_patience = 5.0,
+
+  -- Returning: a machine idle for this long is returned ...
+  idle_s = 40.0,
+  -- ... unless it belongs to the reserve kept for classes whose starts are
+  -- wanted sooner than a machine boots: this many times what arrives on
+  -- average within a boot time.
+  reserve = 1.5,
+  -- Never more than this many in reserve.
+  most_reserve = 12,
+
+  -- A task is not stopped for another within this time of its start.
+  settle_s = 31.0,
+  -- A machine silent for this long is released for good.
+  silent_release_s = 120.0,
+}
--- /dev/null
+++ b/src/core/cycle.rs
@@ -0,0 +1,369 @@
+//! One placement cycle, pure: the paper's algorithm over the tables.
+//!
+//! High-priority work first, grouped by image, groups whose image some machine
+//! holds ahead of cold ones, cold ones by estimate. Then, by priority, other
+//! work: first on machines that hold its image, then cold ones, fewest holders
+//! first, but only on machines without high-priority starts for over half the
+//! image's estimate.
+
+use super::tables::{Estimates, Row};
+use crate::settings::TeamShare;
+use crate::types::{Amounts, Image, JobId, Kind, MachineId, Span, Team, Time, Zone};
+use crate::wire::users::Priority;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// What a job wants placed.
+#[derive(Clone, Debug)]
+pub struct Want {
+    /// The job.
+    pub job: JobId,
+    /// Its team.
+    pub team: Team,
+    /// Its image.
+    pub image: Image,
+    /// The image's size.
+    pub image_gb: f64,
+    /// What each task takes.
+    pub need: Amounts,
+    /// The tasks that wait.
+    pub tasks: Vec<u32>,
+    /// All of them or none.
+    pub gang: bool,
+    /// Its priority.
+    pub priority: Priority,
+    /// Whether it lies within its team's guarantee.
+    pub entitled: bool,
+    /// Smaller goes first among equals.
+    pub order: i64,
+    /// Allowed machine types.
+    pub kinds: Option<Vec<Kind>>,
+    /// The only allowed zone.
+    pub zone: Option<Zone>,
+    /// All tasks in one zone.
+    pub one_zone: bool,
+    /// Most tasks in one zone.
+    pub most_in_zone: Option<u32>,
+    /// Tasks that are or may be in each zone.
+    pub in_zones: BTreeMap<Zone, u32>,
+    /// May use spot machines.
+    pub spot: bool,
+    /// Expected run time of a task.
+    pub run: Span,
+    /// Machines to stay away from.
+    pub avoid: BTreeSet<MachineId>,
+}
+
+/// A decision.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Start {
+    /// The job.
+    pub job: JobId,
+    /// The task's number.
+    pub task: u32,
+    /// Index of the machine's row.
+    pub row: usize,
+}
+
+/// What a team uses.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct TeamUse {
+    /// Everything its tasks take or may take.
+    pub used: Amounts,
+    /// Its guarantee and limit.
+    pub share: TeamShare,
+}
+
+/// Fixed facts of a cycle.
+#[derive(Clone, Copy, Debug)]
+pub struct Pace {
+    /// Now.
+    pub now: Time,
+    /// Most that the fetches of one gang may differ.
+    pub most_skew: Span,
+}
+
+/// A cycle's state.
+#[derive(Debug)]
+pub struct Cycle<'a> {
+    /// Fixed facts.
+    pub pace: Pace,
+    /// The machines.
+    pub rows: &'a mut [Row],
+    /// The teams.
+    pub teams: &'a mut BTreeMap<Team, TeamUse>,
+    /// Fetch estimates.
+    pub estimates: &'a Estimates,
+    /// Decisions so far.
+    pub starts: Vec<Start>,
+}
+
+/// Which machines a pass may use.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Reach {
+    /// Any, by fetch cost.
+    Any,
+    /// Only holders of the image.
+    Holders,
+    /// Holders, and others that pass the idle gate.
+    Gated,
+}
+
+impl Want {
+    /// Whether a task of this job may be on this machine at all.
+    pub fn allows(&self, row: &Row) -> bool {
+        (self.spot || !row.spot)
+            && self.zone.as_ref().is_none_or(|z| z == &row.zone)
+            && self.kinds.as_ref().is_none_or(|k| k.contains(&row.kind))
+            && !self.avoid.contains(&row.id)
+    }
+
+    /// How many more tasks may go to a zone.
+    pub fn zone_room(&self, zone: &Zone) -> u32 {
+        let there = self.in_zones.get(zone).copied().unwrap_or(0);
+        let elsewhere = self.in_zones.iter().any(|(z, &n)| z != zone && n > 0);
+        if self.one_zone && elsewhere {
+            return 0;
+        }
+        self.most_in_zone.map_or(u32::MAX, |m| m.saturating_sub(there))
+    }
+
+    fn rank(&self) -> (std::cmp::Reverse<Priority>, std::cmp::Reverse<bool>, i64, JobId) {
+        (
+            std::cmp::Reverse(self.priority),
+            std::cmp::Reverse(self.entitled),
+            self.order,
+            self.job.clone(),
+        )
+    }
+
+    fn is_high(&self) -> bool {
+        self.priority >= Priority::High
+    }
+}
+
+impl Cycle<'_> {
+    /// Runs the cycle; what was placed leaves `wants`.
+    pub fn run(&mut self, wants: &mut [Want]) {
+        wants.sort_by_key(Want::rank);
+        self.high(wants);
+        for level in [Priority::Normal, Priority::Low] {
+            let mut batch: Vec<usize> = (0..wants.len())
+                .filter(|&i| wants[i].priority == level)
+                .collect();
+            for &i in &batch {
+                self.place(&mut wants[i], Reach::Holders);
+            }
+            // Fewest holders first: the rarest image gains most from a fetch.
+            batch.sort_by_key(|&i| {
+                let w = &wants[i];
+                (std::cmp::Reverse(w.entitled), self.holders(&w.image), w.order)
+            });
+            for &i in &batch {
+                self.place(&mut wants[i], Reach::Gated);
+            }
+        }
+    }
+
+    fn high(&mut self, wants: &mut [Want]) {
+        let mut groups: BTreeMap<Image, Vec<usize>> = BTreeMap::new();
+        for (i, w) in wants.iter().enumerate().filter(|(_, w)| w.is_high()) {
+            groups.entry(w.image.clone()).or_default().push(i);
+        }
+        let mut order: Vec<_> = groups
+            .into_iter()
+            .map(|(image, members)| {
+                let first = &wants[members[0]];
+                let cold = self.holders(&image) == 0;
+                let cost = if cold {
+                    self.estimates.of(&image, first.image_gb, None)
+                } else {
+                    Span::ZERO
+                };
+                let key = (std::cmp::Reverse(first.priority), cold, cost, first.order);
+                (key, members)
+            })
+            .collect();
+        order.sort();
+        for (_, members) in order {
+            for i in members {
+                self.place(&mut wants[i], Reach::Any);
+            }
+        }
+    }
+
+    fn holders(&self, image: &Image) -> usize {
+        self.rows
+            .iter()
+            .filter(|r| r.cache.remaining(image, self.pace.now).is_some())
+            .count()
+    }
+
+    /// What fetching the image costs on a row.
+    fn fetch(&self, want: &Want, row: &Row) -> Span {
+        row.cache
+            .remaining(&want.image, self.pace.now)
+            .unwrap_or_else(|| {
+                self.estimates
+                    .of(&want.image, want.image_gb, Some(row.fetch_rate))
+            })
+    }
+
+    fn reachable(&self, want: &Want, row: &Row, reach: Reach) -> bool {
+        let holds = row.cache.remaining(&want.image, self.pace.now).is_some();
+        let idle = || {
+            let cost = self.fetch(want, row);
+            row.last_high
+                .is_none_or(|t| self.pace.now.since(t) > Span(cost.0 / 2))
+        };
+        match reach {
+            Reach::Any => true,
+            Reach::Holders => holds,
+            Reach::Gated => holds || idle(),
+        }
+    }
+
+    /// Rows with room for a task, best first: the cheapest fetch, slow
+    /// machines last, then the tightest fit, so that whole machines stay free
+    /// for gangs.
+    fn candidates(&self, want: &Want, reach: Reach, zone: Option<&Zone>) -> Vec<usize> {
+        let mut rows: Vec<(Span, i64, i64, usize)> = self
+            .rows
+            .iter()
+            .enumerate()
+            .filter(|(_, r)| zone.is_none_or(|z| z == &r.zone))
+            .filter(|(_, r)| want.need.fits(&r.free) && want.allows(r))
+            .filter(|(_, r)| self.reachable(want, r, reach))
+            .map(|(i, r)| {
+                let late = want.run.mul((r.slowness - 1.0).max(0.0));
+                let left = (r.free - want.need).share_of(&r.whole);
+                let cost = self.fetch(want, r) + late;
+                (cost, (left * 1000.0) as i64, i64::from(!r.spot), i)
+            })
+            .collect();
+        rows.sort();
+        rows.into_iter().map(|(_, _, _, i)| i).collect()
+    }
+
+    /// Places as many tasks as fit, or for a gang all or none.
+    fn place(&mut self, want: &mut Want, reach: Reach) {
+        if want.tasks.is_empty() {
+            return;
+        }
+        let allowed = self.team_room(want);
+        if want.gang && (allowed as usize) < want.tasks.len() {
+            return;
+        }
+        if !want.one_zone {
+            let rows = self.candidates(want, reach, None);
+            self.fill(want, &rows, allowed);
+            return;
+        }
+        let taken = want.in_zones.iter().find(|(_, n)| **n > 0);
+        let zones: BTreeSet<Zone> = match taken {
+            Some((z, _)) => BTreeSet::from([z.clone()]),
+            None => self.rows.iter().map(|r| r.zone.clone()).collect(),
+        };
+        // The zone where the last image is there first; for arrays the one
+        // that takes most tasks.
+        let best = zones
+            .iter()
+            .filter_map(|z| {
+                let rows = self.candidates(want, reach, Some(z));
+                let (picked, worst) = self.trial(want, &rows, allowed);
+                let enough = !want.gang || picked == want.tasks.len();
+                (picked > 0 && enough).then_some(((std::cmp::Reverse(picked), worst), rows))
+            })
+            .min();
+        if let Some((_, rows)) = best {
+            self.fill(want, &rows, allowed);
+        }
+    }
+
+    /// How many of its tasks the team's limit leaves room for.
+    fn team_room(&self, want: &Want) -> u32 {
+        let Some(team) = self.teams.get(&want.team) else {
+            return 0;
+        };
+        let left = |limit: Option<f64>, used: f64| limit.map_or(f64::INFINITY, |m| m - used);
+        let room = Amounts {
+            cpus: left(team.share.cpus_max, team.used.cpus),
+            gpus: left(team.share.gpus_max, team.used.gpus),
+            memory_gb: f64::INFINITY,
+        };
+        want.need.count_in(&room, want.tasks.len() as u32)
+    }
+
+    /// How tasks would be spread over rows: (row, tasks) in order.
+    fn spread(&self, want: &Want, rows: &[usize], allowed: u32) -> Vec<(usize, u32)> {
+        let mut left = (want.tasks.len() as u32).min(allowed);
+        let mut zones: BTreeMap<&Zone, u32> = BTreeMap::new();
+        let mut out = Vec::new();
+        let mut fastest: Option<Span> = None;
+        for &i in rows {
+            if left == 0 {
+                break;
+            }
+            let row = &self.rows[i];
+            // A gang's tasks wait for the slowest fetch, but only so long.
+            if want.gang {
+                let cost = self.fetch(want, row);
+                let first = *fastest.get_or_insert(cost);
+                if cost.0 > first.0 + self.pace.most_skew.0 {
+                    continue;
+                }
+            }
+            let used = zones.entry(&row.zone).or_default();
+            let room = want.zone_room(&row.zone).saturating_sub(*used);
+            let n = want.need.count_in(&row.free, left.min(room));
+            if n > 0 {
+                *used += n;
+                left -= n;
+                out.push((i, n));
+            }
+        }
+        out
+    }
+
+    fn trial(&self, want: &Want, rows: &[usize], allowed: u32) -> (usize, Span) {
+        let spread = self.spread(want, rows, allowed);
+        let picked = spread.iter().map(|(_, n)| *n as usize).sum();
+        let worst = spread.iter().map(|&(i, _)| self.fetch(want, &self.rows[i]));
+        (picked, worst.max().unwrap_or(Span::ZERO))
+    }
+
+    fn fill(&mut self, want: &mut Want, rows: &[usize], allowed: u32) {
+        let spread = self.spread(want, rows, allowed);
+        let total: u32 = spread.iter().map(|(_, n)| *n).sum();
+        if want.gang && (total as usize) < want.tasks.len() {
+            return;
+        }
+        for (row, n) in spread {
+            for task in want.tasks.drain(..n as usize).collect::<Vec<_>>() {
+                self.assign(want, task, row);
+            }
+        }
+    }
+
+    /// Records a start in the tables.
+    pub fn assign(&mut self, want: &mut Want, task: u32, row: usize) {
+        let cost = self.fetch(want, &self.rows[row]);
+        let r = &mut self.rows[row];
+        r.free -= want.need;
+        let work = want.run.mul(want.need.share_of(&r.whole).min(1.0));
+        r.available = r.available.max(self.pace.now) + work + cost;
+        r.cache
+            .used(&want.image, want.image_gb, self.pace.now, cost);
+        if want.is_high() {
+            r.last_high = Some(self.pace.now);
+        }
+        *want.in_zones.entry(r.zone.clone()).or_default() += 1;
+        if let Some(team) = self.teams.get_mut(&want.team) {
+            team.used += want.need;
+        }
+        self.starts.push(Start {
+            job: want.job.clone(),
+            task,
+            row,
+        });
+    }
+}
--- /dev/null
+++ b/src/core/intake.rs
@@ -0,0 +1,352 @@
+//! Users' requests. Any node takes them: accepting and cancelling are
+//! conditional writes on the job's own key, and every answer that is not
+//! final rests on a fresh read.
+
+use super::ledger::{self, Head, HeadStage, TxnLimits};
+use super::node::{Io, Pending};
+use super::{Answer, Reply, RequestId, Target};
+use crate::settings::Settings;
+use crate::types::{Amounts, JobId, Span, Version};
+use crate::wire;
+use crate::wire::cloud::MachineTypes;
+use crate::wire::state::{Condition, Entry, Op, Txn};
+use crate::wire::users::{JobAnswer, Refusal, Shape, Stage, Submission, valid_id};
+use std::collections::{BTreeMap, VecDeque};
+
+/// What a request waits for.
+#[derive(Clone, Debug)]
+pub enum Step {
+    /// The head of a job, to answer a poll.
+    Poll(JobId),
+    /// The head of a job that is submitted but cannot be accepted.
+    Known(JobId, Unable),
+    /// The commit that accepts a job.
+    Accept(JobId),
+    /// The head of a job whose acceptance was lost or raced.
+    Accepted(JobId),
+    /// The head of a job to cancel; tries left.
+    CancelRead(JobId, u32),
+    /// The commit that cancels it; tries left.
+    Cancel(JobId, u32),
+}
+
+/// Why a submission cannot be accepted.
+#[derive(Clone, Copy, Debug)]
+pub enum Unable {
+    /// It can never run.
+    Never(&'static str),
+    /// This node cannot tell.
+    NotNow,
+}
+
+/// Final states remembered.
+const MOST_FINALS: usize = 2000;
+/// Task counts remembered.
+const MOST_COUNTS: usize = 4000;
+/// Tries of a cancellation that races with changes.
+const CANCEL_TRIES: u32 = 3;
+/// A user waits 2 s for a poll.
+const READ_TIMEOUT: Span = Span::millis(1500);
+/// A user waits 5 s for a submission.
+const COMMIT_TIMEOUT: Span = Span::millis(2000);
+
+/// The users' side of a node.
+#[derive(Debug, Default)]
+pub struct Intake {
+    finals: BTreeMap<JobId, Head>,
+    order: VecDeque<JobId>,
+    /// Task counts as the leader last told, for display.
+    pub counts: BTreeMap<JobId, (u32, u32)>,
+}
+
+impl Intake {
+    fn remember(&mut self, id: &JobId, head: Head) {
+        if head.s == HeadStage::Open || self.finals.insert(id.clone(), head).is_some() {
+            return;
+        }
+        self.counts.remove(id);
+        self.order.push_back(id.clone());
+        if self.order.len() > MOST_FINALS
+            && let Some(old) = self.order.pop_front()
+        {
+            self.finals.remove(&old);
+        }
+    }
+
+    /// Keeps what the leader told.
+    pub fn note_counts(&mut self, counts: Vec<(JobId, u32, u32)>) {
+        for (id, done, running) in counts {
+            if self.counts.len() < MOST_COUNTS || self.counts.contains_key(&id) {
+                self.counts.insert(id, (done, running));
+            }
+        }
+    }
+
+    fn answer(&self, id: &JobId, head: Head) -> JobAnswer {
+        let (done, running) = self.counts.get(id).copied().unwrap_or((0, 0));
+        let (stage, done, running) = match head.s {
+            HeadStage::Done => (Stage::Done, head.n, 0),
+            HeadStage::Cancelled => (Stage::Cancelled, done, 0),
+            HeadStage::Open if running > 0 => (Stage::Running, done, running),
+            HeadStage::Open => (Stage::Queued, done, 0),
+        };
+        JobAnswer {
+            id: id.clone(),
+            stage,
+            done: Some(done),
+            running: Some(running),
+        }
+    }
+}
+
+fn job_answer(io: &mut Io, request: RequestId, status: u16, answer: &JobAnswer) {
+    io.answer(
+        request,
+        Answer {
+            status,
+            retry_after: None,
+            body: wire::encode(answer),
+        },
+    );
+}
+
+fn refuse(io: &mut Io, request: RequestId, status: u16, error: &str) {
+    let error = error.to_string();
+    io.answer(
+        request,
+        Answer {
+            status,
+            retry_after: (status == 503).then_some(1),
+            body: wire::encode(&Refusal { error }),
+        },
+    );
+}
+
+/// Why a job can never run, if so.
+fn never(job: &Submission, settings: &Settings, types: &MachineTypes) -> Option<&'static str> {
+    let Some(team) = settings.teams.get(&job.team) else {
+        return Some("unknown team");
+    };
+    let need = job.needs();
+    let fits = types.kinds.iter().any(|t| {
+        job.kinds.as_ref().is_none_or(|k| k.contains(&t.name))
+            && job.zone.as_ref().is_none_or(|z| t.zones.contains(z))
+            && need.fits(&t.has())
+    });
+    if !fits {
+        return Some("a task fits no allowed machine type");
+    }
+    let at_once: Amounts = match job.shape {
+        Shape::Array => need,
+        Shape::Gang | Shape::Service => need.times(f64::from(job.tasks)),
+    };
+    (!team.allows(&at_once)).then_some("the job needs more than its team's limit")
+}
+
+impl Intake {
+    fn read(&self, io: &mut Io, request: RequestId, id: &JobId, step: Step) {
+        if !io.user_calls.take(io.now.time, 1.0) {
+            return refuse(io, request, 503, "too many requests");
+        }
+        io.call(
+            Target::State,
+            "GET",
+            format!("/keys/{}", ledger::head_key(id)),
+            Vec::new(),
+            READ_TIMEOUT,
+            Pending::User { request, step },
+        );
+    }
+
+    fn commit(&self, io: &mut Io, request: RequestId, txn: &Txn, step: Step) {
+        let now = io.now.time;
+        if !io.user_calls.take(now, 1.0) || !io.user_writes.take(now, txn.ops.len() as f64) {
+            return refuse(io, request, 503, "too many requests");
+        }
+        io.call(
+            Target::State,
+            "POST",
+            "/commit".into(),
+            wire::encode(txn),
+            COMMIT_TIMEOUT,
+            Pending::User { request, step },
+        );
+    }
+
+    /// `POST /submissions`
+    pub fn submit(
+        &mut self,
+        io: &mut Io,
+        request: RequestId,
+        body: &[u8],
+        settings: &Settings,
+        types: Option<&MachineTypes>,
+    ) {
+        let Some(job) = wire::decode::<Submission>(body) else {
+            return refuse(io, request, 400, "not a submission");
+        };
+        if let Some(field) = job.fault() {
+            return refuse(io, request, 400, &format!("{field} is invalid"));
+        }
+        if let Some(head) = self.finals.get(&job.id).copied() {
+            let answer = self.answer(&job.id, head);
+            return job_answer(io, request, 200, &answer);
+        }
+        let unable = match types {
+            None => Some(Unable::NotNow),
+            Some(t) => never(&job, settings, t).map(Unable::Never),
+        };
+        if let Some(unable) = unable {
+            // A job that is known already stays accepted, whatever the
+            // machine types or teams are today.
+            let step = Step::Known(job.id.clone(), unable);
+            return self.read(io, request, &job.id, step);
+        }
+        let limits = TxnLimits {
+            ops: settings.state_limits.txn_ops,
+            value_bytes: settings.state_limits.value_bytes,
+        };
+        match ledger::accept_txn(&job, io.now.wall, limits) {
+            Some(txn) => self.commit(io, request, &txn, Step::Accept(job.id.clone())),
+            None => refuse(io, request, 400, "the submission is too large"),
+        }
+    }
+
+    /// `GET /submissions/{id}`
+    pub fn poll(&mut self, io: &mut Io, request: RequestId, id: &str) {
+        if !valid_id(id) {
+            return refuse(io, request, 404, "no such job");
+        }
+        let id = JobId::from(id);
+        if let Some(head) = self.finals.get(&id).copied() {
+            let answer = self.answer(&id, head);
+            return job_answer(io, request, 200, &answer);
+        }
+        self.read(io, request, &id, Step::Poll(id.clone()));
+    }
+
+    /// `POST /submissions/{id}/cancel`
+    pub fn cancel(&mut self, io: &mut Io, request: RequestId, id: &str) {
+        if !valid_id(id) {
+            return refuse(io, request, 404, "no such job");
+        }
+        let id = JobId::from(id);
+        if let Some(head) = self.finals.get(&id).copied() {
+            let answer = self.answer(&id, head);
+            return job_answer(io, request, 200, &answer);
+        }
+        self.read(io, request, &id, Step::CancelRead(id.clone(), CANCEL_TRIES));
+    }
+
+    /// The state service answered a step, or not.
+    pub fn on_reply(&mut self, io: &mut Io, request: RequestId, step: Step, reply: Reply) {
+        match step {
+            Step::Accept(id) => self.on_accept(io, request, id, reply),
+            Step::Cancel(id, tries) => self.on_cancel(io, request, id, tries, reply),
+            Step::Poll(_) | Step::Known(..) | Step::Accepted(_) | Step::CancelRead(..) => {
+                self.on_head(io, request, step, reply);
+            }
+        }
+    }
+
+    fn on_accept(&mut self, io: &mut Io, request: RequestId, id: JobId, reply: Reply) {
+        match reply {
+            Reply::Answer(200, _) => {
+                let answer = JobAnswer {
+                    id,
+                    stage: Stage::Queued,
+                    done: None,
+                    running: None,
+                };
+                job_answer(io, request, 201, &answer);
+            }
+            Reply::Answer(409, _) | Reply::Lost => {
+                self.read(io, request, &id, Step::Accepted(id.clone()));
+            }
+            Reply::Answer(..) | Reply::NotSent => {
+                refuse(io, request, 503, "the state service does not answer");
+            }
+        }
+    }
+
+    fn on_cancel(&mut self, io: &mut Io, request: RequestId, id: JobId, tries: u32, reply: Reply) {
+        match reply {
+            Reply::Answer(200, _) => {
+                let head = Head {
+                    s: HeadStage::Cancelled,
+                    n: 0,
+                };
+                self.remember(&id, head);
+                let answer = self.answer(&id, head);
+                job_answer(io, request, 200, &answer);
+            }
+            Reply::Answer(409, _) | Reply::Lost if tries > 0 => {
+                self.read(io, request, &id, Step::CancelRead(id.clone(), tries - 1));
+            }
+            _ => refuse(io, request, 503, "the state service does not answer"),
+        }
+    }
+
+    fn on_head(&mut self, io: &mut Io, request: RequestId, step: Step, reply: Reply) {
+        let found = match reply {
+            Reply::Answer(404, _) => None,
+            Reply::Answer(200, body) => {
+                let entry = wire::decode::<Entry>(&body);
+                let head = entry
+                    .as_ref()
+                    .and_then(|e| Some((ledger::read::<Head>(&e.value)?, e.version)));
+                let Some(head) = head else {
+                    return refuse(io, request, 503, "the job's record cannot be read");
+                };
+                Some(head)
+            }
+            _ => return refuse(io, request, 503, "the state service does not answer"),
+        };
+        let (Step::Poll(id) | Step::Known(id, _) | Step::Accepted(id) | Step::CancelRead(id, _)) =
+            &step
+        else {
+            return;
+        };
+        match (found, &step) {
+            (Some((head, version)), Step::CancelRead(id, tries)) if head.s == HeadStage::Open => {
+                self.write_cancel(io, request, id, head, version, *tries);
+            }
+            (Some((head, _)), _) => {
+                self.remember(id, head);
+                let answer = self.answer(id, head);
+                job_answer(io, request, 200, &answer);
+            }
+            (None, Step::Known(_, Unable::Never(why))) => refuse(io, request, 422, why),
+            (None, Step::Known(_, Unable::NotNow)) => {
+                refuse(io, request, 503, "the machine types are not known yet");
+            }
+            (None, Step::Accepted(_)) => refuse(io, request, 503, "not accepted yet"),
+            (None, _) => refuse(io, request, 404, "no such job"),
+        }
+    }
+
+    fn write_cancel(
+        &self,
+        io: &mut Io,
+        request: RequestId,
+        id: &JobId,
+        head: Head,
+        version: Version,
+        tries: u32,
+    ) {
+        let value = ledger::head_value(HeadStage::Cancelled, head.n);
+        let put = |key: String| Op::Put {
+            key,
+            value: value.clone(),
+            lease: None,
+        };
+        let txn = Txn {
+            conditions: vec![Condition {
+                key: ledger::head_key(id),
+                version,
+            }],
+            ops: vec![put(ledger::head_key(id)), put(ledger::end_key(id))],
+        };
+        self.commit(io, request, &txn, Step::Cancel(id.clone(), tries));
+    }
+}
--- /dev/null
+++ b/src/core/ledger.rs
@@ -0,0 +1,699 @@
+//! Durable records: what stands in the state service and how it is written.
+//!
+//! | key | value | life |
+//! | --- | --- | --- |
+//! | `w/leader` | who leads; bound to a lease, its version is the token | |
+//! | `job/REF` | stage and task count; done and cancel race on its version | for ever |
+//! | `w/j/REF`, `w/p/REF/N` | when accepted, and the submission in pieces | until nothing of the job can run |
+//! | `w/x/REF` | how the job ended | likewise |
+//! | `r/REF/C` | tasks of chunk C: highest attempt, done ranges, placements | likewise |
+//! | `types` | the machine types last read from the cloud | |
+//!
+//! Everything below `w/` is watched by the leader.
+
+use super::presence::Placement;
+use crate::types::{Attempt, JobId, Label, MachineId, Session, Token, Version, Wall};
+use crate::wire::state::{Condition, Op, Txn};
+use crate::wire::users::{Shape, Submission};
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+/// The leader's key.
+pub const LEADER: &str = "w/leader";
+/// What the leader watches.
+pub const WATCHED: &str = "w/";
+/// Progress records.
+pub const RECORDS: &str = "r/";
+/// The machine types.
+pub const TYPES: &str = "types";
+/// Submissions.
+pub const JOBS: &str = "w/j/";
+/// Further pieces of long submissions.
+pub const PARTS: &str = "w/p/";
+/// Ends of jobs that still have records.
+pub const ENDS: &str = "w/x/";
+
+/// The key of a job's head.
+pub fn head_key(id: &JobId) -> String {
+    format!("job/{id}")
+}
+/// The key of a job's submission.
+pub fn job_key(id: &JobId) -> String {
+    format!("{JOBS}{id}")
+}
+/// The key of a job's end.
+pub fn end_key(id: &JobId) -> String {
+    format!("{ENDS}{id}")
+}
+fn part_key(id: &JobId, part: u32) -> String {
+    format!("{PARTS}{id}/{part}")
+}
+/// The key of a chunk of tasks.
+pub fn chunk_key(id: &JobId, chunk: u32) -> String {
+    format!("{RECORDS}{id}/{chunk}")
+}
+
+/// Who leads.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct LeaderValue {
+    /// The node.
+    pub label: Label,
+    /// Tells this claim from every other one.
+    pub nonce: u64,
+}
+
+/// A job's lasting state.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum HeadStage {
+    /// Accepted and not over.
+    #[serde(rename = "p")]
+    Open,
+    /// Every task is done.
+    #[serde(rename = "d")]
+    Done,
+    /// Cancelled by its user.
+    #[serde(rename = "c")]
+    Cancelled,
+}
+
+/// A job's head.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Head {
+    /// Its state.
+    pub s: HeadStage,
+    /// Number of its tasks.
+    pub n: u32,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct JobValue {
+    at: Wall,
+    n: u32,
+    s: String,
+}
+
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+struct ChunkValue {
+    n: u64,
+    d: Vec<(u32, u32)>,
+    p: Vec<(u32, u64, MachineId, u64)>,
+}
+
+fn value<T: Serialize>(v: &T) -> Value {
+    serde_json::to_value(v).unwrap_or(Value::Null)
+}
+
+/// Length of a value as the state service counts it.
+pub fn json_len(v: &Value) -> usize {
+    serde_json::to_vec(v).map_or(usize::MAX, |b| b.len())
+}
+
+/// The leader's value, to be written.
+pub fn leader_value(v: &LeaderValue) -> Value {
+    value(v)
+}
+
+/// The head of a job, to be written.
+pub fn head_value(s: HeadStage, n: u32) -> Value {
+    value(&Head { s, n })
+}
+
+/// Reads any value of ours.
+pub fn read<T: serde::de::DeserializeOwned>(v: &Value) -> Option<T> {
+    T::deserialize(v).ok()
+}
+
+/// Limits of one transaction.
+#[derive(Clone, Copy, Debug)]
+pub struct TxnLimits {
+    /// Puts and deletes.
+    pub ops: usize,
+    /// Bytes of one value.
+    pub value_bytes: usize,
+}
+
+/// Bytes of one transaction, with room left for conditions and framing.
+const TXN_BYTES: usize = 56 * 1024;
+
+/// The transaction that accepts a job. `None`: it is too large to be stored.
+pub fn accept_txn(job: &Submission, at: Wall, limits: TxnLimits) -> Option<Txn> {
+    let text = serde_json::to_string(job).ok()?;
+    // Quotes grow when JSON text becomes a JSON string; a third is ample for
+    // our field names, and the sum is checked below.
+    let room = (limits.value_bytes * 2 / 3).saturating_sub(128).max(64);
+    let mut pieces: Vec<String> = Vec::new();
+    let mut piece = String::new();
+    let mut length = 0;
+    for c in text.chars() {
+        length += match c {
+            '"' | '\\' => 2,
+            c if (c as u32) < 0x20 => 6,
+            c => c.len_utf8(),
+        };
+        piece.push(c);
+        if length >= room {
+            pieces.push(std::mem::take(&mut piece));
+            length = 0;
+        }
+    }
+    if !piece.is_empty() || pieces.is_empty() {
+        pieces.push(piece);
+    }
+    let mut ops = vec![Op::Put {
+        key: head_key(&job.id),
+        value: head_value(HeadStage::Open, job.tasks),
+        lease: None,
+    }];
+    let count = pieces.len() as u32;
+    for (i, s) in pieces.into_iter().enumerate() {
+        let (key, v) = if i == 0 {
+            (job_key(&job.id), value(&JobValue { at, n: count, s }))
+        } else {
+            (part_key(&job.id, i as u32), Value::String(s))
+        };
+        ops.push(Op::Put {
+            key,
+            value: v,
+            lease: None,
+        });
+    }
+    let bytes: usize = ops
+        .iter()
+        .map(|op| match op {
+            Op::Put { key, value, .. } => key.len() + json_len(value) + 40,
+            Op::Delete { key } => key.len() + 20,
+        })
+        .sum();
+    if ops.len() > limits.ops || bytes > TXN_BYTES {
+        return None;
+    }
+    Some(Txn {
+        conditions: vec![Condition {
+            key: head_key(&job.id),
+            version: Version(0),
+        }],
+        ops,
+    })
+}
+
+/// A set of task numbers, kept as ranges.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Ranges {
+    spans: BTreeMap<u32, u32>,
+    count: u32,
+}
+
+impl Ranges {
+    /// All numbers below `n`.
+    pub fn below(n: u32) -> Ranges {
+        let mut r = Ranges::default();
+        if n > 0 {
+            r.spans.insert(0, n);
+            r.count = n;
+        }
+        r
+    }
+
+    fn span_of(&self, i: u32) -> Option<(u32, u32)> {
+        let (&a, &b) = self.spans.range(..=i).next_back()?;
+        (i < b).then_some((a, b))
+    }
+
+    /// Whether `i` is in the set.
+    pub fn contains(&self, i: u32) -> bool {
+        self.span_of(i).is_some()
+    }
+
+    /// Adds `i`; false if it was there.
+    pub fn insert(&mut self, i: u32) -> bool {
+        if self.contains(i) {
+            return false;
+        }
+        let mut start = i;
+        let mut end = i + 1;
+        if let Some((&a, &b)) = self.spans.range(..i).next_back()
+            && b == i
+        {
+            self.spans.remove(&a);
+            start = a;
+        }
+        if let Some(b) = self.spans.remove(&end) {
+            end = b;
+        }
+        self.spans.insert(start, end);
+        self.count += 1;
+        true
+    }
+
+    /// Takes `i` out; false if it was not there.
+    pub fn remove(&mut self, i: u32) -> bool {
+        let Some((a, b)) = self.span_of(i) else {
+            return false;
+        };
+        self.spans.remove(&a);
+        if a < i {
+            self.spans.insert(a, i);
+        }
+        if i + 1 < b {
+            self.spans.insert(i + 1, b);
+        }
+        self.count -= 1;
+        true
+    }
+
+    /// How many there are.
+    pub fn len(&self) -> u32 {
+        self.count
+    }
+
+    /// Whether there are none.
+    pub fn is_empty(&self) -> bool {
+        self.count == 0
+    }
+
+    /// The numbers in order.
+    pub fn iter(&self) -> impl Iterator<Item = u32> + '_ {
+        self.spans.iter().flat_map(|(&a, &b)| a..b)
+    }
+
+    /// The ranges `[a, b)` within `[low, high)`.
+    pub fn within(&self, low: u32, high: u32) -> Vec<(u32, u32)> {
+        let first = self.span_of(low).map_or(low, |(a, _)| a);
+        self.spans
+            .range(first..high)
+            .map(|(&a, &b)| (a.max(low), b.min(high)))
+            .filter(|(a, b)| a < b)
+            .collect()
+    }
+}
+
+/// How a job ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// All tasks done; `written` once the head says so.
+    Done {
+        /// Whether the head says so.
+        written: bool,
+    },
+    /// Cancelled by its user.
+    Cancelled,
+}
+
+/// One chunk of a job's tasks as it is stored.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Chunk {
+    /// Version of the stored record; 0: none.
+    pub version: Version,
+    /// Counts changes in memory.
+    pub change: u64,
+    /// The last change that is stored.
+    pub stored: u64,
+}
+
+/// A job in the leader's memory.
+#[derive(Debug)]
+pub struct Job {
+    /// As submitted.
+    pub spec: Rc<Submission>,
+    /// When it was accepted.
+    pub at: Wall,
+    /// Version of its head while open.
+    pub version: Version,
+    /// Further keys of its submission.
+    pub parts: u32,
+    /// How it ended, if it has.
+    pub end: Option<End>,
+    /// Tasks that are done.
+    pub done: Ranges,
+    /// Tasks that are neither done nor placed.
+    pub waiting: Ranges,
+    /// Where tasks are or may be: at most one place each.
+    pub places: BTreeMap<u32, Placement>,
+    /// Stored chunks.
+    pub chunks: BTreeMap<u32, Chunk>,
+    /// Done tasks that are not stored yet, with their chunk's change.
+    pub unsaved: BTreeMap<u32, u64>,
+    /// Highest attempt ever used.
+    pub attempt: Attempt,
+    /// Scheduling notes, lost with the leader.
+    pub notes: super::fleet::JobNotes,
+}
+
+/// Tasks in one chunk.
+#[derive(Clone, Copy, Debug)]
+pub struct ChunkSize(pub u32);
+
+impl ChunkSize {
+    /// As many as surely fit into a value: a placement takes up to about 100
+    /// bytes, a done range about 16.
+    pub fn for_value(bytes: usize) -> ChunkSize {
+        ChunkSize(((bytes.saturating_sub(256)) / 112).clamp(1, 64) as u32)
+    }
+    /// The chunk of a task.
+    pub fn of(self, task: u32) -> u32 {
+        task / self.0
+    }
+}
+
+impl Job {
+    /// A job just accepted.
+    pub fn new(spec: Rc<Submission>, at: Wall, version: Version, parts: u32) -> Job {
+        let tasks = spec.tasks;
+        Job {
+            spec,
+            at,
+            version,
+            parts,
+            end: None,
+            done: Ranges::default(),
+            waiting: Ranges::below(tasks),
+            places: BTreeMap::new(),
+            chunks: BTreeMap::new(),
+            unsaved: BTreeMap::new(),
+            attempt: Attempt(0),
+            notes: Default::default(),
+        }
+    }
+
+    /// Whether it is a service, which is never done.
+    pub fn is_service(&self) -> bool {
+        self.spec.shape == Shape::Service
+    }
+    /// Whether it is a gang.
+    pub fn is_gang(&self) -> bool {
+        self.spec.shape == Shape::Gang
+    }
+    /// Whether its tasks may still be started.
+    pub fn is_open(&self) -> bool {
+        self.end.is_none()
+    }
+
+    /// Notes a change of a task's record; returns the change's number.
+    pub fn touch(&mut self, size: ChunkSize, task: u32) -> u64 {
+        let chunk = self.chunks.entry(size.of(task)).or_default();
+        chunk.change += 1;
+        chunk.change
+    }
+
+    /// Whether change `n` of a task's chunk is stored.
+    pub fn is_stored(&self, size: ChunkSize, task: u32, n: u64) -> bool {
+        self.chunks
+            .get(&size.of(task))
+            .is_some_and(|c| c.stored >= n)
+    }
+
+    /// Whether a done task may be cleared from its machine: its being done is
+    /// stored. A worker that forgets it earlier would let it run again after
+    /// a change of leader.
+    pub fn done_is_stored(&self, task: u32) -> bool {
+        self.done.contains(task)
+            && (self.end == Some(End::Done { written: true })
+                || self.end == Some(End::Cancelled)
+                || !self.unsaved.contains_key(&task))
+    }
+
+    /// The record of a chunk as it should be stored.
+    pub fn chunk_value(&self, size: ChunkSize, chunk: u32) -> Value {
+        let low = chunk * size.0;
+        let high = low + size.0;
+        value(&ChunkValue {
+            n: self.attempt.0,
+            d: self.done.within(low, high),
+            p: self
+                .places
+                .range(low..high)
+                .map(|(&i, p)| (i, p.attempt.0, p.machine.clone(), p.session.0))
+                .collect(),
+        })
+    }
+
+    /// Takes over a stored record.
+    pub fn load_chunk(&mut self, chunk: u32, version: Version, stored: &Value) -> bool {
+        let Some(v) = read::<ChunkValue>(stored) else {
+            return false;
+        };
+        self.chunks.insert(
+            chunk,
+            Chunk {
+                version,
+                change: 0,
+                stored: 0,
+            },
+        );
+        self.attempt = self.attempt.max(Attempt(v.n));
+        for (a, b) in v.d {
+            for i in a..b.min(self.spec.tasks) {
+                self.done.insert(i);
+                self.waiting.remove(i);
+            }
+        }
+        for (i, attempt, machine, session) in v.p {
+            self.waiting.remove(i);
+            self.attempt = self.attempt.max(Attempt(attempt));
+            self.places.insert(
+                i,
+                Placement::inherited(machine, Session(session), Attempt(attempt)),
+            );
+        }
+        true
+    }
+
+    /// All keys to delete once nothing of the job can run any more. The
+    /// submission comes last: a successor must not find records without it.
+    pub fn keys(&self) -> Vec<String> {
+        let id = &self.spec.id;
+        self.chunks
+            .iter()
+            .filter(|(_, c)| c.version != Version(0))
+            .map(|(&c, _)| chunk_key(id, c))
+            .chain((1..self.parts).map(|p| part_key(id, p)))
+            .chain([end_key(id), job_key(id)])
+            .collect()
+    }
+}
+
+/// Puts submissions back together from their pieces.
+#[derive(Debug, Default)]
+pub struct Assembly {
+    parts: BTreeMap<(JobId, u32), String>,
+}
+
+/// What a watched key is about.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Watched {
+    /// The leader's key.
+    Leader,
+    /// A submission.
+    Job(JobId),
+    /// A further piece of one.
+    Part(JobId, u32),
+    /// A job's end.
+    End(JobId),
+    /// Something else.
+    Other,
+}
+
+/// Tells what a key below `w/` is about.
+pub fn watched(key: &str) -> Watched {
+    if key == LEADER {
+        Watched::Leader
+    } else if let Some(id) = key.strip_prefix(JOBS) {
+        Watched::Job(id.into())
+    } else if let Some(id) = key.strip_prefix(ENDS) {
+        Watched::End(id.into())
+    } else if let Some((id, part)) = key.strip_prefix(PARTS).and_then(|k| k.rsplit_once('/')) {
+        part.parse()
+            .map_or(Watched::Other, |p| Watched::Part(id.into(), p))
+    } else {
+        Watched::Other
+    }
+}
+
+/// Tells which job and chunk a key below `r/` is about.
+pub fn record(key: &str) -> Option<(JobId, u32)> {
+    let (id, chunk) = key.strip_prefix(RECORDS)?.rsplit_once('/')?;
+    Some((id.into(), chunk.parse().ok()?))
+}
+
+impl Assembly {
+    /// Keeps a further piece until its submission is read.
+    pub fn part(&mut self, id: JobId, part: u32, v: &Value) {
+        if let Value::String(s) = v {
+            self.parts.insert((id, part), s.clone());
+        }
+    }
+
+    /// The job of a submission, if all its pieces are there.
+    pub fn job(&mut self, id: &JobId, version: Version, v: &Value) -> Option<Job> {
+        let v: JobValue = read(v)?;
+        let mut text = v.s;
+        for i in 1..v.n {
+            text.push_str(&self.parts.remove(&(id.clone(), i))?);
+        }
+        let spec: Submission = serde_json::from_str(&text).ok()?;
+        Some(Job::new(Rc::new(spec), v.at, version, v.n))
+    }
+}
+
+/// What a transaction in flight carries.
+#[derive(Clone, Debug)]
+pub enum Item {
+    /// A chunk as it was at a change.
+    Chunk(JobId, u32, u64),
+    /// A job's head said to be done.
+    Finish(JobId),
+    /// Keys of an ended job deleted; whether they were the last.
+    Drop(JobId, bool),
+}
+
+/// The leader's only lane of writes: one transaction at a time, so that their
+/// order is never in doubt.
+#[derive(Debug, Default)]
+pub struct Lane {
+    /// The transaction in flight with what it carries.
+    pub flight: Option<(Txn, Vec<Item>)>,
+    /// Whether an answer to it was lost, so that it may be applied already.
+    pub doubtful: bool,
+    /// Whether a call for it is out.
+    pub calling: bool,
+    /// Not before this time.
+    pub not_before: crate::types::Time,
+}
+
+/// Collects changes up to the limits of one transaction.
+#[derive(Debug)]
+pub struct TxnBuilder {
+    txn: Txn,
+    items: Vec<Item>,
+    bytes: usize,
+    limits: TxnLimits,
+}
+
+impl TxnBuilder {
+    /// A transaction that only the holder of `token` can commit.
+    pub fn new(token: Token, limits: TxnLimits) -> TxnBuilder {
+        TxnBuilder {
+            txn: Txn {
+                conditions: vec![Condition {
+                    key: LEADER.into(),
+                    version: Version(token.0),
+                }],
+                ops: Vec::new(),
+            },
+            items: Vec::new(),
+            bytes: 0,
+            limits,
+        }
+    }
+
+    /// How many more changes fit.
+    pub fn room(&self) -> usize {
+        self.limits.ops - self.txn.ops.len()
+    }
+
+    /// Adds an item with its changes and conditions; false if it does not fit.
+    pub fn add(&mut self, item: Item, conditions: Vec<Condition>, ops: Vec<Op>) -> bool {
+        let bytes: usize = ops
+            .iter()
+            .map(|op| match op {
+                Op::Put { key, value, .. } => key.len() + json_len(value) + 40,
+                Op::Delete { key } => key.len() + 20,
+            })
+            .sum::<usize>()
+            + conditions.iter().map(|c| c.key.len() + 40).sum::<usize>();
+        if ops.len() > self.room() || self.bytes + bytes > TXN_BYTES {
+            return false;
+        }
+        self.bytes += bytes;
+        self.txn.conditions.extend(conditions);
+        self.txn.ops.extend(ops);
+        self.items.push(item);
+        true
+    }
+
+    /// The transaction, if it has anything to do.
+    pub fn finish(self) -> Option<(Txn, Vec<Item>)> {
+        (!self.txn.ops.is_empty()).then_some((self.txn, self.items))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::testing;
+    use proptest::prelude::*;
+    use std::collections::BTreeSet;
+
+    proptest! {
+        #![proptest_config(ProptestConfig {
+            cases: 300, failure_persistence: None,
+            rng_seed: proptest::test_runner::RngSeed::Fixed(11), ..Default::default()
+        })]
+        #[test]
+        fn ranges_are_a_set(steps in proptest::collection::vec((any::<bool>(), 0u32..40), 0..120),
+            low in 0u32..40, size in 0u32..20) {
+            let mut plain = BTreeSet::new();
+            let mut ranges = Ranges::default();
+            for (add, i) in steps {
+                if add {
+                    prop_assert_eq!(ranges.insert(i), plain.insert(i));
+                } else {
+                    prop_assert_eq!(ranges.remove(i), plain.remove(&i));
+                }
+            }
+            prop_assert_eq!(ranges.len() as usize, plain.len());
+            prop_assert!(ranges.iter().eq(plain.iter().copied()));
+            let within: Vec<u32> = ranges.within(low, low + size).iter().flat_map(|&(a, b)| a..b).collect();
+            prop_assert!(within.into_iter().eq(plain.range(low..low + size).copied()));
+        }
+    }
+
+    #[test]
+    fn a_long_submission_is_stored_in_pieces_and_read_back() {
+        let limits = TxnLimits { ops: 48, value_bytes: 2048 };
+        let mut spec = testing::submission("wk-1", Shape::Array, 3);
+        spec.kinds = Some((0..300).map(|i| format!("kind-\"{i}\"").into()).collect());
+        let txn = accept_txn(&spec, Wall(5), limits).unwrap();
+        let mut assembly = Assembly::default();
+        let mut first = None;
+        for op in &txn.ops {
+            let Op::Put { key, value, .. } = op else { panic!() };
+            assert!(json_len(value) <= 2048, "{}", json_len(value));
+            match watched(key) {
+                Watched::Job(id) => first = Some((id, value.clone())),
+                Watched::Part(id, n) => assembly.part(id, n, value),
+                _ => assert_eq!(key, "job/wk-1"),
+            }
+        }
+        let (id, v) = first.unwrap();
+        let job = assembly.job(&id, Version(9), &v).unwrap();
+        assert_eq!((*job.spec).clone(), spec);
+        assert_eq!(job.at, Wall(5));
+    }
+
+    #[test]
+    fn a_full_chunk_fits_into_a_value() {
+        for bytes in [1024, 2048, 8192] {
+            let size = ChunkSize::for_value(bytes);
+            let spec = testing::submission("wk-1", Shape::Array, 100_000);
+            let mut job = Job::new(Rc::new(spec), Wall(0), Version(1), 1);
+            let high = 100_000 - size.0;
+            for i in (high..100_000).step_by(2) {
+                job.done.insert(i);
+            }
+            for i in high..100_000 {
+                let place = Placement::inherited(
+                    "machine-with-a-rather-long-name-000231".into(),
+                    Session(1 << 40),
+                    Attempt(1 << 40),
+                );
+                job.places.insert(i, place);
+            }
+            let chunk = size.of(high);
+            let len = json_len(&job.chunk_value(size, chunk));
+            assert!(len <= bytes, "{len} of {bytes}");
+        }
+    }
+}
--- /dev/null
+++ b/src/core/mod.rs
@@ -0,0 +1,114 @@
+//! The controller as a state machine: inputs with a time go in, what to send,
+//! write and answer comes out. Nothing here does I/O or reads a clock.
+
+pub mod budget;
+pub mod cycle;
+pub mod election;
+pub mod fleet;
+pub mod intake;
+pub mod leader;
+pub mod ledger;
+pub mod node;
+pub mod preempt;
+pub mod presence;
+pub mod rental;
+pub mod tables;
+
+use crate::types::{Span, Time, Wall};
+use std::net::SocketAddrV4;
+
+/// The time an input arrives at, on both clocks.
+#[derive(Clone, Copy, Debug)]
+pub struct Now {
+    /// The steady clock.
+    pub time: Time,
+    /// The time of day.
+    pub wall: Wall,
+}
+
+/// Names a request that waits for its answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct RequestId(pub u64);
+
+/// Names a call that waits for its reply.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct CallId(pub u64);
+
+/// Which listener a request came in by.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Side {
+    /// Users, workers and health checks.
+    Api,
+    /// The other nodes and operators.
+    Internal,
+}
+
+/// An input.
+#[derive(Debug)]
+pub enum Input {
+    /// Time has passed.
+    Tick,
+    /// Somebody asks.
+    Request(RequestId, Side, crate::http::Request),
+    /// A call was answered or failed.
+    Reply(CallId, Reply),
+}
+
+/// What became of a call.
+#[derive(Debug)]
+pub enum Reply {
+    /// It was answered.
+    Answer(u16, Vec<u8>),
+    /// It certainly never reached the other side.
+    NotSent,
+    /// It may have been carried out, or may yet be.
+    Lost,
+}
+
+/// Whom a call goes to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Target {
+    /// The state service.
+    State,
+    /// The cloud.
+    Cloud,
+    /// Another node or a worker.
+    Host(SocketAddrV4),
+}
+
+/// A call to make.
+#[derive(Clone, Debug)]
+pub struct Call {
+    /// Its name.
+    pub id: CallId,
+    /// Whom it goes to.
+    pub target: Target,
+    /// The method.
+    pub method: &'static str,
+    /// Path and query.
+    pub path: String,
+    /// The body.
+    pub body: Vec<u8>,
+    /// When to give it up.
+    pub timeout: Span,
+}
+
+/// An answer to a request.
+#[derive(Clone, Debug, Default)]
+pub struct Answer {
+    /// The status.
+    pub status: u16,
+    /// When to come back, in seconds.
+    pub retry_after: Option<u32>,
+    /// The body.
+    pub body: Vec<u8>,
+}
+
+/// An output.
+#[derive(Debug)]
+pub enum Output {
+    /// Answer a request.
+    Answer(RequestId, Answer),
+    /// Make a call.
+    Call(Call),
+}
--- /dev/null
+++ b/src/core/node.rs
@@ -0,0 +1,761 @@
+//! A controller node: routes inputs to its parts.
+
+use super::budget::Bucket;
+use super::election::{Election, Outcome, Standing};
+use super::intake::{Intake, Step};
+use super::leader::{Fate, Leader};
+use super::ledger;
+use super::rental::CloudCall;
+use super::{Answer, Call, CallId, Input, Now, Output, Reply, RequestId, Side, Target};
+use crate::http;
+use crate::policy::Policy;
+use crate::settings::Settings;
+use crate::types::{Label, Session, Span, Time, Token, Version, Wall};
+use crate::wire;
+use crate::wire::cloud::{MachineType, MachineTypes};
+use crate::wire::peers::Greeting;
+use crate::wire::state::{Condition, Entries, Op, Txn};
+use crate::wire::workers::{Command, DirectCommands, Report, ReportElsewhere};
+use hdrhistogram::Histogram;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddrV4;
+use std::rc::Rc;
+
+/// What a call's reply is for.
+#[derive(Clone, Debug)]
+pub enum Pending {
+    /// The leader's key.
+    ReadLeader {
+        /// When it was asked for.
+        sent: Time,
+    },
+    /// A follower's watch.
+    WatchLeader {
+        /// When it was asked for.
+        sent: Time,
+    },
+    /// A new lease.
+    NewLease,
+    /// The claim of the leader's key.
+    Claim {
+        /// The lease.
+        lease: u64,
+    },
+    /// The leader's key, after a claim whose answer was lost.
+    ClaimRead {
+        /// The lease.
+        lease: u64,
+    },
+    /// A renewal.
+    Renew {
+        /// The lease.
+        lease: u64,
+    },
+    /// Records or changes, for the leader.
+    Read {
+        /// Whose leadership.
+        token: Token,
+        /// When it was asked for.
+        sent: Time,
+    },
+    /// The leader's transaction.
+    Commit {
+        /// Whose leadership.
+        token: Token,
+    },
+    /// A call to the cloud.
+    Cloud {
+        /// Whose leadership.
+        token: Token,
+        /// What it was.
+        call: CloudCall,
+    },
+    /// A step of a user's request.
+    User {
+        /// The request.
+        request: RequestId,
+        /// The step.
+        step: Step,
+    },
+    /// The stored machine types.
+    Types,
+    /// A greeting to a peer.
+    Greet(Label),
+    /// Nobody waits for it.
+    Ignore,
+}
+
+/// Kinds of requests whose times are kept.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Timed {
+    Submit,
+    Poll,
+    Cancel,
+    Report,
+}
+
+/// The core's hands: collects outputs and remembers what replies are for.
+#[derive(Debug)]
+pub struct Io {
+    /// The time of the input at hand.
+    pub now: Now,
+    /// Random numbers.
+    pub rng: StdRng,
+    /// Calls to the state service that users may cause.
+    pub user_calls: Bucket,
+    /// Writes to the state service that users may cause.
+    pub user_writes: Bucket,
+    /// Calls of the leader's writing lane.
+    pub state_calls: Bucket,
+    /// Machine types the cloud has just told.
+    pub learned_types: Option<MachineTypes>,
+    out: Vec<Output>,
+    next_call: u64,
+    pending: HashMap<CallId, Pending>,
+    timed: HashMap<RequestId, (Timed, Time)>,
+    times: BTreeMap<Timed, Histogram<u64>>,
+}
+
+/// Most requests waiting at once; more are told to come back.
+const MOST_WAITING: usize = 600;
+
+impl Io {
+    fn new(settings: &Settings, seed: u64) -> Io {
+        let limits = settings.state_limits;
+        let nodes = f64::from(settings.size);
+        let per_node = |all: f64, share: f64| (all * share / nodes).max(1.0);
+        let bucket = |rate: f64| Bucket::new(rate, rate);
+        Io {
+            now: Now {
+                time: Time(0),
+                wall: Wall(0),
+            },
+            rng: StdRng::seed_from_u64(seed),
+            user_calls: bucket(per_node(limits.rps, 0.75)),
+            user_writes: bucket(per_node(limits.write_rps, 0.45).max(4.0)),
+            state_calls: bucket((limits.rps * 0.12).max(2.0)),
+            learned_types: None,
+            out: Vec::new(),
+            next_call: 1,
+            pending: HashMap::new(),
+            timed: HashMap::new(),
+            times: BTreeMap::new(),
+        }
+    }
+
+    /// A random number in 0..1.
+    pub fn jitter(&mut self) -> f64 {
+        self.rng.random()
+    }
+
+    /// Makes a call.
+    pub fn call(
+        &mut self,
+        target: Target,
+        method: &'static str,
+        path: String,
+        body: Vec<u8>,
+        timeout: Span,
+        pending: Pending,
+    ) {
+        let id = CallId(self.next_call);
+        self.next_call += 1;
+        self.pending.insert(id, pending);
+        self.out.push(Output::Call(Call {
+            id,
+            target,
+            method,
+            path,
+            body,
+            timeout,
+        }));
+    }
+
+    /// Answers a request.
+    pub fn answer(&mut self, request: RequestId, answer: Answer) {
+        if let Some((kind, since)) = self.timed.remove(&request) {
+            let ms = self.now.time.since(since).as_millis();
+            self.times
+                .entry(kind)
+                .or_insert_with(|| {
+                    Histogram::new_with_bounds(1, 60_000, 2).expect("fixed bounds are valid")
+                })
+                .saturating_record(ms.max(1));
+        }
+        self.out.push(Output::Answer(request, answer));
+    }
+
+    /// Answers with a bare status.
+    pub fn answer_status(&mut self, request: RequestId, status: u16) {
+        self.answer(
+            request,
+            Answer {
+                status,
+                ..Default::default()
+            },
+        );
+    }
+
+    /// Answers with a status and when to come back.
+    pub fn answer_later(&mut self, request: RequestId, status: u16, seconds: u32) {
+        self.answer(
+            request,
+            Answer {
+                status,
+                retry_after: Some(seconds),
+                body: Vec::new(),
+            },
+        );
+    }
+
+    /// Sends commands straight to a worker; nobody waits for the answer.
+    pub fn direct(
+        &mut self,
+        addr: SocketAddrV4,
+        token: Token,
+        session: Session,
+        commands: Vec<Command>,
+    ) {
+        let body = wire::encode(&DirectCommands {
+            token,
+            session,
+            commands,
+        });
+        self.call(
+            Target::Host(addr),
+            "POST",
+            "/commands".into(),
+            body,
+            Span::secs(4.0),
+            Pending::Ignore,
+        );
+    }
+}
+
+#[derive(Clone, Debug)]
+struct PeerView {
+    heard: Time,
+    token: Token,
+    leads: bool,
+    state_ok: bool,
+}
+
+/// A controller node.
+#[derive(Debug)]
+pub struct Node {
+    settings: Rc<Settings>,
+    policy: Rc<Policy>,
+    io: Io,
+    election: Election,
+    intake: Intake,
+    leader: Option<Leader>,
+    peers: BTreeMap<Label, PeerView>,
+    types: Option<MachineTypes>,
+    types_due: Time,
+    types_calling: bool,
+    greet_due: Time,
+}
+
+/// Time between greetings.
+const GREET_EVERY: Span = Span::millis(1000);
+/// Contact with the state service older than this counts as none.
+const STATE_FRESH: Span = Span::millis(5000);
+/// How long a peer's word counts.
+const PEER_FRESH: Span = Span::millis(3500);
+/// Time between looks at the stored machine types.
+const TYPES_EVERY: Span = Span::millis(30_000);
+/// Counts told to peers at once.
+const MOST_COUNTS: usize = 300;
+
+impl Node {
+    /// A node at the start of its life.
+    pub fn new(settings: Settings, policy: Policy, seed: u64) -> Node {
+        let settings = Rc::new(settings);
+        Node {
+            io: Io::new(&settings, seed),
+            election: Election::new(settings.label.clone(), Span::secs(policy.leader_lease_s)),
+            intake: Intake::default(),
+            leader: None,
+            peers: BTreeMap::new(),
+            types: None,
+            types_due: Time(0),
+            types_calling: false,
+            greet_due: Time(0),
+            policy: Rc::new(policy),
+            settings,
+        }
+    }
+
+    /// Takes an input; returns what to do.
+    pub fn handle(&mut self, now: Now, input: Input) -> Vec<Output> {
+        self.io.now = now;
+        match input {
+            Input::Tick => self.tick(),
+            Input::Request(id, side, request) => self.request(id, side, request),
+            Input::Reply(id, reply) => {
+                if let Some(pending) = self.io.pending.remove(&id) {
+                    self.reply(pending, reply);
+                }
+            }
+        }
+        if let Some(leader) = &mut self.leader {
+            leader.advance(&mut self.io);
+        }
+        std::mem::take(&mut self.io.out)
+    }
+
+    /// Whether this node leads and has loaded everything.
+    pub fn leads(&self) -> bool {
+        self.leader.as_ref().is_some_and(Leader::is_loaded)
+    }
+
+    fn tick(&mut self) {
+        let now = self.io.now.time;
+        self.election.tick(&mut self.io);
+        if let Some(leader) = &mut self.leader {
+            self.election.renew(&mut self.io, leader.lease);
+            leader.tick(&mut self.io);
+        }
+        if now >= self.greet_due {
+            self.greet_due = now + GREET_EVERY;
+            self.greet();
+        }
+        if !self.types_calling && now >= self.types_due {
+            self.types_calling = true;
+            let path = format!("/keys?starts={}/&most=100", ledger::TYPES);
+            self.io.call(
+                Target::State,
+                "GET",
+                path,
+                Vec::new(),
+                Span::secs(2.0),
+                Pending::Types,
+            );
+        }
+        // Requests whose connection was given up leave their notes behind.
+        self.io
+            .timed
+            .retain(|_, (_, since)| now.since(*since) < Span::secs(30.0));
+    }
+
+    fn request(&mut self, id: RequestId, side: Side, r: http::Request) {
+        let parts: Vec<&str> = r.path.split('/').skip(1).collect();
+        let routes = (side, r.method.as_str(), parts.as_slice());
+        let timed = match routes {
+            (Side::Api, "POST", ["submissions"]) => Some(Timed::Submit),
+            (Side::Api, "GET", ["submissions", _]) => Some(Timed::Poll),
+            (Side::Api, "POST", ["submissions", _, "cancel"]) => Some(Timed::Cancel),
+            (Side::Api, "POST", ["checkin"]) => Some(Timed::Report),
+            _ => None,
+        };
+        if let Some(kind) = timed {
+            if self.io.timed.len() >= MOST_WAITING && kind != Timed::Report {
+                return self.io.answer_later(id, 503, 2);
+            }
+            self.io.timed.insert(id, (kind, self.io.now.time));
+        }
+        match routes {
+            (Side::Api, "POST", ["submissions"]) => self.intake.submit(
+                &mut self.io,
+                id,
+                &r.body,
+                &self.settings,
+                self.types.as_ref(),
+            ),
+            (Side::Api, "GET", ["submissions", job]) => {
+                self.refresh_counts(job);
+                self.intake.poll(&mut self.io, id, job);
+            }
+            (Side::Api, "POST", ["submissions", job, "cancel"]) => {
+                self.intake.cancel(&mut self.io, id, job);
+            }
+            (Side::Api, "POST", ["checkin"]) => self.checkin(id, &r.body),
+            (Side::Api, "GET", ["ready"]) => {
+                let status = if self.is_ready() { 200 } else { 503 };
+                self.io.answer_status(id, status);
+            }
+            (Side::Internal, "POST", ["greet"]) => self.greeted(id, &r.body),
+            (Side::Internal, "GET", ["inspect"]) => {
+                let body = wire::encode(&self.inspect());
+                self.io.answer(
+                    id,
+                    Answer {
+                        status: 200,
+                        retry_after: None,
+                        body,
+                    },
+                );
+            }
+            (Side::Api, _, ["submissions"] | ["submissions", _] | ["submissions", _, "cancel"])
+            | (Side::Api, _, ["checkin"] | ["ready"])
+            | (Side::Internal, _, ["greet"] | ["inspect"]) => self.io.answer_status(id, 405),
+            _ => self.io.answer_status(id, 404),
+        }
+    }
+
+    fn refresh_counts(&mut self, job: &str) {
+        if let Some(leader) = &self.leader {
+            let id = job.into();
+            if let Some((done, running)) = leader.counts(&id) {
+                self.intake.note_counts(vec![(id, done, running)]);
+            }
+        }
+    }
+
+    fn reply(&mut self, pending: Pending, reply: Reply) {
+        let now = self.io.now.time;
+        let io = &mut self.io;
+        let outcome = match pending {
+            Pending::ReadLeader { sent } => self.election.on_read(io, sent, reply),
+            Pending::WatchLeader { sent } => {
+                self.election.on_watch(io, sent, reply);
+                Outcome::None
+            }
+            Pending::NewLease => {
+                self.election.on_lease(io, reply);
+                Outcome::None
+            }
+            Pending::Claim { lease } => self.election.on_claim(io, lease, reply),
+            Pending::ClaimRead { lease } => self.election.on_claim_read(io, lease, reply),
+            Pending::Renew { lease } => {
+                let current = self.leader.as_ref().is_some_and(|l| l.lease == lease);
+                if current {
+                    self.election.on_renew(now, &reply)
+                } else {
+                    Outcome::None
+                }
+            }
+            Pending::Read { token, sent } => {
+                return self.lead(token, |l, io| l.on_read(io, sent, reply));
+            }
+            Pending::Commit { token } => {
+                return self.lead(token, |l, io| l.on_commit(io, reply));
+            }
+            Pending::Cloud { token, call } => {
+                self.lead(token, |l, io| l.on_cloud(io, call, reply));
+                if let Some(types) = self.io.learned_types.take() {
+                    self.learned(types);
+                }
+                return;
+            }
+            Pending::User { request, step } => {
+                self.intake.on_reply(io, request, step, reply);
+                Outcome::None
+            }
+            Pending::Types => {
+                self.on_types(&reply);
+                Outcome::None
+            }
+            Pending::Greet(label) => {
+                if let Reply::Answer(200, body) = reply
+                    && let Some(g) = wire::decode::<Greeting>(&body)
+                    && g.label == label
+                {
+                    self.heard(g);
+                }
+                Outcome::None
+            }
+            Pending::Ignore => Outcome::None,
+        };
+        match outcome {
+            Outcome::None => {}
+            Outcome::Elected(token, lease) => {
+                tracing::info!(%token, "elected");
+                let none = MachineTypes::default();
+                let mut leader = Leader::new(
+                    Rc::clone(&self.settings),
+                    Rc::clone(&self.policy),
+                    token,
+                    lease,
+                    now,
+                    self.types.as_ref().unwrap_or(&none),
+                );
+                leader.tick(&mut self.io);
+                self.leader = Some(leader);
+                self.greet_due = now;
+            }
+            Outcome::LeaseLost => self.end_leadership(Fate::StepDown("the lease ran out")),
+        }
+        // Standing may have changed: go on at once.
+        self.election.tick(&mut self.io);
+    }
+
+    /// Lets the leader of this token act; a reply for an earlier one is void.
+    fn lead(&mut self, token: Token, act: impl FnOnce(&mut Leader, &mut Io) -> Fate) {
+        let Some(leader) = self.leader.as_mut().filter(|l| l.token == token) else {
+            return;
+        };
+        let fate = act(leader, &mut self.io);
+        if fate != Fate::Stay {
+            return self.end_leadership(fate);
+        }
+        leader.tick(&mut self.io);
+    }
+
+    fn end_leadership(&mut self, fate: Fate) {
+        let Some(mut leader) = self.leader.take() else {
+            return;
+        };
+        leader.drop_held(&mut self.io);
+        let now = self.io.now.time;
+        match fate {
+            Fate::Deposed(by) => tracing::info!(token = %leader.token, %by, "deposed"),
+            Fate::StepDown(why) => tracing::info!(token = %leader.token, why, "stepped down"),
+            Fate::Stay => {}
+        }
+        self.election.drop_lease(&mut self.io, leader.lease);
+        self.election.reset(now);
+    }
+
+    // ---- machine types ----
+
+    fn on_types(&mut self, reply: &Reply) {
+        self.types_calling = false;
+        let now = self.io.now.time;
+        self.types_due = now + TYPES_EVERY;
+        if let Reply::Answer(200, body) = reply
+            && let Some(page) = wire::decode::<Entries>(body)
+            && !page.items.is_empty()
+        {
+            let kinds: Vec<MachineType> = page
+                .items
+                .iter()
+                .filter_map(|e| ledger::read::<Vec<MachineType>>(&e.value))
+                .flatten()
+                .collect();
+            let types = MachineTypes { kinds };
+            if let Some(leader) = &mut self.leader {
+                leader.set_types(&types);
+            }
+            self.types = Some(types);
+        } else if self.types.is_none() {
+            self.types_due = now + Span::millis(500);
+        }
+    }
+
+    /// The cloud has told the machine types: they are kept in the state
+    /// service, for nodes that start while the cloud is out.
+    fn learned(&mut self, types: MachineTypes) {
+        let Some(leader) = &self.leader else {
+            return;
+        };
+        if self.types.as_ref() == Some(&types) {
+            return;
+        }
+        let most = self.settings.state_limits.value_bytes;
+        let mut pieces: Vec<Vec<&MachineType>> = vec![Vec::new()];
+        let mut length = 2;
+        for t in &types.kinds {
+            let len = serde_json::to_vec(t).map_or(0, |b| b.len()) + 1;
+            if length + len > most {
+                pieces.push(Vec::new());
+                length = 2;
+            }
+            length += len;
+            if let Some(last) = pieces.last_mut() {
+                last.push(t);
+            }
+        }
+        let ops = pieces
+            .iter()
+            .enumerate()
+            .take(self.settings.state_limits.txn_ops)
+            .map(|(i, p)| Op::Put {
+                key: format!("{}/{i:03}", ledger::TYPES),
+                value: serde_json::to_value(p).unwrap_or_default(),
+                lease: None,
+            })
+            .collect();
+        let txn = Txn {
+            conditions: vec![Condition {
+                key: ledger::LEADER.into(),
+                version: Version(leader.token.0),
+            }],
+            ops,
+        };
+        self.io.call(
+            Target::State,
+            "POST",
+            "/commit".into(),
+            wire::encode(&txn),
+            Span::secs(2.0),
+            Pending::Ignore,
+        );
+        self.types = Some(types);
+    }
+
+    // ---- workers ----
+
+    fn checkin(&mut self, id: RequestId, body: &[u8]) {
+        let Some(report) = wire::decode::<Report>(body) else {
+            return self.io.answer_status(id, 400);
+        };
+        if let Some(leader) = &mut self.leader {
+            let fate = leader.on_report(&mut self.io, id, report);
+            if fate != Fate::Stay {
+                self.end_leadership(fate);
+            }
+            return;
+        }
+        let report_to = self.foreman();
+        let body = wire::encode(&ReportElsewhere { report_to });
+        self.io.answer(
+            id,
+            Answer {
+                status: 421,
+                retry_after: None,
+                body,
+            },
+        );
+    }
+
+    /// The leader as far as known, if it is another node.
+    fn foreman(&self) -> Option<Label> {
+        let now = self.io.now.time;
+        let told = self
+            .peers
+            .iter()
+            .filter(|(_, p)| p.leads && now.since(p.heard) < PEER_FRESH)
+            .map(|(l, p)| (l.clone(), p.token));
+        told.chain(self.election.leader.clone())
+            .max_by_key(|(_, t)| *t)
+            .map(|(l, _)| l)
+            .filter(|l| *l != self.settings.label)
+    }
+
+    // ---- peers ----
+
+    fn state_ok(&self) -> bool {
+        let now = self.io.now.time;
+        let leading = self
+            .leader
+            .as_ref()
+            .filter(|l| l.is_loaded())
+            .map(|l| l.contact);
+        leading
+            .max(self.election.contact)
+            .is_some_and(|t| now.since(t) < STATE_FRESH)
+    }
+
+    /// Ready while the state service answers, or while it answers no node
+    /// that can be asked: an outage that all share must not take every node
+    /// out of service.
+    fn is_ready(&self) -> bool {
+        let now = self.io.now.time;
+        let better = self
+            .peers
+            .values()
+            .any(|p| p.state_ok && now.since(p.heard) < PEER_FRESH);
+        self.state_ok() || (self.election.contact.is_some() && !better)
+    }
+
+    fn greeting(&self, counts: Vec<(crate::types::JobId, u32, u32)>) -> Greeting {
+        let seen = self.election.leader.as_ref().map(|(_, t)| *t);
+        Greeting {
+            label: self.settings.label.clone(),
+            token: self
+                .leader
+                .as_ref()
+                .map(|l| l.token)
+                .max(seen)
+                .unwrap_or_default(),
+            leads: self.leader.is_some(),
+            state_ok: self.state_ok(),
+            counts,
+        }
+    }
+
+    fn greet(&mut self) {
+        let counts = self
+            .leader
+            .as_mut()
+            .map(|l| l.changed_counts(MOST_COUNTS))
+            .unwrap_or_default();
+        let body = wire::encode(&self.greeting(counts));
+        for p in &self.settings.peers {
+            self.io.call(
+                Target::Host(p.addr),
+                "POST",
+                "/greet".into(),
+                body.clone(),
+                GREET_EVERY.mul(0.9),
+                Pending::Greet(p.label.clone()),
+            );
+        }
+    }
+
+    fn greeted(&mut self, id: RequestId, body: &[u8]) {
+        let Some(g) = wire::decode::<Greeting>(body) else {
+            return self.io.answer_status(id, 400);
+        };
+        self.heard(g);
+        let body = wire::encode(&self.greeting(Vec::new()));
+        self.io.answer(
+            id,
+            Answer {
+                status: 200,
+                retry_after: None,
+                body,
+            },
+        );
+    }
+
+    fn heard(&mut self, g: Greeting) {
+        if !self.settings.peers.iter().any(|p| p.label == g.label) {
+            return;
+        }
+        self.intake.note_counts(g.counts);
+        let now = self.io.now.time;
+        self.peers.insert(
+            g.label,
+            PeerView {
+                heard: now,
+                token: g.token,
+                leads: g.leads,
+                state_ok: g.state_ok,
+            },
+        );
+        if self.leader.as_ref().is_some_and(|l| g.token > l.token) {
+            self.end_leadership(Fate::Deposed(g.token));
+        }
+    }
+
+    // ---- operators ----
+
+    fn inspect(&self) -> serde_json::Value {
+        let now = self.io.now.time;
+        let times: serde_json::Map<String, serde_json::Value> = self
+            .io
+            .times
+            .iter()
+            .map(|(k, h)| {
+                let q = |p: f64| h.value_at_quantile(p);
+                let v = serde_json::json!({
+                    "count": h.len(), "ms_50": q(0.5), "ms_95": q(0.95), "ms_99": q(0.99), "ms_max": h.max(),
+                });
+                (format!("{k:?}").to_lowercase(), v)
+            })
+            .collect();
+        let peers: Vec<_> = self
+            .peers
+            .iter()
+            .map(|(l, p)| {
+                serde_json::json!({
+                    "node": l, "heard_s_ago": now.since(p.heard).as_secs(), "token": p.token,
+                    "leads": p.leads, "state_ok": p.state_ok,
+                })
+            })
+            .collect();
+        serde_json::json!({
+            "node": self.settings.label, "zone": self.settings.zone, "ready": self.is_ready(),
+            "state_ok": self.state_ok(), "leads": self.leads(),
+            "standing": format!("{:?}", self.election.standing),
+            "leader": self.election.leader.as_ref().map(|(l, _)| l),
+            "peers": peers, "times": times,
+            "leading": self.leader.as_ref().map(|l| l.inspect(now)),
+            "standing_by": matches!(self.election.standing, Standing::Following(_)),
+        })
+    }
+}
--- /dev/null
+++ b/src/core/preempt.rs
@@ -0,0 +1,166 @@
+//! Making room: which running tasks to stop for work that cannot be placed.
+//! Pure, as the cycle.
+
+use super::cycle::{Cycle, TeamUse, Want};
+use crate::types::{Amounts, JobId, Team};
+use crate::wire::users::Priority;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// A task that may be stopped; a gang's tasks only go together.
+#[derive(Clone, Debug)]
+pub struct Victim {
+    /// Its job.
+    pub job: JobId,
+    /// Its number.
+    pub task: u32,
+    /// Its team.
+    pub team: Team,
+    /// Its priority.
+    pub priority: Priority,
+    /// What it takes.
+    pub need: Amounts,
+    /// Whether it belongs to a gang.
+    pub gang: bool,
+    /// Row of its machine.
+    pub row: usize,
+    /// Seconds of work lost by stopping it, and what stopping costs.
+    pub cost: f64,
+    /// Whether it is settled: stopped not too soon after its start.
+    pub settled: bool,
+}
+
+/// What stopping for one want comes to.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Eviction {
+    /// Indices of victims.
+    pub victims: BTreeSet<usize>,
+    /// Rows for the want's tasks, one entry a task.
+    pub rows: Vec<usize>,
+}
+
+/// Whether `want` may have `v` stopped, given what teams use. Only the two
+/// reasons that the platform names count: a higher priority, or a guarantee
+/// against what another team runs beyond its own.
+pub fn may_stop(want: &Want, v: &Victim, teams: &BTreeMap<Team, TeamUse>) -> bool {
+    if v.priority < want.priority {
+        return true;
+    }
+    if !want.entitled || v.team == want.team || !v.settled {
+        return false;
+    }
+    teams.get(&v.team).is_some_and(|t| {
+        let without = t.used - v.need;
+        let kept = |guarantee: Option<f64>, rest: f64| guarantee.is_none_or(|g| rest + 1e-6 >= g);
+        kept(t.share.gpus, without.gpus) && kept(t.share.cpus, without.cpus)
+    })
+}
+
+struct RowPlan {
+    row: usize,
+    tasks: u32,
+    victims: Vec<usize>,
+    cost: f64,
+}
+
+/// Finds the cheapest set of tasks to stop so that `want` fits: a gang whole,
+/// of others as many tasks as `most`.
+pub fn evict(
+    cycle: &Cycle<'_>,
+    want: &Want,
+    victims: &[Victim],
+    taken: &BTreeSet<usize>,
+    most: u32,
+) -> Option<Eviction> {
+    let gang_cost = |job: &JobId| -> f64 {
+        victims
+            .iter()
+            .filter(|v| &v.job == job)
+            .map(|v| v.cost)
+            .sum()
+    };
+    let wanted = (want.tasks.len() as u32).min(if want.gang { u32::MAX } else { most });
+    let mut plans: Vec<RowPlan> = Vec::new();
+    for (i, row) in cycle.rows.iter().enumerate() {
+        if !want.allows(row) || !want.need.fits(&row.whole) || want.zone_room(&row.zone) == 0 {
+            continue;
+        }
+        let mut here: Vec<(f64, usize)> = victims
+            .iter()
+            .enumerate()
+            .filter(|(n, v)| v.row == i && !taken.contains(n) && may_stop(want, v, cycle.teams))
+            .map(|(n, v)| (if v.gang { gang_cost(&v.job) } else { v.cost }, n))
+            .collect();
+        here.sort_by(|a, b| a.0.total_cmp(&b.0));
+        let mut free = row.free;
+        let mut plan = RowPlan {
+            row: i,
+            tasks: 0,
+            victims: Vec::new(),
+            cost: 0.0,
+        };
+        for (cost, n) in here {
+            if want.need.fits(&free) {
+                break;
+            }
+            free += victims[n].need;
+            plan.victims.push(n);
+            plan.cost += cost;
+        }
+        plan.tasks = want.need.count_in(&free, wanted.min(want.zone_room(&row.zone)));
+        if plan.tasks > 0 {
+            plans.push(plan);
+        }
+    }
+    plans.sort_by(|a, b| (a.cost / f64::from(a.tasks)).total_cmp(&(b.cost / f64::from(b.tasks))));
+    let zones: Vec<Option<_>> = if want.one_zone {
+        let all: BTreeSet<_> = cycle.rows.iter().map(|r| r.zone.clone()).collect();
+        all.into_iter().map(Some).collect()
+    } else {
+        vec![None]
+    };
+    let mut best: Option<(f64, Eviction)> = None;
+    for zone in zones {
+        let mut e = Eviction::default();
+        let mut cost = 0.0;
+        let mut left = wanted;
+        let mut in_zone: BTreeMap<_, u32> = BTreeMap::new();
+        for p in &plans {
+            let row = &cycle.rows[p.row];
+            if left == 0 || zone.as_ref().is_some_and(|z| z != &row.zone) {
+                continue;
+            }
+            let used = in_zone.entry(&row.zone).or_default();
+            let n = p
+                .tasks
+                .min(left)
+                .min(want.zone_room(&row.zone).saturating_sub(*used));
+            if n == 0 {
+                continue;
+            }
+            *used += n;
+            left -= n;
+            cost += p.cost;
+            e.victims.extend(&p.victims);
+            e.rows.extend(std::iter::repeat_n(p.row, n as usize));
+        }
+        let enough = if want.gang { left == 0 } else { left < wanted };
+        if enough && best.as_ref().is_none_or(|(c, _)| cost < *c) {
+            best = Some((cost, e));
+        }
+    }
+    let mut eviction = best?.1;
+    // A gang stops whole.
+    let gangs: BTreeSet<&JobId> = eviction
+        .victims
+        .iter()
+        .filter(|&&n| victims[n].gang)
+        .map(|&n| &victims[n].job)
+        .collect();
+    let rest = victims
+        .iter()
+        .enumerate()
+        .filter(|(n, v)| gangs.contains(&v.job) && !taken.contains(n))
+        .map(|(n, _)| n);
+    eviction.victims.extend(rest.collect::<Vec<_>>());
+    Some(eviction)
+}
--- /dev/null
+++ b/src/core/presence.rs
@@ -0,0 +1,148 @@
+//! Where a task may be. A placement stands from the moment it is to be
+//! recorded until there is proof that the task is not on its machine.
+
+use crate::types::{Attempt, MachineId, Session, Tally, Time, Token};
+use crate::wire::workers::{ReportedTask, TaskState};
+
+/// A stop that was ordered.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Stop {
+    /// Time the task gets to save, in seconds.
+    pub grace_s: f64,
+    /// When it was ordered.
+    pub at: Time,
+}
+
+/// How far a start has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    /// Not sent by us, and nobody else can: it was decided in this term.
+    Unsent,
+    /// Sent in the answer to this report. Whether it arrived shows in the
+    /// next report: a worker has one report in flight and drops late answers.
+    Sent(Tally),
+    /// Recorded by an earlier leader, which may or may not have sent it.
+    Inherited,
+    /// Seen in a report.
+    Seen(TaskState),
+}
+
+/// A task's place.
+#[derive(Clone, Debug)]
+pub struct Placement {
+    /// The machine.
+    pub machine: MachineId,
+    /// The session of its worker that is meant.
+    pub session: Session,
+    /// The attempt.
+    pub attempt: Attempt,
+    /// The change of its chunk that records it.
+    pub change: u64,
+    /// How far the start has come.
+    pub phase: Phase,
+    /// When it was placed.
+    pub placed: Time,
+    /// Since when it runs.
+    pub running: Option<Time>,
+    /// Whether the machine has to fetch the image first, and since when it does.
+    pub cold: Option<Time>,
+    /// A stop, if ordered.
+    pub stop: Option<Stop>,
+}
+
+/// What a report says about a placement on its machine.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Verdict {
+    /// The task is on the machine, or may be.
+    Present,
+    /// The start did not arrive and never will; it may be sent again.
+    Undelivered,
+    /// The task is not on the machine, and nothing can bring it there.
+    Absent,
+}
+
+impl Placement {
+    /// One found in the records of an earlier leader.
+    pub fn inherited(machine: MachineId, session: Session, attempt: Attempt) -> Placement {
+        Placement {
+            machine,
+            session,
+            attempt,
+            change: 0,
+            phase: Phase::Inherited,
+            placed: Time(0),
+            running: None,
+            cold: None,
+            stop: None,
+        }
+    }
+
+    /// Whether the start was never sent, so that dropping the placement is
+    /// proof enough of absence.
+    pub fn unsent(&self) -> bool {
+        self.phase == Phase::Unsent
+    }
+
+    /// Judges a report that is newer than all before it from this machine.
+    ///
+    /// - A higher session: the worker has killed and forgotten everything.
+    /// - Listed: present (the caller looks at its state).
+    /// - Not listed, in a report that carries our token: starts of older
+    ///   leaders can no longer be executed, and ours is settled if this report
+    ///   was made after its answer.
+    /// - Not listed, with an older token: nothing is proved, since an older
+    ///   leader's start may still be on its way.
+    pub fn judge(
+        &self,
+        session: Session,
+        tally: Tally,
+        token: Token,
+        ours: Token,
+        listed: Option<&ReportedTask>,
+    ) -> Verdict {
+        if session > self.session {
+            return Verdict::Absent;
+        }
+        if listed.is_some() || token != ours {
+            return Verdict::Present;
+        }
+        match self.phase {
+            Phase::Unsent => Verdict::Present,
+            Phase::Sent(at) if tally > at => Verdict::Undelivered,
+            Phase::Sent(_) => Verdict::Present,
+            Phase::Inherited | Phase::Seen(_) => Verdict::Absent,
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn place(phase: Phase) -> Placement {
+        Placement {
+            phase,
+            ..Placement::inherited("m".into(), Session(2), Attempt(1))
+        }
+    }
+
+    fn verdict(phase: Phase, session: u64, tally: u64, token: u64) -> Verdict {
+        place(phase).judge(Session(session), Tally(tally), Token(token), Token(7), None)
+    }
+
+    // A report proves absence only under the conditions named at `judge`;
+    // each line here is a way to run a task twice if it were weakened.
+    #[test]
+    fn absence_needs_proof() {
+        use Phase::*;
+        use Verdict::*;
+        assert_eq!(verdict(Inherited, 2, 9, 6), Present, "an older leader's start may be on its way");
+        assert_eq!(verdict(Inherited, 2, 9, 7), Absent);
+        assert_eq!(verdict(Inherited, 3, 1, 6), Absent, "a new session has forgotten everything");
+        assert_eq!(verdict(Unsent, 2, 9, 7), Present);
+        assert_eq!(verdict(Sent(Tally(9)), 2, 9, 7), Present, "this report was made before the answer");
+        assert_eq!(verdict(Sent(Tally(9)), 2, 10, 7), Undelivered);
+        assert_eq!(verdict(Seen(TaskState::Running), 2, 10, 7), Absent);
+        assert_eq!(verdict(Seen(TaskState::Running), 2, 10, 6), Present);
+    }
+}
--- /dev/null
+++ b/src/core/rental.rs
@@ -0,0 +1,533 @@
+//! Renting and returning machines.
+
+use super::budget::{Backoff, Bucket};
+use super::cycle::{Cycle, Pace, Want};
+use super::fleet::{Leaving, Machine};
+use super::leader::{Fate, Leader};
+use super::node::{Io, Pending};
+use super::tables::Row;
+use super::{Reply, Target};
+use crate::settings::{ObjectiveKind, Settings};
+use crate::types::{Kind, MachineId, Span, Time, Zone};
+use crate::wire;
+use crate::wire::cloud::{MachineList, MachineNames, MachineStage, MachineTypes, Rent};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Machines of one type, zone and kind.
+type Market = (Kind, Zone, bool);
+
+/// What the one call to the cloud in flight is about.
+#[derive(Clone, Debug)]
+pub enum CloudCall {
+    /// The machine types.
+    Types,
+    /// A page of the machine list.
+    List,
+    /// A request for machines.
+    Rent(Rent),
+    /// Machines to release.
+    Release(Vec<MachineId>),
+}
+
+/// Renting's own state.
+#[derive(Debug)]
+pub struct Rental {
+    calls: Bucket,
+    calling: bool,
+    not_before: Time,
+    backoff: Backoff,
+    next_request: u64,
+    /// Machines wanted, not asked for yet.
+    orders: BTreeMap<Market, u32>,
+    /// A request whose answer was lost; repeated under its name until answered.
+    unanswered: Option<Rent>,
+    paused: BTreeMap<Market, Time>,
+    list_due: Time,
+    list_every: Span,
+    listing: Vec<crate::wire::cloud::ListedMachine>,
+    /// When the last whole list was taken in.
+    pub listed: Option<Time>,
+    types_due: Time,
+}
+
+/// Machines named in one release.
+const MOST_RELEASED: usize = 100;
+/// Machines of one request.
+const MOST_RENTED: u32 = 50;
+/// Time between looks at the machine types.
+const TYPES_EVERY: Span = Span::millis(60_000);
+
+impl Rental {
+    /// Nothing under way.
+    pub fn new(settings: &Settings, now: Time) -> Rental {
+        let rate = settings.cloud_rps * 0.9;
+        Rental {
+            calls: Bucket::new(rate, rate.max(1.0)),
+            calling: false,
+            not_before: now,
+            backoff: Backoff::default(),
+            next_request: 1,
+            orders: BTreeMap::new(),
+            unanswered: None,
+            paused: BTreeMap::new(),
+            list_due: now,
+            list_every: Span(settings.list_lag.0 / 2).max(Span::secs(2.0)),
+            listing: Vec::new(),
+            listed: None,
+            types_due: now,
+        }
+    }
+}
+
+impl Leader {
+    /// Makes the next call to the cloud, if one is due.
+    pub(super) fn rental_tick(&mut self, io: &mut Io) {
+        let now = io.now.time;
+        self.give_up_machines(now);
+        if self.rental.calling || now < self.rental.not_before || !self.may_start(now) {
+            return;
+        }
+        let Some(call) = self.next_call(now) else {
+            return;
+        };
+        if !self.rental.calls.take(now, 1.0) {
+            return;
+        }
+        self.rental.calling = true;
+        let (method, path, body) = match &call {
+            CloudCall::Types => ("GET", "/machine_types".to_string(), Vec::new()),
+            CloudCall::List => {
+                let since = self.rental.listing.last().map(|m| m.id.to_string());
+                let since = since.map_or(String::new(), |s| format!("since={s}&"));
+                ("GET", format!("/machines?{since}most=500"), Vec::new())
+            }
+            CloudCall::Rent(r) => {
+                tracing::info!(kind = %r.kind, zone = %r.zone, spot = r.spot, count = r.count, "renting");
+                ("POST", "/machines".to_string(), wire::encode(r))
+            }
+            CloudCall::Release(names) => (
+                "POST",
+                "/machines/release".to_string(),
+                wire::encode(&MachineNames {
+                    machines: names.clone(),
+                }),
+            ),
+        };
+        let token = self.token;
+        io.call(
+            Target::Cloud,
+            method,
+            path,
+            body,
+            Span::secs(5.0),
+            Pending::Cloud { token, call },
+        );
+    }
+
+    fn next_call(&mut self, now: Time) -> Option<CloudCall> {
+        if self.types.is_empty() {
+            return Some(CloudCall::Types);
+        }
+        let release: Vec<MachineId> = self
+            .machines
+            .iter()
+            .filter(|(_, m)| m.leaving == Leaving::Release)
+            .map(|(id, _)| id.clone())
+            .take(MOST_RELEASED)
+            .collect();
+        if !release.is_empty() {
+            return Some(CloudCall::Release(release));
+        }
+        if let Some(r) = &self.rental.unanswered {
+            return Some(CloudCall::Rent(r.clone()));
+        }
+        if let Some((market, count)) = self.rental.orders.pop_first() {
+            // The token makes the name unique among all leaders, so a late
+            // request can never be taken for another one.
+            let request = format!("{}-{}", self.token, self.rental.next_request);
+            self.rental.next_request += 1;
+            let (kind, zone, spot) = market;
+            return Some(CloudCall::Rent(Rent {
+                request,
+                kind,
+                zone,
+                spot,
+                count: count.min(MOST_RENTED),
+            }));
+        }
+        if now >= self.rental.list_due {
+            return Some(CloudCall::List);
+        }
+        if now >= self.rental.types_due {
+            return Some(CloudCall::Types);
+        }
+        None
+    }
+
+    /// The cloud answered, or not.
+    pub fn on_cloud(&mut self, io: &mut Io, call: CloudCall, reply: Reply) -> Fate {
+        let now = io.now.time;
+        self.rental.calling = false;
+        let (status, body) = match reply {
+            Reply::Answer(status, body) => (status, body),
+            Reply::NotSent | Reply::Lost => (0, Vec::new()),
+        };
+        let no_capacity = status == 503
+            && wire::decode::<crate::wire::users::Refusal>(&body)
+                .is_some_and(|r| r.error == "no capacity");
+        if status != 200 && !no_capacity && status != 400 {
+            let jitter = io.jitter();
+            self.rental.not_before = now
+                + self
+                    .rental
+                    .backoff
+                    .failed(Span::millis(700), Span::secs(5.0), jitter);
+            if let CloudCall::Rent(r) = call {
+                // Answered by a refusal, it was not carried out; otherwise it
+                // may have been, or may yet be: only its own name may ask again.
+                self.rental.unanswered = (status == 0).then_some(r);
+            }
+            return Fate::Stay;
+        }
+        self.rental.backoff.succeeded();
+        match call {
+            CloudCall::Types => {
+                self.rental.types_due = now + TYPES_EVERY;
+                if let Some(types) = wire::decode::<MachineTypes>(&body) {
+                    self.set_types(&types);
+                    io.learned_types = Some(types);
+                }
+            }
+            CloudCall::List => match wire::decode::<MachineList>(&body) {
+                Some(list) => {
+                    let more = list.more && !list.machines.is_empty();
+                    self.rental.listing.extend(list.machines);
+                    if !more {
+                        self.rental.list_due = now + self.rental.list_every;
+                        self.take_list(now);
+                    }
+                }
+                None => self.rental.list_due = now + self.rental.list_every,
+            },
+            CloudCall::Rent(r) => {
+                self.rental.unanswered = None;
+                if no_capacity || status == 400 {
+                    let pause = Span::secs(self.policy.no_capacity_pause_s);
+                    tracing::info!(kind = %r.kind, zone = %r.zone, spot = r.spot, "no capacity");
+                    self.rental
+                        .paused
+                        .insert((r.kind, r.zone, r.spot), now + pause);
+                } else if let Some(names) = wire::decode::<MachineNames>(&body) {
+                    if (names.machines.len() as u32) < r.count {
+                        let pause = Span::secs(self.policy.no_capacity_pause_s);
+                        self.rental
+                            .paused
+                            .insert((r.kind.clone(), r.zone.clone(), r.spot), now + pause);
+                    }
+                    for id in names.machines {
+                        let m = self
+                            .machines
+                            .entry(id)
+                            .or_insert_with(|| Machine::new(now));
+                        m.kind.get_or_insert(r.kind.clone());
+                        m.zone.get_or_insert(r.zone.clone());
+                        m.spot = r.spot;
+                    }
+                }
+            }
+            CloudCall::Release(names) => {
+                for id in names {
+                    // By now the machine and everything on it is gone.
+                    self.write_off(now, &id, "released");
+                    self.machines.remove(&id);
+                    self.held.remove(&id);
+                }
+            }
+        }
+        Fate::Stay
+    }
+
+    fn take_list(&mut self, now: Time) {
+        let list = std::mem::take(&mut self.rental.listing);
+        self.rental.listed = Some(now);
+        for l in list {
+            let m = self
+                .machines
+                .entry(l.id)
+                .or_insert_with(|| Machine::new(now));
+            m.kind.get_or_insert(l.kind);
+            m.zone.get_or_insert(l.zone);
+            m.spot = l.spot;
+            if m.addr.is_none() {
+                m.addr = l.addr.parse().ok();
+            }
+            m.listed = Some((l.stage, Span::secs(l.age_s)));
+            m.listed_at = Some(now);
+            if l.stage == MachineStage::Failed && m.tasks.is_empty() {
+                m.leaving = Leaving::Release;
+            }
+        }
+    }
+
+    /// Sees to machines that never came up, fell silent or are gone.
+    fn give_up_machines(&mut self, now: Time) {
+        let silence = self.silence();
+        let lag = self.settings.list_lag;
+        let listed = self.rental.listed;
+        let mut forget = Vec::new();
+        for (id, m) in &mut self.machines {
+            let heard = m.reported.unwrap_or(m.known);
+            let quiet = now.since(heard);
+            let boot = m
+                .kind
+                .as_ref()
+                .and_then(|k| self.types.get(k))
+                .map_or(60.0, |t| t.boot_s);
+            let patience = Span::secs(boot * self.policy.boot_patience);
+            // Lists are up to twice the lag old; one that was taken in well
+            // after the machine fell silent and still lacks it says it is gone.
+            let fresh = Span(lag.0 * 2) + Span::secs(1.0);
+            let unlisted = listed.is_some_and(|at| {
+                at > heard + fresh && m.listed_at.is_none_or(|l| at > l) && m.known + fresh < at
+            });
+            match m.leaving {
+                Leaving::Release => {}
+                Leaving::Drain if m.tasks.is_empty() => m.leaving = Leaving::Release,
+                _ if m.lost && matches!(m.listed, Some((MachineStage::Failed, _))) => {
+                    m.leaving = Leaving::Release;
+                }
+                _ if m.reported.is_none() => {
+                    if quiet > patience && m.listed_at.is_some() {
+                        tracing::info!(machine = %id, "did not come up, released");
+                        m.leaving = Leaving::Release;
+                    } else if quiet > patience && unlisted && m.tasks.is_empty() {
+                        forget.push(id.clone());
+                    }
+                }
+                // Silent and no longer listed: taken. A release costs nothing
+                // then, and its answer proves that the tasks are gone, long
+                // before the lease would.
+                _ if quiet > silence && unlisted => {
+                    if !m.tasks.is_empty() {
+                        tracing::info!(machine = %id, "silent and not listed, released");
+                    }
+                    m.leaving = Leaving::Release;
+                }
+                _ if quiet > Span::secs(self.policy.silent_release_s) => {
+                    tracing::info!(machine = %id, "silent for long, released");
+                    m.leaving = Leaving::Release;
+                }
+                _ => {}
+            }
+        }
+        for id in forget {
+            self.machines.remove(&id);
+        }
+    }
+
+    /// How many idle machines to keep for classes whose starts are wanted
+    /// sooner than a machine boots.
+    fn reserve(&self, now_wall: crate::types::Wall) -> u32 {
+        let boot = self
+            .types
+            .values()
+            .map(|t| t.boot_s)
+            .fold(0.0, f64::max);
+        let mut machines = 0.0;
+        let mut largest: f64 = 0.0;
+        for (class, arrivals) in &self.arrivals {
+            let soon = self.settings.objectives.iter().any(|o| {
+                o.kind == ObjectiveKind::Wait
+                    && o.class.as_ref() == Some(class)
+                    && o.within.is_some_and(|w| w.as_secs() < boot * 2.0)
+            });
+            if !soon {
+                continue;
+            }
+            let window = 240_000;
+            let recent: Vec<_> = arrivals
+                .iter()
+                .filter(|(at, _, _)| now_wall.0.saturating_sub(at.0) < window)
+                .collect();
+            let oldest = recent.iter().map(|(at, _, _)| at.0).min();
+            let span = oldest.map_or(1.0, |o| {
+                (now_wall.0.saturating_sub(o) as f64 / 1000.0).max(60.0)
+            });
+            let sum: f64 = recent.iter().map(|(_, m, _)| m).sum();
+            machines += sum / span * boot;
+            largest = recent.iter().map(|(_, m, _)| *m).fold(largest, f64::max);
+        }
+        (machines * self.policy.reserve)
+            .max(largest)
+            .min(self.policy.most_reserve)
+            .ceil() as u32
+    }
+
+    /// After a cycle: orders machines for what found no room, and returns
+    /// idle ones that nothing needs.
+    pub(super) fn plan_rental(&mut self, io: &mut Io, wants: &[Want], rows: &[Row]) {
+        let now = io.now.time;
+        let mut booting: Vec<Row> = self
+            .machines
+            .iter()
+            .filter(|(_, m)| m.reported.is_none() && m.leaving == Leaving::No)
+            .filter(|(_, m)| !matches!(m.listed, Some((MachineStage::Failed, _))))
+            .filter_map(|(id, m)| self.row(now, id, m))
+            .collect();
+        let on_the_way = booting.len() as u32 + self.rental.orders.values().sum::<u32>();
+        let mut room = (self.policy.most_booting as u32).saturating_sub(on_the_way);
+        let rent_after = Span::secs(self.policy.rent_after_s);
+        let mut left: Vec<Want> = wants
+            .iter()
+            .filter(|w| {
+                self.jobs
+                    .get(&w.job)
+                    .and_then(|j| j.notes.waiting_since)
+                    .is_some_and(|t| now.since(t) >= rent_after)
+            })
+            .cloned()
+            .collect();
+        // What the machines on their way will take needs no further ones.
+        let mut teams = self.team_use();
+        let estimates = self.estimates.clone();
+        let mut cycle = Cycle {
+            pace: Pace {
+                now,
+                most_skew: Span::secs(1e6),
+            },
+            rows: &mut booting,
+            teams: &mut teams,
+            estimates: &estimates,
+            starts: Vec::new(),
+        };
+        cycle.run(&mut left);
+        left.retain(|w| !w.tasks.is_empty());
+        self.rental.paused.retain(|_, until| *until > now);
+        if self.rental.orders.is_empty() && self.rental.unanswered.is_none() {
+            let mut orders: BTreeMap<Market, f64> = BTreeMap::new();
+            for w in &left {
+                let allowed = teams.get(&w.team).is_some_and(|t| {
+                    t.share.allows(&(t.used + w.need.times(if w.gang { w.tasks.len() as f64 } else { 1.0 })))
+                });
+                if !allowed {
+                    continue;
+                }
+                if let Some((market, per)) = self.market(w) {
+                    *orders.entry(market).or_default() += w.tasks.len() as f64 / f64::from(per);
+                }
+            }
+            let idle = rows.iter().filter(|r| r.free == r.whole).count()
+                + booting.iter().filter(|r| r.free == r.whole).count();
+            let reserve = self.reserve(io.now.wall) as usize;
+            if idle < reserve
+                && let Some(market) = self.any_market()
+            {
+                *orders.entry(market).or_default() += (reserve - idle) as f64;
+            }
+            for (market, n) in orders {
+                let n = (n.ceil() as u32).min(room);
+                room -= n;
+                if n > 0 {
+                    self.rental.orders.insert(market, n);
+                }
+            }
+        }
+        self.return_idle(io, left.is_empty());
+    }
+
+    /// Where to rent for a want: the cheapest per task that is not paused,
+    /// and how many tasks a machine takes.
+    fn market(&self, w: &Want) -> Option<(Market, u32)> {
+        let mut best: Option<(f64, Market, u32)> = None;
+        let taken = w.in_zones.iter().find(|(_, n)| **n > 0).map(|(z, _)| z);
+        for t in self.types.values() {
+            let per = w.need.count_in(&t.has(), 100_000);
+            if per == 0 || w.kinds.as_ref().is_some_and(|k| !k.contains(&t.name)) {
+                continue;
+            }
+            for zone in &t.zones {
+                let allowed = w.zone.as_ref().is_none_or(|z| z == zone)
+                    && !(w.one_zone && taken.is_some_and(|z| z != zone))
+                    && w.zone_room(zone) > 0;
+                for spot in [true, false] {
+                    let market = (t.name.clone(), zone.clone(), spot);
+                    if !allowed || (spot && !w.spot) || self.rental.paused.contains_key(&market) {
+                        continue;
+                    }
+                    let price = if spot { t.spot_price } else { t.price };
+                    let cost = price / f64::from(per) + self.crowd(zone) * 1e-6;
+                    if best.as_ref().is_none_or(|(c, _, _)| cost < *c) {
+                        best = Some((cost, market, per));
+                    }
+                }
+            }
+        }
+        best.map(|(_, m, p)| (m, p))
+    }
+
+    /// The cheapest market at all.
+    fn any_market(&self) -> Option<Market> {
+        let mut best: Option<(f64, Market)> = None;
+        for t in self.types.values() {
+            for zone in &t.zones {
+                for spot in [true, false] {
+                    let market = (t.name.clone(), zone.clone(), spot);
+                    if self.rental.paused.contains_key(&market) {
+                        continue;
+                    }
+                    let price = if spot { t.spot_price } else { t.price };
+                    let cost = price + self.crowd(zone) * 1e-6;
+                    if best.as_ref().is_none_or(|(c, _)| cost < *c) {
+                        best = Some((cost, market));
+                    }
+                }
+            }
+        }
+        best.map(|(_, m)| m)
+    }
+
+    /// Machines in a zone: evens out where new ones go.
+    fn crowd(&self, zone: &Zone) -> f64 {
+        self.machines
+            .values()
+            .filter(|m| m.zone.as_ref() == Some(zone))
+            .count() as f64
+    }
+
+    fn return_idle(&mut self, io: &mut Io, nothing_waits: bool) {
+        let now = io.now.time;
+        if !nothing_waits {
+            return;
+        }
+        let idle_for = Span::secs(self.policy.idle_s);
+        let silence = self.silence();
+        let mut idle: Vec<(f64, MachineId, bool)> = Vec::new();
+        for (id, m) in &mut self.machines {
+            if !m.usable(now, silence) || !m.tasks.is_empty() {
+                continue;
+            }
+            let since = *m.idle.get_or_insert(now);
+            let price = m
+                .kind
+                .as_ref()
+                .and_then(|k| self.types.get(k))
+                .map_or(0.0, |t| if m.spot { t.spot_price } else { t.price });
+            idle.push((price, id.clone(), now.since(since) >= idle_for));
+        }
+        let reserve = self.reserve(io.now.wall) as usize;
+        let spare = idle.len().saturating_sub(reserve);
+        idle.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
+        let go: BTreeSet<MachineId> = idle
+            .into_iter()
+            .filter(|(_, _, long)| *long)
+            .take(spare)
+            .map(|(_, id, _)| id)
+            .collect();
+        for id in go {
+            if let Some(m) = self.machines.get_mut(&id) {
+                tracing::info!(machine = %id, "idle, returned");
+                m.leaving = Leaving::Release;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/core/tables.rs
@@ -0,0 +1,184 @@
+//! The paper's three tables as one cycle sees them: which machines hold an
+//! image, when each machine is predicted to be free, and what fetching an
+//! image costs.
+
+use crate::types::{Amounts, Image, Kind, MachineId, Span, Time, Zone};
+use std::collections::BTreeMap;
+
+/// Images on a machine, as far as can be told. Workers do not report their
+/// caches, so this follows starts and finished fetches, and drops the least
+/// recently used where the machine's room runs out, as workers do.
+#[derive(Clone, Debug, Default)]
+pub struct Cache {
+    entries: Vec<Cached>,
+}
+
+#[derive(Clone, Debug)]
+struct Cached {
+    image: Image,
+    gb: f64,
+    used: Time,
+    /// When a fetch under way should end; `None`: it is there.
+    coming: Option<Time>,
+}
+
+impl Cache {
+    /// Remaining fetch time: zero for an image that is there, `None` for one
+    /// that is not. A fetch that takes longer than expected is never counted
+    /// as over until it is.
+    pub fn remaining(&self, image: &Image, now: Time) -> Option<Span> {
+        let e = self.entries.iter().find(|e| &e.image == image)?;
+        Some(
+            e.coming
+                .map_or(Span::ZERO, |t| t.since(now).max(Span::secs(1.0))),
+        )
+    }
+
+    /// Notes that a task needing `image` was placed; a fetch, if there must be
+    /// one, should take `fetch`.
+    pub fn used(&mut self, image: &Image, gb: f64, now: Time, fetch: Span) {
+        match self.entries.iter_mut().find(|e| &e.image == image) {
+            Some(e) => e.used = now,
+            None => self.entries.push(Cached {
+                image: image.clone(),
+                gb,
+                used: now,
+                coming: Some(now + fetch),
+            }),
+        }
+    }
+
+    /// Notes that the image is there; older ones make room for it.
+    pub fn fetched(&mut self, image: &Image, gb: f64, now: Time, room_gb: f64) {
+        self.entries.retain(|e| &e.image != image);
+        self.entries.push(Cached {
+            image: image.clone(),
+            gb,
+            used: now,
+            coming: None,
+        });
+        self.entries.sort_by_key(|e| std::cmp::Reverse(e.used));
+        let mut sum = 0.0;
+        self.entries.retain(|e| {
+            sum += e.gb;
+            sum <= room_gb || &e.image == image
+        });
+    }
+
+    /// Drops fetches under way for which `wanted` says that no task waits any
+    /// more: workers give them up.
+    pub fn give_up(&mut self, wanted: impl Fn(&Image) -> bool) {
+        self.entries
+            .retain(|e| e.coming.is_none() || wanted(&e.image));
+    }
+
+    /// Forgets everything.
+    pub fn clear(&mut self) {
+        self.entries.clear();
+    }
+
+    /// Names of the images that are there.
+    pub fn images(&self) -> impl Iterator<Item = &Image> {
+        self.entries
+            .iter()
+            .filter(|e| e.coming.is_none())
+            .map(|e| &e.image)
+    }
+}
+
+/// What fetching costs, learned from finished fetches.
+#[derive(Clone, Debug)]
+pub struct Estimates {
+    latest: BTreeMap<Image, Span>,
+    first: Span,
+}
+
+/// Most images whose fetch time is remembered.
+const MOST_ESTIMATES: usize = 4096;
+
+impl Estimates {
+    /// Nothing known; `first` is what an image costs until then.
+    pub fn new(first: Span) -> Estimates {
+        Estimates {
+            latest: BTreeMap::new(),
+            first,
+        }
+    }
+
+    /// Notes the latest fetch time of an image.
+    pub fn note(&mut self, image: &Image, took: Span) {
+        if self.latest.len() >= MOST_ESTIMATES && !self.latest.contains_key(image) {
+            self.latest.pop_first();
+        }
+        self.latest.insert(image.clone(), took);
+    }
+
+    /// What fetching an image should take: its latest time; for one not seen
+    /// yet, its size over the type's rate, if known; else the largest known.
+    pub fn of(&self, image: &Image, gb: f64, rate: Option<f64>) -> Span {
+        if let Some(t) = self.latest.get(image) {
+            return *t;
+        }
+        match rate {
+            Some(r) if r > 0.0 => Span::secs(gb / r),
+            _ => self.latest.values().max().copied().unwrap_or(self.first),
+        }
+    }
+}
+
+/// A machine as a cycle sees it.
+#[derive(Clone, Debug)]
+pub struct Row {
+    /// The machine.
+    pub id: MachineId,
+    /// Its type.
+    pub kind: Kind,
+    /// Its zone.
+    pub zone: Zone,
+    /// Whether it is a spot machine.
+    pub spot: bool,
+    /// What it has.
+    pub whole: Amounts,
+    /// What is free for new tasks.
+    pub free: Amounts,
+    /// When it is predicted to be free altogether.
+    pub available: Time,
+    /// When high-priority work was last placed here.
+    pub last_high: Option<Time>,
+    /// Its images.
+    pub cache: Cache,
+    /// Fetch rate of its type.
+    pub fetch_rate: f64,
+    /// How much slower than usual it seems, 1 for as usual.
+    pub slowness: f64,
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn the_least_recently_used_image_goes_first() {
+        let mut c = Cache::default();
+        let image = |n: u32| Image::from(format!("i{n}"));
+        for n in 0..3 {
+            c.fetched(&image(n), 10.0, Time(u64::from(n)), 30.0);
+        }
+        c.used(&image(0), 10.0, Time(10), Span::ZERO);
+        c.fetched(&image(3), 10.0, Time(11), 30.0);
+        let mut left: Vec<_> = c.images().map(Image::to_string).collect();
+        left.sort();
+        assert_eq!(left, ["i0", "i2", "i3"]);
+    }
+
+    #[test]
+    fn an_unseen_image_costs_what_its_size_says() {
+        let mut e = Estimates::new(Span::secs(30.0));
+        let (a, b) = (Image::from("a"), Image::from("b"));
+        assert_eq!(e.of(&a, 6.0, None), Span::secs(30.0));
+        assert_eq!(e.of(&a, 6.0, Some(0.5)), Span::secs(12.0));
+        e.note(&a, Span::secs(14.0));
+        assert_eq!(e.of(&a, 6.0, Some(0.5)), Span::secs(14.0));
+        assert_eq!(e.of(&b, 6.0, None), Span::secs(14.0));
+    }
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,17 @@
+//! pebblefold: a cluster scheduler that places work next to its images and
+//! keeps its promises when machines, networks and controllers fail.
+//!
+//! The controller's logic is [`core`], a state machine without I/O; the
+//! [`driver`] runs it on sockets and timers.
+
+pub mod cli;
+pub mod core;
+pub mod driver;
+pub mod http;
+pub mod policy;
+pub mod settings;
+pub mod types;
+pub mod wire;
+
+#[cfg(test)]
+mod testing;
--- /dev/null
+++ b/src/testing.rs
@@ -0,0 +1,56 @@
+//! Fixtures for tests.
+
+use crate::settings::Settings;
+use crate::wire::users::{Priority, Shape, Submission};
+
+/// Settings of node `n` of three.
+pub fn settings(n: u32) -> Settings {
+    let node = |i: u32| {
+        serde_json::json!({"label": format!("node-{i}"), "zone": format!("z{i}"),
+            "endpoint": format!("10.0.0.{}:8081", i + 1)})
+    };
+    let peers: Vec<_> = (0..3).filter(|&i| i != n).map(node).collect();
+    let team = |name: &str, gpus: f64, most: f64| serde_json::json!({"name": name, "gpus": gpus, "gpus_max": most});
+    let text = serde_json::json!({
+        "label": format!("node-{n}"), "zone": format!("z{n}"),
+        "api_addr": format!("10.0.0.{}:8080", n + 1), "internal_addr": format!("10.0.0.{}:8081", n + 1),
+        "peers": peers, "services": {"cloud": "10.2.0.2:8443", "state": "10.2.0.1:2379"},
+        "settings": {
+            "size": 3, "zones": ["z0", "z1", "z2"],
+            "teams": [team("red", 16.0, 40.0), team("blue", 16.0, 32.0)],
+            "objectives": [{"kind": "wait", "class": "urgent", "within_s": 18.0, "share": 0.9}],
+            "workers": {"report_s": 1.0, "lease_s": 10.0, "gang_wait_s": 30.0, "gang_peer_s": 8.0, "cancel_s": 40.0},
+            "state": {"rps": 200.0, "write_rps": 80.0, "value_kb": 8.0, "txn_ops": 48},
+            "cloud": {"rps": 6.0, "list_lag_s": 4.0},
+            "quota": {"core_share": 0.1, "ram_mb": 56.0, "max_sockets": 900},
+            "clock_error_ms": 1000.0
+        }
+    });
+    Settings::parse(&text.to_string()).expect("the fixture is valid")
+}
+
+/// A job of one-GPU tasks.
+pub fn submission(id: &str, shape: Shape, tasks: u32) -> Submission {
+    Submission {
+        id: id.into(),
+        class: "urgent".into(),
+        team: "red".into(),
+        shape,
+        priority: Priority::Normal,
+        tasks,
+        cpus: 4.0,
+        gpus: 1.0,
+        memory_gb: 16.0,
+        image: "img-0".into(),
+        image_gb: 6.0,
+        kinds: None,
+        zone: None,
+        one_zone: false,
+        spread: false,
+        spot: true,
+        estimate_s: 30.0,
+        checkpoint_s: 0.0,
+        save_s: 0.0,
+        deadline_s: None,
+    }
+}
--- /dev/null
+++ b/src/wire/mod.rs
@@ -0,0 +1,23 @@
+//! Messages as they travel. Field spellings of the platform appear here only,
+//! as serde renames; everything else speaks the field's own words.
+
+pub mod cloud;
+pub mod peers;
+pub mod state;
+pub mod users;
+pub mod workers;
+
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+/// Writes a message: MessagePack maps keyed by text.
+pub fn encode<T: Serialize>(message: &T) -> Vec<u8> {
+    rmp_serde::to_vec_named(message).unwrap_or_default()
+}
+
+/// Reads a message; anything after it makes it malformed.
+pub fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Option<T> {
+    let mut rest = bytes;
+    let message = rmp_serde::from_read(&mut rest).ok()?;
+    rest.is_empty().then_some(message)
+}
