--- a/src/core/budget.rs
+++ b/src/core/budget.rs
@@ -57,7 +57,7 @@
     pub fn failed(&mut self, first: Span, most: Span, jitter: f64) -> Span {
         let full = Span(first.0 << self.failures.min(16)).min(most);
         self.failures = self.failures.saturating_add(1);
-        full.mul(0.5 + jitter / 2.0)
+        full.scaled(0.5 + jitter / 2.0)
     }
 
     /// Counts a success.
@@ -85,8 +85,14 @@
     #[test]
     fn pauses_double_up_to_the_most() {
         let mut b = Backoff::default();
-        let pause = |b: &mut Backoff| b.failed(Span::millis(100), Span::millis(500), 1.0).as_millis();
-        assert_eq!([pause(&mut b), pause(&mut b), pause(&mut b), pause(&mut b)], [100, 200, 400, 500]);
+        let pause = |b: &mut Backoff| {
+            b.failed(Span::millis(100), Span::millis(500), 1.0)
+                .as_millis()
+        };
+        assert_eq!(
+            [pause(&mut b), pause(&mut b), pause(&mut b), pause(&mut b)],
+            [100, 200, 400, 500]
+        );
         b.succeeded();
         assert_eq!(pause(&mut b), 100);
     }
--- a/src/core/cycle.rs
+++ b/src/core/cycle.rs
@@ -124,10 +124,18 @@
         if self.one_zone && elsewhere {
             return 0;
         }
-        self.most_in_zone.map_or(u32::MAX, |m| m.saturating_sub(there))
+        self.most_in_zone
+            .map_or(u32::MAX, |m| m.saturating_sub(there))
     }
 
-    fn rank(&self) -> (std::cmp::Reverse<Priority>, std::cmp::Reverse<bool>, i64, JobId) {
+    fn rank(
+        &self,
+    ) -> (
+        std::cmp::Reverse<Priority>,
+        std::cmp::Reverse<bool>,
+        i64,
+        JobId,
+    ) {
         (
             std::cmp::Reverse(self.priority),
             std::cmp::Reverse(self.entitled),
@@ -156,7 +164,11 @@
             // Fewest holders first: the rarest image gains most from a fetch.
             batch.sort_by_key(|&i| {
                 let w = &wants[i];
-                (std::cmp::Reverse(w.entitled), self.holders(&w.image), w.order)
+                (
+                    std::cmp::Reverse(w.entitled),
+                    self.holders(&w.image),
+                    w.order,
+                )
             });
             for &i in &batch {
                 self.place(&mut wants[i], Reach::Gated);
@@ -234,7 +246,7 @@
             .filter(|(_, r)| want.need.fits(&r.free) && want.allows(r))
             .filter(|(_, r)| self.reachable(want, r, reach))
             .map(|(i, r)| {
-                let late = want.run.mul((r.slowness - 1.0).max(0.0));
+                let late = want.run.scaled((r.slowness - 1.0).max(0.0));
                 let left = (r.free - want.need).share_of(&r.whole);
                 let cost = self.fetch(want, r) + late;
                 (cost, (left * 1000.0) as i64, i64::from(!r.spot), i)
@@ -349,7 +361,7 @@
         let cost = self.fetch(want, &self.rows[row]);
         let r = &mut self.rows[row];
         r.free -= want.need;
-        let work = want.run.mul(want.need.share_of(&r.whole).min(1.0));
+        let work = want.run.scaled(want.need.share_of(&r.whole).min(1.0));
         r.available = r.available.max(self.pace.now) + work + cost;
         r.cache
             .used(&want.image, want.image_gb, self.pace.now, cost);
--- a/src/core/election.rs
+++ b/src/core/election.rs
@@ -154,7 +154,7 @@
             "POST",
             format!("/leases/{lease}/touch"),
             Vec::new(),
-            self.ttl.mul(0.4).max(Span::millis(500)),
+            self.ttl.scaled(0.4).max(Span::millis(500)),
             Pending::Renew { lease },
         );
     }
@@ -164,7 +164,7 @@
         self.renewing = false;
         match reply {
             Reply::Answer(200, _) => {
-                self.renew_due = now + self.ttl.mul(0.25);
+                self.renew_due = now + self.ttl.scaled(0.25);
                 Outcome::None
             }
             Reply::Answer(404, _) => Outcome::LeaseLost,
--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -156,7 +156,7 @@
 impl Leader {
     /// How long a machine may be silent and still get work.
     pub fn silence(&self) -> Span {
-        self.settings.workers.report.mul(2.5) + Span::secs(1.0)
+        self.settings.workers.report.scaled(2.5) + Span::secs(1.0)
     }
 
     /// Handles a worker's report.
@@ -201,7 +201,10 @@
         if report.notice_s.is_some() {
             self.drain_noticed(io, &report.machine);
         }
-        let waits = self.jobs.values().any(|j| j.is_open() && !j.waiting.is_empty());
+        let waits = self
+            .jobs
+            .values()
+            .any(|j| j.is_open() && !j.waiting.is_empty());
         if freed && waits && self.may_start(now) {
             // Placing and committing takes a moment; the answer that carries
             // the starts need not wait for the next report.
@@ -226,9 +229,7 @@
         let due: Vec<MachineId> = self
             .held
             .iter()
-            .filter(|(id, h)| {
-                now >= h.until || (self.cycles > h.cycles && !self.awaits_commit(id))
-            })
+            .filter(|(id, h)| now >= h.until || (self.cycles > h.cycles && !self.awaits_commit(id)))
             .map(|(id, _)| id.clone())
             .collect();
         for id in due {
@@ -251,9 +252,9 @@
         };
         m.tasks.iter().any(|t| {
             self.jobs.get(&t.job).is_some_and(|j| {
-                j.places.get(&t.index).is_some_and(|p| {
-                    p.unsent() && !j.is_stored(self.chunk_size, t.index, p.change)
-                })
+                j.places
+                    .get(&t.index)
+                    .is_some_and(|p| p.unsent() && !j.is_stored(self.chunk_size, t.index, p.change))
             })
         })
     }
@@ -563,8 +564,7 @@
     pub fn remaining(&self, now: Time, job: &Job, p: &Placement) -> Span {
         let run = Span::secs(job.spec.estimate_s);
         let cold = p.cold.map_or(Span::ZERO, |_| {
-            self.estimates
-                .of(&job.spec.image, job.spec.image_gb, None)
+            self.estimates.of(&job.spec.image, job.spec.image_gb, None)
         });
         match p.running {
             Some(t) => Span(run.0.saturating_sub(now.since(t).0)),
@@ -717,7 +717,7 @@
     /// Writes off machines whose workers must have ended their tasks.
     pub fn expire(&mut self, io: &mut Io) {
         let now = io.now.time;
-        let lease = self.settings.workers.lease.mul(1.0005) + Span::secs(1.0);
+        let lease = self.settings.workers.lease.scaled(1.0005) + Span::secs(1.0);
         let inherited = self.office + self.inherited_wait;
         let mut dead = Vec::new();
         for (id, m) in &mut self.machines {
@@ -735,7 +735,11 @@
                 (inherited.max(ours), "silent since before this leader")
             };
             if failed || now >= due {
-                let proof = if failed { "the cloud lists it as failed" } else { proof };
+                let proof = if failed {
+                    "the cloud lists it as failed"
+                } else {
+                    proof
+                };
                 tracing::info!(machine = %id, proof, tasks = m.tasks.len(), "machine presumed dead");
                 m.lost = true;
                 m.ours = false;
--- a/src/core/leader.rs
+++ b/src/core/leader.rs
@@ -4,7 +4,9 @@
 use super::budget::{Backoff, Bucket};
 use super::cycle::{Cycle, Pace, TeamUse, Want};
 use super::fleet::{Held, Leaving, Machine};
-use super::ledger::{self, Assembly, ChunkSize, End, HeadStage, Item, Job, Lane, TxnBuilder, TxnLimits, Watched};
+use super::ledger::{
+    self, Assembly, ChunkSize, End, HeadStage, Item, Job, Lane, TxnBuilder, TxnLimits, Watched,
+};
 use super::node::{Io, Pending};
 use super::preempt::{self, Victim};
 use super::presence::Phase;
@@ -112,7 +114,7 @@
         types: &MachineTypes,
     ) -> Leader {
         let hold = settings.hold_without_contact();
-        let lease_time = settings.workers.lease.mul(1.001) + Span::secs(2.0);
+        let lease_time = settings.workers.lease.scaled(1.001) + Span::secs(2.0);
         let limits = settings.state_limits;
         let mut leader = Leader {
             token,
@@ -561,10 +563,7 @@
             let Some(job) = self.jobs.get(&id) else {
                 continue;
             };
-            let over = matches!(
-                job.end,
-                Some(End::Cancelled | End::Done { written: true })
-            );
+            let over = matches!(job.end, Some(End::Cancelled | End::Done { written: true }));
             if !over || !job.places.is_empty() {
                 if !job.is_open() && !over {
                     self.dropping.insert(id);
@@ -731,8 +730,7 @@
             let needs = job.spec.needs();
             free -= needs;
             if let Some(p) = job.places.get(&task.index) {
-                work +=
-                    self.remaining(now, job, p).as_secs() * needs.share_of(&whole).min(1.0);
+                work += self.remaining(now, job, p).as_secs() * needs.share_of(&whole).min(1.0);
             }
         }
         Some(Row {
@@ -907,9 +905,9 @@
         let starts = std::mem::take(&mut cycle.starts);
         let mut attempts: BTreeMap<JobId, Attempt> = BTreeMap::new();
         for s in starts {
-            let attempt = *attempts.entry(s.job.clone()).or_insert_with(|| {
-                Attempt(self.jobs.get(&s.job).map_or(0, |j| j.attempt.0) + 1)
-            });
+            let attempt = *attempts
+                .entry(s.job.clone())
+                .or_insert_with(|| Attempt(self.jobs.get(&s.job).map_or(0, |j| j.attempt.0) + 1));
             let task = TaskId {
                 job: s.job,
                 index: s.task,
@@ -956,7 +954,13 @@
         }
         let victims = self.victims(now, cycle.rows);
         let mut order: Vec<usize> = (0..wants.len()).filter(|&i| urgent(&wants[i])).collect();
-        order.sort_by_key(|&i| (std::cmp::Reverse(wants[i].priority), std::cmp::Reverse(wants[i].entitled), wants[i].order));
+        order.sort_by_key(|&i| {
+            (
+                std::cmp::Reverse(wants[i].priority),
+                std::cmp::Reverse(wants[i].entitled),
+                wants[i].order,
+            )
+        });
         for i in order {
             let want = &mut wants[i];
             let allowed = cycle
--- a/src/core/ledger.rs
+++ b/src/core/ledger.rs
@@ -652,14 +652,19 @@
 
     #[test]
     fn a_long_submission_is_stored_in_pieces_and_read_back() {
-        let limits = TxnLimits { ops: 48, value_bytes: 2048 };
+        let limits = TxnLimits {
+            ops: 48,
+            value_bytes: 2048,
+        };
         let mut spec = testing::submission("wk-1", Shape::Array, 3);
         spec.kinds = Some((0..300).map(|i| format!("kind-\"{i}\"").into()).collect());
         let txn = accept_txn(&spec, Wall(5), limits).unwrap();
         let mut assembly = Assembly::default();
         let mut first = None;
         for op in &txn.ops {
-            let Op::Put { key, value, .. } = op else { panic!() };
+            let Op::Put { key, value, .. } = op else {
+                panic!()
+            };
             assert!(json_len(value) <= 2048, "{}", json_len(value));
             match watched(key) {
                 Watched::Job(id) => first = Some((id, value.clone())),
--- a/src/core/node.rs
+++ b/src/core/node.rs
@@ -680,7 +680,7 @@
                 "POST",
                 "/greet".into(),
                 body.clone(),
-                GREET_EVERY.mul(0.9),
+                GREET_EVERY.scaled(0.9),
                 Pending::Greet(p.label.clone()),
             );
         }
--- a/src/core/preempt.rs
+++ b/src/core/preempt.rs
@@ -106,7 +106,9 @@
             plan.victims.push(n);
             plan.cost += cost;
         }
-        plan.tasks = want.need.count_in(&free, wanted.min(want.zone_room(&row.zone)));
+        plan.tasks = want
+            .need
+            .count_in(&free, wanted.min(want.zone_room(&row.zone)));
         if plan.tasks > 0 {
             plans.push(plan);
         }
--- a/src/core/presence.rs
+++ b/src/core/presence.rs
@@ -136,11 +136,23 @@
     fn absence_needs_proof() {
         use Phase::*;
         use Verdict::*;
-        assert_eq!(verdict(Inherited, 2, 9, 6), Present, "an older leader's start may be on its way");
+        assert_eq!(
+            verdict(Inherited, 2, 9, 6),
+            Present,
+            "an older leader's start may be on its way"
+        );
         assert_eq!(verdict(Inherited, 2, 9, 7), Absent);
-        assert_eq!(verdict(Inherited, 3, 1, 6), Absent, "a new session has forgotten everything");
+        assert_eq!(
+            verdict(Inherited, 3, 1, 6),
+            Absent,
+            "a new session has forgotten everything"
+        );
         assert_eq!(verdict(Unsent, 2, 9, 7), Present);
-        assert_eq!(verdict(Sent(Tally(9)), 2, 9, 7), Present, "this report was made before the answer");
+        assert_eq!(
+            verdict(Sent(Tally(9)), 2, 9, 7),
+            Present,
+            "this report was made before the answer"
+        );
         assert_eq!(verdict(Sent(Tally(9)), 2, 10, 7), Undelivered);
         assert_eq!(verdict(Seen(TaskState::Running), 2, 10, 7), Absent);
         assert_eq!(verdict(Seen(TaskState::Running), 2, 10, 6), Present);
--- a/src/core/rental.rs
+++ b/src/core/rental.rs
@@ -225,10 +225,7 @@
                             .insert((r.kind.clone(), r.zone.clone(), r.spot), now + pause);
                     }
                     for id in names.machines {
-                        let m = self
-                            .machines
-                            .entry(id)
-                            .or_insert_with(|| Machine::new(now));
+                        let m = self.machines.entry(id).or_insert_with(|| Machine::new(now));
                         m.kind.get_or_insert(r.kind.clone());
                         m.zone.get_or_insert(r.zone.clone());
                         m.spot = r.spot;
@@ -328,11 +325,7 @@
     /// How many idle machines to keep for classes whose starts are wanted
     /// sooner than a machine boots.
     fn reserve(&self, now_wall: crate::types::Wall) -> u32 {
-        let boot = self
-            .types
-            .values()
-            .map(|t| t.boot_s)
-            .fold(0.0, f64::max);
+        let boot = self.types.values().map(|t| t.boot_s).fold(0.0, f64::max);
         let mut machines = 0.0;
         let mut largest: f64 = 0.0;
         for (class, arrivals) in &self.arrivals {
@@ -407,7 +400,11 @@
             let mut orders: BTreeMap<Market, f64> = BTreeMap::new();
             for w in &left {
                 let allowed = teams.get(&w.team).is_some_and(|t| {
-                    t.share.allows(&(t.used + w.need.times(if w.gang { w.tasks.len() as f64 } else { 1.0 })))
+                    t.share.allows(
+                        &(t.used
+                            + w.need
+                                .times(if w.gang { w.tasks.len() as f64 } else { 1.0 })),
+                    )
                 });
                 if !allowed {
                     continue;
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -201,7 +201,10 @@
         assert!(told("return { idle = 1 }").starts_with("policy: idle: is not known"));
         assert!(told("return { idle_s = 'x' }").starts_with("policy: idle_s: must be a number"));
         assert!(told("while true do end").contains("too many steps"));
-        assert!(told("local t = {} for i = 1, 1e7 do t[i] = ('x'):rep(1000) .. i end").contains("memory"));
+        assert!(
+            told("local t = {} for i = 1, 1e7 do t[i] = ('x'):rep(1000) .. i end")
+                .contains("memory")
+        );
         assert!(told("return { idle_s = os.time() }").contains("nil value"));
         assert!(told("return { idle_s = io.open('x') }").contains("nil value"));
     }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -274,10 +274,7 @@
         cpus_max: amount("cpus_max", team.cpus_max)?,
         gpus_max: amount("gpus_max", team.gpus_max)?,
     };
-    for (f, guarantee, limit) in [
-        ("cpus", s.cpus, s.cpus_max),
-        ("gpus", s.gpus, s.gpus_max),
-    ] {
+    for (f, guarantee, limit) in [("cpus", s.cpus, s.cpus_max), ("gpus", s.gpus, s.gpus_max)] {
         if let (Some(g), Some(l)) = (guarantee, limit)
             && g > l
         {
@@ -321,7 +318,10 @@
         }
         let mut teams = BTreeMap::new();
         for t in &s.teams {
-            if teams.insert(Team::from(t.name.as_str()), share(t)?).is_some() {
+            if teams
+                .insert(Team::from(t.name.as_str()), share(t)?)
+                .is_some()
+            {
                 return bad("settings.teams", format!("'{}' is named twice", t.name));
             }
         }
@@ -404,7 +404,7 @@
     /// within `cancel`. `None`: not at all.
     pub fn hold_without_contact(&self) -> Option<Span> {
         let margin = Span::secs(2.0);
-        let spent = self.workers.lease.mul(1.001) + margin;
+        let spent = self.workers.lease.scaled(1.001) + margin;
         (self.workers.cancel > spent).then(|| Span(self.workers.cancel.0 - spent.0))
     }
 }
--- a/src/types.rs
+++ b/src/types.rs
@@ -174,7 +174,7 @@
         self.0 / 1000
     }
     /// This span times `f`.
-    pub fn mul(self, f: f64) -> Span {
+    pub fn scaled(self, f: f64) -> Span {
         Span::secs(self.as_secs() * f)
     }
 }
