--- a/src/core/presence.rs
+++ b/src/core/presence.rs
@@ -1,7 +1,6 @@
 //! Where a task may be. A placement stands from the moment it is to be
 //! recorded until there is proof that the task is not on its machine.
 
-use super::weak::{self, Decision};
 use crate::types::{Attempt, MachineId, Session, Tally, Time, Token};
 use crate::wire::workers::{ReportedTask, TaskState};
 
@@ -104,8 +103,7 @@
         if session > self.session {
             return Verdict::Absent;
         }
-        let old = token != ours && weak::holds(Decision::OldTokenProvesNothing);
-        if listed.is_some() || old {
+        if listed.is_some() || token != ours {
             return Verdict::Present;
         }
         match self.phase {
--- a/src/core/weak.rs
+++ b/src/core/weak.rs
@@ -6,8 +6,6 @@
 pub enum Decision {
     /// A start is sent only once it is stored.
     WriteAhead,
-    /// A report with an older token proves nothing to be absent.
-    OldTokenProvesNothing,
     /// A silent machine's tasks are written off only once its lease is over.
     LeaseBeforeWriteOff,
     /// Without contact, reports are answered only for a bounded time.
