Evict where the image is held and from settled tasks

Cause: an evicted machine was chosen by lost work alone, so urgent gangs then fetched their image there; and tasks stopped within 30 s of their start count for nobody.

--- a/src/core/cycle.rs
+++ b/src/core/cycle.rs
@@ -272,7 +272,7 @@
     }
 
     /// What fetching the image costs on a row.
-    fn fetch(&self, want: &Want, row: &Row) -> Span {
+    pub fn fetch(&self, want: &Want, row: &Row) -> Span {
         row.cache
             .remaining(&want.image, self.pace.now)
             .unwrap_or_else(|| {
--- a/src/core/leader.rs
+++ b/src/core/leader.rs
@@ -42,6 +42,8 @@
 const WATCH_HOLD: Span = Span::millis(1000);
 /// Least time between two commits.
 const COMMIT_GAP: Span = Span::millis(40);
+/// Seconds that stopping a task soon after its start weighs more.
+const FRESH_COST: f64 = 20.0;
 /// Least time between two cycles.
 const CYCLE_GAP: Span = Span::millis(100);
 /// Most tasks of one job that one cycle looks at.
@@ -1026,6 +1028,10 @@
                     ran
                 };
                 let share = job.spec.needs().share_of(&rows[row].whole);
+                let settled = matches!(p.phase, Phase::Seen(_) | Phase::Inherited)
+                    && now.since(p.placed) > settle;
+                // A start that is stopped soon does not count for its users.
+                let fresh = if settled { 0.0 } else { FRESH_COST };
                 victims.push(Victim {
                     job: id.clone(),
                     task,
@@ -1034,9 +1040,8 @@
                     need: job.spec.needs(),
                     gang: job.is_gang(),
                     row,
-                    cost: (lost + 5.0) * share,
-                    settled: matches!(p.phase, Phase::Seen(_) | Phase::Inherited)
-                        && now.since(p.placed) > settle,
+                    cost: (lost + 5.0 + fresh) * share,
+                    settled,
                 });
             }
         }
--- a/src/core/preempt.rs
+++ b/src/core/preempt.rs
@@ -55,6 +55,9 @@
     })
 }
 
+/// What a second of fetching weighs against a machine's second of lost work.
+const FETCH_WEIGHT: f64 = 2.0;
+
 struct RowPlan {
     row: usize,
     tasks: u32,
@@ -114,6 +117,8 @@
             .need
             .count_in(&free, wanted.min(want.zone_room(&row.zone)));
         if plan.tasks > 0 {
+            // The work that is made room for also waits for its image.
+            plan.cost += cycle.fetch(want, row).as_secs() * FETCH_WEIGHT;
             plans.push(plan);
         }
     }
