Make room on holders before starting urgent work cold

Cause: urgent gangs were placed at once, but cold: 15 to 28 s of fetch against an aim of 18 s, while holders ran low-priority work. Urgent work now first looks for holders, free or to be freed. A guarantee no longer stops work of higher priority.

--- a/src/core/cycle.rs
+++ b/src/core/cycle.rs
@@ -101,11 +101,16 @@
     pub held: BTreeMap<usize, JobId>,
 }
 
+/// A fetch that is over within this time hardly delays a start.
+const WARM: Span = Span::millis(3000);
+
 /// Which machines a pass may use.
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum Reach {
     /// Any, by fetch cost.
     Any,
+    /// Only where the image is, or will be within moments.
+    Warm,
     /// Only holders of the image.
     Holders,
     /// Holders, and others that pass the idle gate.
@@ -156,8 +161,21 @@
 impl Cycle<'_> {
     /// Runs the cycle; what was placed leaves `wants`.
     pub fn run(&mut self, wants: &mut [Want]) {
+        self.run_warm(wants);
+        self.run_rest(wants);
+    }
+
+    /// The cycle's first part: high-priority work where its image is, or
+    /// nearly is. Between the parts room may be made where an image is held,
+    /// which is often sooner than a fetch elsewhere.
+    pub fn run_warm(&mut self, wants: &mut [Want]) {
         wants.sort_by_key(Want::rank);
-        self.high(wants);
+        self.high(wants, Reach::Warm);
+    }
+
+    /// The rest of the cycle.
+    pub fn run_rest(&mut self, wants: &mut [Want]) {
+        self.high(wants, Reach::Any);
         // Without this a gang that needs several machines at once would wait
         // for ever behind smaller work that takes each one as it comes free.
         for want in wants.iter_mut().filter(|w| w.aged) {
@@ -188,7 +206,7 @@
         }
     }
 
-    fn high(&mut self, wants: &mut [Want]) {
+    fn high(&mut self, wants: &mut [Want], reach: Reach) {
         let mut groups: BTreeMap<Image, Vec<usize>> = BTreeMap::new();
         for (i, w) in wants.iter().enumerate().filter(|(_, w)| w.is_high()) {
             groups.entry(w.image.clone()).or_default().push(i);
@@ -210,7 +228,7 @@
         order.sort();
         for (_, members) in order {
             for i in members {
-                self.place(&mut wants[i], Reach::Any);
+                self.place(&mut wants[i], reach);
             }
         }
     }
@@ -290,6 +308,7 @@
         };
         match reach {
             Reach::Any => true,
+            Reach::Warm => self.fetch(want, row) <= WARM,
             Reach::Holders => holds,
             Reach::Gated => holds || idle(),
         }
--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -332,6 +332,7 @@
         p.phase = Phase::Seen(t.state);
         if t.state == TaskState::Running && p.running.is_none() {
             p.running = Some(now);
+            tracing::debug!(task = %task, machine = %p.machine, since_s = now.since(p.placed).as_secs(), "runs");
         }
         if t.state != TaskState::Fetching {
             let cold = p.cold.take();
--- a/src/core/leader.rs
+++ b/src/core/leader.rs
@@ -345,6 +345,7 @@
         match self.assembly.job(id, version, value) {
             Some(job) => {
                 self.note_arrival(&job);
+                tracing::info!(job = %id, team = %job.spec.team, class = %job.spec.class, tasks = job.spec.tasks, image = %job.spec.image, "accepted");
                 self.jobs.insert(id.clone(), job);
             }
             None => tracing::error!(job = %id, "record of the submission cannot be read"),
@@ -910,8 +911,12 @@
             starts: Vec::new(),
             held: BTreeMap::new(),
         };
-        cycle.run(&mut wants);
-        let (victims, stops) = self.make_room(now, &mut cycle, &mut wants);
+        cycle.run_warm(&mut wants);
+        let victims = self.victims(now, cycle.rows);
+        let mut stops = BTreeSet::new();
+        self.make_room(&mut cycle, &mut wants, Priority::High, &victims, &mut stops);
+        cycle.run_rest(&mut wants);
+        self.make_room(&mut cycle, &mut wants, Priority::Low, &victims, &mut stops);
         let starts = std::mem::take(&mut cycle.starts);
         let mut attempts: BTreeMap<JobId, Attempt> = BTreeMap::new();
         for s in starts {
@@ -923,7 +928,11 @@
                 index: s.task,
             };
             let machine = rows[s.row].id.clone();
-            tracing::debug!(task = %task, %machine, "placed");
+            let fetch = self.machines.get(&machine).map(|m| {
+                let image = &self.jobs[&task.job].spec.image;
+                m.cache.remaining(image, now).map(Span::as_secs)
+            });
+            tracing::debug!(task = %task, %machine, ?fetch, "placed");
             self.put(now, &task, &machine, attempt);
         }
         let mut by_job: BTreeMap<JobId, Vec<u32>> = BTreeMap::new();
@@ -953,17 +962,16 @@
     /// they were; it is sent once they have left.
     fn make_room(
         &self,
-        now: Time,
         cycle: &mut Cycle<'_>,
         wants: &mut [Want],
-    ) -> (Vec<Victim>, BTreeSet<usize>) {
-        let mut taken = BTreeSet::new();
+        least: Priority,
+        victims: &[Victim],
+        taken: &mut BTreeSet<usize>,
+    ) {
         let urgent = |w: &Want| !w.tasks.is_empty() && (w.priority > Priority::Low || w.entitled);
-        if !wants.iter().any(urgent) {
-            return (Vec::new(), taken);
-        }
-        let victims = self.victims(now, cycle.rows);
-        let mut order: Vec<usize> = (0..wants.len()).filter(|&i| urgent(&wants[i])).collect();
+        let mut order: Vec<usize> = (0..wants.len())
+            .filter(|&i| wants[i].priority >= least && urgent(&wants[i]))
+            .collect();
         order.sort_by_key(|&i| {
             (
                 std::cmp::Reverse(wants[i].priority),
@@ -984,7 +992,7 @@
             if !allowed {
                 continue;
             }
-            let Some(e) = preempt::evict(cycle, want, &victims, &taken, 16) else {
+            let Some(e) = preempt::evict(cycle, want, victims, taken, 16) else {
                 continue;
             };
             for &n in &e.victims {
@@ -997,7 +1005,6 @@
                 }
             }
         }
-        (victims, taken)
     }
 
     fn victims(&self, now: Time, rows: &[Row]) -> Vec<Victim> {
--- a/src/core/preempt.rs
+++ b/src/core/preempt.rs
@@ -45,7 +45,9 @@
     if v.priority < want.priority {
         return true;
     }
-    if !want.entitled || v.team == want.team || !v.settled {
+    // A guarantee could also take from higher priorities; stopping urgent work
+    // for work that can wait serves nobody.
+    if !want.entitled || v.team == want.team || !v.settled || v.priority > want.priority {
         return false;
     }
     teams.get(&v.team).is_some_and(|t| {
