--- a/deploy/policy.lua
+++ b/deploy/policy.lua
@@ -3,8 +3,13 @@
 -- The script runs once, at start, and returns a table. Every field may be left
 -- out; its default is the value shown here. `site` holds facts from the
 -- platform's settings: report_s, lease_s, gang_wait_s, cancel_s, list_lag_s,
--- cloud_rps, nodes, and wait_s (the shortest time to start that an objective
--- asks for, or nil).
+-- cloud_rps, nodes, wait_s (the shortest time to start that an objective asks
+-- for, or nil) and deadlines (whether an objective is about deadlines).
+
+-- Idle machines cost money, fresh ones cost time. Work with deadlines says how
+-- long it can wait, so where there is such work idle machines go soon; where
+-- every class wants to start or finish within a fixed time, they are kept.
+local patient = site.deadlines
 
 return {
   -- Time between placement cycles, in seconds.
@@ -24,11 +29,11 @@
   boot_patience = 5.0,
 
   -- Returning: a machine idle for this long is returned ...
-  idle_s = 40.0,
+  idle_s = patient and 12.0 or 40.0,
   -- ... unless it belongs to the reserve kept for classes whose starts are
   -- wanted sooner than a machine boots: this many times what arrives on
   -- average within a boot time.
-  reserve = 1.5,
+  reserve = patient and 0.5 or 1.5,
   -- Never more than this many in reserve.
   most_reserve = 12,
 
--- a/src/core/leader.rs
+++ b/src/core/leader.rs
@@ -44,6 +44,8 @@
 const COMMIT_GAP: Span = Span::millis(40);
 /// Seconds that stopping a task soon after its start weighs more.
 const FRESH_COST: f64 = 20.0;
+/// Puts a job that has missed an aim behind all that have not.
+const LATE: i64 = 1 << 48;
 /// Least time between two cycles.
 const CYCLE_GAP: Span = Span::millis(100);
 /// Most tasks of one job that one cycle looks at.
@@ -803,25 +805,38 @@
         }
     }
 
-    /// When a job should be complete; earlier ones go first among equals.
-    fn due(&self, job: &Job) -> i64 {
-        let at = job.at.0 as i64;
-        let ms = |s: f64| (s * 1000.0).min(1e12) as i64;
-        if let Some(d) = job.spec.deadline_s {
-            return at + ms(d) - ms(job.spec.estimate_s);
-        }
-        let aim = self
+    /// Orders jobs of the same rank. Each aim for a job's class gives a time
+    /// by which its tasks should start. The job whose next such time comes
+    /// first goes first, but one that has missed an aim goes behind those that
+    /// have not: in a rush, work that is late anyway must not make the rest
+    /// late too.
+    fn order(&self, wall: Wall, job: &Job) -> i64 {
+        let ms = |s: f64| (s * 1000.0).clamp(0.0, 1e10) as i64;
+        let since = wall.0 as i64 - job.at.0 as i64;
+        let run = ms(job.spec.estimate_s);
+        let started = !job.done.is_empty() || !job.places.is_empty();
+        let mut times: Vec<i64> = self
             .settings
             .objectives
             .iter()
-            .filter(|o| o.kind == ObjectiveKind::Finished)
             .filter(|o| o.class.as_ref() == Some(&job.spec.class))
-            .filter_map(|o| o.within)
-            .min();
-        at + aim.map_or(600_000, |s| s.as_millis() as i64) - ms(job.spec.estimate_s)
+            .filter_map(|o| match (o.kind, o.within, job.spec.deadline_s) {
+                (ObjectiveKind::Wait, Some(w), _) if !started => Some(ms(w.as_secs())),
+                (ObjectiveKind::Finished, Some(w), _) => Some(ms(w.as_secs()) - run),
+                (ObjectiveKind::Deadline, _, Some(d)) => Some(ms(d * o.times) - run),
+                _ => None,
+            })
+            .collect();
+        if times.is_empty() {
+            times.push(ms(job.spec.deadline_s.unwrap_or(600.0)) - run);
+        }
+        let missed = times.iter().filter(|t| **t < since).count() as i64;
+        let next = times.iter().filter(|t| **t >= since).min();
+        // What has missed everything goes by age.
+        missed * LATE + job.at.0 as i64 + next.copied().unwrap_or(0)
     }
 
-    fn wants(&mut self, now: Time) -> Vec<Want> {
+    fn wants(&mut self, now: Time, wall: Wall) -> Vec<Want> {
         self.mark_entitled();
         let ids: Vec<JobId> = self
             .jobs
@@ -832,7 +847,7 @@
         let patience = Span::secs(self.policy.patience_s);
         let mut wants = Vec::new();
         for id in ids {
-            let order = self.due(&self.jobs[&id]);
+            let order = self.order(wall, &self.jobs[&id]);
             let Some(job) = self.jobs.get_mut(&id) else {
                 continue;
             };
@@ -882,10 +897,14 @@
                 in_zones,
                 spot: spec.spot,
                 run: Span::secs(spec.estimate_s),
-                aged: job
-                    .notes
-                    .waiting_since
-                    .is_some_and(|t| now.since(t) > patience),
+                aged: job.notes.waiting_since.is_some_and(|t| {
+                    let most = if job.is_gang() {
+                        patience
+                    } else {
+                        patience.scaled(10.0)
+                    };
+                    now.since(t) > most
+                }),
                 avoid: job.notes.failed_on.clone(),
             });
         }
@@ -894,7 +913,7 @@
 
     fn cycle(&mut self, io: &mut Io) {
         let now = io.now.time;
-        let mut wants = self.wants(now);
+        let mut wants = self.wants(now, io.now.wall);
         let mut rows = self.rows(now);
         let mut teams = self.team_use();
         let wait = self.settings.workers.gang_wait;
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -120,6 +120,11 @@
         .filter_map(|o| o.within)
         .min();
     t.set("wait_s", wait.map(Span::as_secs))?;
+    let deadlines = s
+        .objectives
+        .iter()
+        .any(|o| o.kind == ObjectiveKind::Deadline);
+    t.set("deadlines", deadlines)?;
     Ok(t)
 }
 
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -78,6 +78,8 @@
     class: Option<String>,
     #[serde(default)]
     within_s: Option<f64>,
+    #[serde(default)]
+    times: Option<f64>,
 }
 #[derive(Deserialize)]
 struct RawWorkers {
@@ -170,6 +172,8 @@
     pub class: Option<Class>,
     /// The time it asks for.
     pub within: Option<Span>,
+    /// For deadlines: how many times the deadline it allows.
+    pub times: f64,
 }
 
 /// How workers behave.
@@ -369,6 +373,10 @@
                 },
                 class: o.class.as_deref().map(Class::from),
                 within,
+                times: match o.times {
+                    Some(t) => positive(&format!("settings.objectives.{i}.times"), t)?,
+                    None => 1.0,
+                },
             });
         }
         Ok(Settings {
