--- a/deploy/policy.lua
+++ b/deploy/policy.lua
@@ -29,7 +29,7 @@
   boot_patience = 5.0,
 
   -- Returning: a machine idle for this long is returned ...
-  idle_s = patient and 12.0 or 40.0,
+  idle_s = patient and 12.0 or 120.0,
   -- ... unless it belongs to the reserve kept for classes whose starts are
   -- wanted sooner than a machine boots: this many times what arrives on
   -- average within a boot time.
--- a/src/core/leader.rs
+++ b/src/core/leader.rs
@@ -17,7 +17,8 @@
 use crate::policy::Policy;
 use crate::settings::{ObjectiveKind, Settings};
 use crate::types::{
-    Amounts, Attempt, Class, JobId, Kind, MachineId, Span, TaskId, Team, Time, Token, Version, Wall,
+    Amounts, Attempt, Class, Image, JobId, Kind, MachineId, Span, TaskId, Team, Time, Token,
+    Version, Wall,
 };
 use crate::wire;
 use crate::wire::cloud::{MachineType, MachineTypes};
@@ -52,6 +53,8 @@
 const MOST_TASKS: usize = 512;
 /// Without contact for this long, nothing is started.
 const START_CONTACT: Span = Span::millis(4000);
+/// Machines whose images are told to peers at once.
+const MOST_CACHES: usize = 100;
 /// Arrivals kept per class.
 const MOST_ARRIVALS: usize = 256;
 
@@ -106,6 +109,7 @@
     pub(super) rental: Rental,
     pub(super) arrivals: BTreeMap<Class, VecDeque<(Wall, f64, u32)>>,
     told: BTreeMap<JobId, (u32, u32)>,
+    told_caches: BTreeMap<MachineId, Vec<(Image, f64)>>,
 }
 
 impl Leader {
@@ -154,6 +158,7 @@
             rental: Rental::new(&settings, now),
             arrivals: BTreeMap::new(),
             told: BTreeMap::new(),
+            told_caches: BTreeMap::new(),
             settings,
             policy,
         };
@@ -1103,6 +1108,32 @@
         out
     }
 
+    /// Images of machines where they changed since the last call.
+    pub fn changed_caches(&mut self) -> Vec<(MachineId, Vec<(Image, f64)>)> {
+        self.told_caches
+            .retain(|id, _| self.machines.contains_key(id));
+        let mut out = Vec::new();
+        for (id, m) in &self.machines {
+            let now: Vec<(Image, f64)> = m.cache.images().map(|(i, gb)| (i.clone(), gb)).collect();
+            if out.len() < MOST_CACHES && self.told_caches.get(id) != Some(&now) {
+                self.told_caches.insert(id.clone(), now.clone());
+                out.push((id.clone(), now));
+            }
+        }
+        out
+    }
+
+    /// Takes over what the last leader told of a machine's images.
+    pub fn inherit_cache(&mut self, now: Time, id: &MachineId, images: &[(Image, f64)]) {
+        let m = self
+            .machines
+            .entry(id.clone())
+            .or_insert_with(|| Machine::new(now));
+        for (image, gb) in images {
+            m.cache.fetched(image, *gb, now, f64::INFINITY);
+        }
+    }
+
     /// Everything an operator may ask for.
     pub fn inspect(&self, now: Time) -> serde_json::Value {
         let age = |t: Option<Time>| t.map(|t| now.since(t).as_secs());
@@ -1115,7 +1146,7 @@
                     "session": m.session, "reported_s_ago": age(m.reported),
                     "usable": m.usable(now, self.silence()), "lost": m.lost,
                     "leaving": m.leaving != Leaving::No, "taken_in_s": m.taken_at.map(|t| t.since(now).as_secs()),
-                    "images": m.cache.images().collect::<Vec<_>>(),
+                    "images": m.cache.images().map(|(i, _)| i).collect::<Vec<_>>(),
                     "tasks": m.tasks.iter().map(|t| {
                         let job = self.jobs.get(&t.job);
                         let p = job.and_then(|j| j.places.get(&t.index));
--- a/src/core/node.rs
+++ b/src/core/node.rs
@@ -10,7 +10,7 @@
 use crate::http;
 use crate::policy::Policy;
 use crate::settings::Settings;
-use crate::types::{Label, Session, Span, Time, Token, Version, Wall};
+use crate::types::{Image, JobId, Label, MachineId, Session, Span, Time, Token, Version, Wall};
 use crate::wire;
 use crate::wire::cloud::{MachineType, MachineTypes};
 use crate::wire::peers::Greeting;
@@ -252,6 +252,8 @@
     intake: Intake,
     leader: Option<Leader>,
     peers: BTreeMap<Label, PeerView>,
+    /// Images on machines, as the last leader told.
+    caches: BTreeMap<MachineId, (Time, Vec<(Image, f64)>)>,
     types: Option<MachineTypes>,
     types_due: Time,
     types_calling: bool,
@@ -266,6 +268,8 @@
 const PEER_FRESH: Span = Span::millis(3500);
 /// Time between looks at the stored machine types.
 const TYPES_EVERY: Span = Span::millis(30_000);
+/// Machines whose images are remembered for a change of leader.
+const MOST_CACHES: usize = 400;
 /// Counts told to peers at once.
 const MOST_COUNTS: usize = 300;
 
@@ -279,6 +283,7 @@
             intake: Intake::default(),
             leader: None,
             peers: BTreeMap::new(),
+            caches: BTreeMap::new(),
             types: None,
             types_due: Time(0),
             types_calling: false,
@@ -472,6 +477,9 @@
                     now,
                     self.types.as_ref().unwrap_or(&none),
                 );
+                for (id, (_, images)) in std::mem::take(&mut self.caches) {
+                    leader.inherit_cache(now, &id, &images);
+                }
                 leader.tick(&mut self.io);
                 self.leader = Some(leader);
                 self.greet_due = now;
@@ -651,7 +659,7 @@
         self.state_ok() || (self.election.contact.is_some() && !better)
     }
 
-    fn greeting(&self, counts: Vec<(crate::types::JobId, u32, u32)>) -> Greeting {
+    fn greeting(&self, counts: Vec<(JobId, u32, u32)>) -> Greeting {
         let seen = self.election.leader.as_ref().map(|(_, t)| *t);
         Greeting {
             label: self.settings.label.clone(),
@@ -664,6 +672,7 @@
             leads: self.leader.is_some(),
             state_ok: self.state_ok(),
             counts,
+            caches: Vec::new(),
         }
     }
 
@@ -673,7 +682,11 @@
             .as_mut()
             .map(|l| l.changed_counts(MOST_COUNTS))
             .unwrap_or_default();
-        let body = wire::encode(&self.greeting(counts));
+        let mut greeting = self.greeting(counts);
+        if let Some(leader) = &mut self.leader {
+            greeting.caches = leader.changed_caches();
+        }
+        let body = wire::encode(&greeting);
         for p in &self.settings.peers {
             self.io.call(
                 Target::Host(p.addr),
@@ -708,6 +721,17 @@
         }
         self.intake.note_counts(g.counts);
         let now = self.io.now.time;
+        if self.leader.is_none() {
+            for (id, images) in g.caches {
+                self.caches.insert(id, (now, images));
+            }
+            while self.caches.len() > MOST_CACHES
+                && let Some((old, _)) = self.caches.iter().min_by_key(|(_, (t, _))| *t)
+            {
+                let old = old.clone();
+                self.caches.remove(&old);
+            }
+        }
         self.peers.insert(
             g.label,
             PeerView {
--- a/src/core/tables.rs
+++ b/src/core/tables.rs
@@ -77,12 +77,12 @@
         self.entries.clear();
     }
 
-    /// Names of the images that are there.
-    pub fn images(&self) -> impl Iterator<Item = &Image> {
+    /// The images that are there, with their sizes.
+    pub fn images(&self) -> impl Iterator<Item = (&Image, f64)> {
         self.entries
             .iter()
             .filter(|e| e.coming.is_none())
-            .map(|e| &e.image)
+            .map(|e| (&e.image, e.gb))
     }
 }
 
@@ -166,7 +166,7 @@
         }
         c.used(&image(0), 10.0, Time(10), Span::ZERO);
         c.fetched(&image(3), 10.0, Time(11), 30.0);
-        let mut left: Vec<_> = c.images().map(Image::to_string).collect();
+        let mut left: Vec<_> = c.images().map(|(i, _)| i.to_string()).collect();
         left.sort();
         assert_eq!(left, ["i0", "i2", "i3"]);
     }
--- a/src/wire/peers.rs
+++ b/src/wire/peers.rs
@@ -1,6 +1,6 @@
 //! What the controller nodes tell one another.
 
-use crate::types::{JobId, Label, Token};
+use crate::types::{Image, JobId, Label, MachineId, Token};
 use serde::{Deserialize, Serialize};
 
 /// A node's word about itself, sent to each peer about once a second and
@@ -18,4 +18,8 @@
     /// From the leader: task counts that changed, for display.
     #[serde(default)]
     pub counts: Vec<(JobId, u32, u32)>,
+    /// From the leader: images and their sizes on machines where they changed,
+    /// so that a successor need not learn them anew.
+    #[serde(default)]
+    pub caches: Vec<(MachineId, Vec<(Image, f64)>)>,
 }
