Peers know the cache table, so it survives a change of leader

Cause: after a failover every machine counted as cold, so gangs went to machines without their image.

--- a/src/core/leader.rs
+++ b/src/core/leader.rs
@@ -1123,6 +1123,12 @@
         out
     }
 
+    /// A peer missed what was told: tells everything once more.
+    pub fn tell_again(&mut self) {
+        self.told.clear();
+        self.told_caches.clear();
+    }
+
     /// Takes over what the last leader told of a machine's images.
     pub fn inherit_cache(&mut self, now: Time, id: &MachineId, images: &[(Image, f64)]) {
         let m = self
--- a/src/core/node.rs
+++ b/src/core/node.rs
@@ -459,6 +459,8 @@
                     && g.label == label
                 {
                     self.heard(g);
+                } else if let Some(leader) = &mut self.leader {
+                    leader.tell_again();
                 }
                 Outcome::None
             }
