--- a/deploy/policy.lua
+++ b/deploy/policy.lua
@@ -21,9 +21,6 @@
 
   -- Renting: work that has waited this long asks for machines.
   rent_after_s = 1.0,
-  -- Low-priority work with a deadline, beyond its team's guarantee, asks for
-  -- machines only this many boot times before its latest start.
-  rent_slack = 1.2,
   -- Most machines that may be on their way at once.
   most_booting = 24,
   -- Pause for a zone and kind of machine that had no capacity.
--- a/src/core/rental.rs
+++ b/src/core/rental.rs
@@ -4,15 +4,13 @@
 use super::cycle::{Cycle, Pace, Want};
 use super::fleet::{Leaving, Machine};
 use super::leader::{Fate, Leader};
-use super::ledger::Job;
 use super::node::{Io, Pending};
 use super::tables::Row;
 use super::{Reply, Target};
 use crate::settings::{ObjectiveKind, Settings};
-use crate::types::{Kind, MachineId, Span, Time, Wall, Zone};
+use crate::types::{Kind, MachineId, Span, Time, Zone};
 use crate::wire;
 use crate::wire::cloud::{MachineList, MachineNames, MachineStage, MachineTypes, Rent};
-use crate::wire::users::Priority;
 use std::collections::BTreeMap;
 
 /// Machines of one type, zone and kind.
@@ -326,7 +324,7 @@
 
     /// How many idle machines to keep for classes whose starts are wanted
     /// sooner than a machine boots.
-    fn reserve(&self, now_wall: Wall) -> u32 {
+    fn reserve(&self, now_wall: crate::types::Wall) -> u32 {
         let boot = self.types.values().map(|t| t.boot_s).fold(0.0, f64::max);
         let mut machines = 0.0;
         let mut largest: f64 = 0.0;
@@ -375,12 +373,10 @@
         let mut left: Vec<Want> = wants
             .iter()
             .filter(|w| {
-                self.jobs.get(&w.job).is_some_and(|j| {
-                    j.notes
-                        .waiting_since
-                        .is_some_and(|t| now.since(t) >= rent_after)
-                        && !self.has_time(io.now.wall, w, j)
-                })
+                self.jobs
+                    .get(&w.job)
+                    .and_then(|j| j.notes.waiting_since)
+                    .is_some_and(|t| now.since(t) >= rent_after)
             })
             .cloned()
             .collect();
@@ -437,20 +433,6 @@
         self.return_idle(io, &left, rows);
     }
 
-    /// Whether low-priority work beyond its team's guarantee can wait for
-    /// machines that are there: its deadline leaves it so many boot times.
-    fn has_time(&self, wall: Wall, want: &Want, job: &Job) -> bool {
-        let Some(deadline) = job.spec.deadline_s else {
-            return false;
-        };
-        if want.entitled || want.priority > Priority::Low {
-            return false;
-        }
-        let boot = self.types.values().map(|t| t.boot_s).fold(0.0, f64::max);
-        let age = wall.0.saturating_sub(job.at.0) as f64 / 1000.0;
-        deadline - job.spec.estimate_s - age > boot * self.policy.rent_slack
-    }
-
     /// Where to rent for a want: the cheapest per task that is not paused,
     /// and how many tasks a machine takes.
     fn market(&self, w: &Want) -> Option<(Market, u32)> {
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -79,9 +79,6 @@
     first_fetch_s: 0.0, 3600.0;
     /// How long work waits before machines are rented for it.
     rent_after_s: 0.0, 3600.0;
-    /// Boot times before its latest start at which work with a deadline asks
-    /// for machines.
-    rent_slack: 0.0, 1000.0;
     /// Most machines on their way.
     most_booting: 0.0, 500.0;
     /// Pause after "no capacity".
