--- a/src/core/rental.rs
+++ b/src/core/rental.rs
@@ -11,7 +11,7 @@
 use crate::types::{Kind, MachineId, Span, Time, Zone};
 use crate::wire;
 use crate::wire::cloud::{MachineList, MachineNames, MachineStage, MachineTypes, Rent};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 /// Machines of one type, zone and kind.
 type Market = (Kind, Zone, bool);
@@ -272,7 +272,6 @@
         let lag = self.settings.list_lag;
         let listed = self.rental.listed;
         let mut forget = Vec::new();
-        let lively = self.lively_zones(now);
         for (id, m) in &mut self.machines {
             let heard = m.reported.unwrap_or(m.known);
             let quiet = now.since(heard);
@@ -311,18 +310,6 @@
                     }
                     m.leaving = Leaving::Release;
                 }
-                // A spot machine that alone falls silent in its zone was most
-                // likely taken without notice. Its tasks would otherwise wait
-                // for the end of its lease.
-                _ if m.spot
-                    && m.ever_ours
-                    && !m.tasks.is_empty()
-                    && quiet > silence + Span::secs(2.0)
-                    && m.zone.as_ref().is_some_and(|z| lively.contains(z)) =>
-                {
-                    tracing::info!(machine = %id, "spot machine silent alone, released");
-                    m.leaving = Leaving::Release;
-                }
                 _ if quiet > Span::secs(self.policy.silent_release_s) => {
                     tracing::info!(machine = %id, "silent for long, released");
                     m.leaving = Leaving::Release;
@@ -335,24 +322,6 @@
         }
     }
 
-    /// Zones most of whose machines report.
-    fn lively_zones(&self, now: Time) -> BTreeSet<Zone> {
-        let silence = self.silence();
-        let mut zones: BTreeMap<&Zone, (u32, u32)> = BTreeMap::new();
-        for m in self.machines.values() {
-            if let (Some(zone), Some(at)) = (&m.zone, m.reported) {
-                let (all, heard) = zones.entry(zone).or_default();
-                *all += 1;
-                *heard += u32::from(now.since(at) < silence);
-            }
-        }
-        zones
-            .into_iter()
-            .filter(|(_, (all, heard))| heard * 4 >= all * 3)
-            .map(|(z, _)| z.clone())
-            .collect()
-    }
-
     /// How many idle machines to keep for classes whose starts are wanted
     /// sooner than a machine boots.
     fn reserve(&self, now_wall: crate::types::Wall) -> u32 {
