Long-poll reports of idle machines so that starts reach them at once

Cause: with reports every 3 s a start waited 1.5 s on average for the next one, and cold urgent starts miss 18 s by a second or two.

--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -142,11 +142,14 @@
 pub struct Held {
     request: RequestId,
     until: Time,
-    cycles: u64,
+    /// Cycles run when it was held; `None`: held until there is work.
+    cycles: Option<u64>,
 }
 
 /// How long an answer may wait for a commit that concerns its machine.
 const HOLD: Span = Span::millis(250);
+/// Longest hold of an idle machine's report; workers drop answers after 4 s.
+const LONGEST_HOLD: Span = Span::millis(2000);
 /// Failures of different jobs that make a machine suspect.
 const SUSPECT: usize = 2;
 /// How long a failure counts against a machine.
@@ -206,7 +209,20 @@
             .jobs
             .values()
             .any(|j| j.is_open() && !j.waiting.is_empty());
-        if freed && waits && self.may_start(now) {
+        let id = &report.machine;
+        if self.idles(now, id, &report) {
+            // A long poll: an idle machine's next work reaches it at once
+            // instead of with its next report.
+            let hold = self.settings.workers.report.scaled(0.6);
+            self.held.insert(
+                id.clone(),
+                Held {
+                    request,
+                    until: now + hold.min(LONGEST_HOLD),
+                    cycles: None,
+                },
+            );
+        } else if freed && waits && self.may_start(now) {
             // Placing and committing takes a moment; the answer that carries
             // the starts need not wait for the next report.
             self.cycle_soon(now);
@@ -215,7 +231,7 @@
                 Held {
                     request,
                     until: now + HOLD,
-                    cycles: self.cycles,
+                    cycles: Some(self.cycles),
                 },
             );
         } else {
@@ -230,7 +246,11 @@
         let due: Vec<MachineId> = self
             .held
             .iter()
-            .filter(|(id, h)| now >= h.until || (self.cycles > h.cycles && !self.awaits_commit(id)))
+            .filter(|(id, h)| {
+                let (waits, ready) = self.unsent(id);
+                let placed = h.cycles.is_some_and(|c| self.cycles > c && !waits);
+                now >= h.until || ready || placed
+            })
             .map(|(id, _)| id.clone())
             .collect();
         for id in due {
@@ -247,17 +267,32 @@
         }
     }
 
-    fn awaits_commit(&self, id: &MachineId) -> bool {
-        let Some(m) = self.machines.get(id) else {
-            return false;
-        };
-        m.tasks.iter().any(|t| {
-            self.jobs.get(&t.job).is_some_and(|j| {
-                j.places
-                    .get(&t.index)
-                    .is_some_and(|p| p.unsent() && !j.is_stored(self.chunk_size, t.index, p.change))
-            })
-        })
+    /// Whether a machine that has just reported has nothing to do.
+    fn idles(&self, now: Time, id: &MachineId, report: &Report) -> bool {
+        report.tasks.is_empty()
+            && self.may_start(now)
+            && self
+                .machines
+                .get(id)
+                .is_some_and(|m| m.tasks.is_empty() && m.usable(now, self.silence()))
+    }
+
+    /// Whether starts for a machine still wait to be stored, and whether all
+    /// there are can be sent.
+    fn unsent(&self, id: &MachineId) -> (bool, bool) {
+        let (mut waits, mut ready) = (false, false);
+        let tasks = self.machines.get(id).map(|m| &m.tasks);
+        for t in tasks.into_iter().flatten() {
+            let Some(job) = self.jobs.get(&t.job) else {
+                continue;
+            };
+            if let Some(p) = job.places.get(&t.index).filter(|p| p.unsent()) {
+                let stored = job.is_stored(self.chunk_size, t.index, p.change);
+                waits |= !stored;
+                ready |= stored;
+            }
+        }
+        (waits, ready && !waits)
     }
 
     /// Compares a report with the placements; true if it freed room.
