--- a/src/core/leader.rs
+++ b/src/core/leader.rs
@@ -47,8 +47,6 @@
 const FRESH_COST: f64 = 20.0;
 /// Puts a job that has missed an aim behind all that have not.
 const LATE: i64 = 1 << 48;
-/// How much later each second of a job's remaining work puts it.
-const BULK: f64 = 0.03;
 /// Least time between two cycles.
 const CYCLE_GAP: Span = Span::millis(100);
 /// Most tasks of one job that one cycle looks at.
@@ -840,10 +838,7 @@
         let missed = times.iter().filter(|t| **t < since).count() as i64;
         let next = times.iter().filter(|t| **t >= since).min();
         // What has missed everything goes by age.
-        // Among the rest small jobs go a little ahead: more of them are on time.
-        let left = f64::from(job.spec.tasks - job.done.len());
-        let bulk = ms(left * job.spec.estimate_s * BULK);
-        missed * LATE + job.at.0 as i64 + next.copied().unwrap_or(0) + bulk
+        missed * LATE + job.at.0 as i64 + next.copied().unwrap_or(0)
     }
 
     fn wants(&mut self, now: Time, wall: Wall) -> Vec<Want> {
