--- a/deploy/policy.lua
+++ b/deploy/policy.lua
@@ -29,13 +29,13 @@
   boot_patience = 5.0,
 
   -- Returning: a machine idle for this long is returned ...
-  idle_s = patient and 5.0 or 120.0,
+  idle_s = patient and 12.0 or 120.0,
   -- ... unless it belongs to the reserve kept for classes whose starts are
   -- wanted sooner than a machine boots: this many times what arrives on
   -- average within a boot time.
   reserve = patient and 0.5 or 1.5,
   -- Never more than this many in reserve.
-  most_reserve = patient and 0 or 12,
+  most_reserve = 12,
 
   -- A task is not stopped for another within this time of its start.
   settle_s = 31.0,
