--- a/src/core/cycle.rs
+++ b/src/core/cycle.rs
@@ -47,9 +47,6 @@
     pub in_zones: BTreeMap<Zone, u32>,
     /// May use spot machines.
     pub spot: bool,
-    /// Whether it would rather be on spot machines: it loses little when one
-    /// is taken, and ordinary ones that empty can be returned.
-    pub thrifty: bool,
     /// Expected run time of a task.
     pub run: Span,
     /// Whether it has waited so long that machines are held for it.
@@ -321,7 +318,7 @@
     /// machines last, then the tightest fit, so that whole machines stay free
     /// for gangs.
     fn candidates(&self, want: &Want, reach: Reach, zone: Option<&Zone>) -> Vec<usize> {
-        let mut rows: Vec<(Span, bool, i64, bool, usize)> = self
+        let mut rows: Vec<(Span, i64, i64, usize)> = self
             .rows
             .iter()
             .enumerate()
@@ -334,12 +331,11 @@
                 let late = want.run.scaled((r.slowness - 1.0).max(0.0));
                 let left = (r.free - want.need).share_of(&r.whole);
                 let cost = self.fetch(want, r) + late;
-                let dear = want.thrifty && !r.spot;
-                (cost, dear, (left * 1000.0) as i64, !r.spot, i)
+                (cost, (left * 1000.0) as i64, i64::from(!r.spot), i)
             })
             .collect();
         rows.sort();
-        rows.into_iter().map(|(_, _, _, _, i)| i).collect()
+        rows.into_iter().map(|(_, _, _, i)| i).collect()
     }
 
     /// Places as many tasks as fit, or for a gang all or none.
@@ -532,7 +528,6 @@
             most_in_zone: None,
             in_zones: BTreeMap::new(),
             spot,
-            thrifty: entitled && spot,
             run: Span::secs(30.0),
             aged: false,
             avoid: BTreeSet::new(),
@@ -582,8 +577,7 @@
                 .min_by_key(|&i| {
                     let r = &self.rows[i];
                     let left = (r.free - w.need).share_of(&r.whole);
-                    let dear = w.thrifty && !r.spot;
-                    (self.cost(w, r), dear, (left * 1000.0) as i64, !r.spot, i)
+                    (self.cost(w, r), (left * 1000.0) as i64, !r.spot, i)
                 })
         }
 
--- a/src/core/leader.rs
+++ b/src/core/leader.rs
@@ -901,7 +901,6 @@
                 most_in_zone: spec.spread.then(|| spec.tasks.div_ceil(2)),
                 in_zones,
                 spot: spec.spot,
-                thrifty: spec.shape == Shape::Array && spec.checkpoint_s > 0.0,
                 run: Span::secs(spec.estimate_s),
                 aged: job.notes.waiting_since.is_some_and(|t| {
                     let most = if job.is_gang() {
