Try: count fetches under way on a machine as its fetch cost

Cause looked at: 17 % of machine time on casa passes between placing and running, and fetches share a machine's rate.

--- a/src/core/cycle.rs
+++ b/src/core/cycle.rs
@@ -294,8 +294,10 @@
         row.cache
             .remaining(&want.image, self.pace.now)
             .unwrap_or_else(|| {
-                self.estimates
-                    .of(&want.image, want.image_gb, Some(row.fetch_rate))
+                let alone = self
+                    .estimates
+                    .of(&want.image, want.image_gb, Some(row.fetch_rate));
+                alone + row.cache.fetching(self.pace.now)
             })
     }
 
@@ -544,7 +546,7 @@
         fn cost(&self, w: &Want, r: &Row) -> Span {
             r.cache
                 .remaining(&w.image, NOW)
-                .unwrap_or(Span::secs(w.image_gb))
+                .unwrap_or(Span::secs(w.image_gb) + r.cache.fetching(NOW))
         }
 
         fn holders(&self, w: &Want) -> usize {
--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -377,7 +377,10 @@
                 && m.cache.remaining(&spec.image, now) != Some(Span::ZERO)
             {
                 m.cache.fetched(&spec.image, spec.image_gb, now, room);
-                if let Some(since) = cold {
+                // Fetches at the same time share the rate and tell nothing.
+                if let Some(since) = cold
+                    && m.cache.fetching(now) == Span::ZERO
+                {
                     self.estimates.note(&spec.image, now.since(since));
                 }
             }
