--- a/src/core/cycle.rs
+++ b/src/core/cycle.rs
@@ -294,10 +294,8 @@
         row.cache
             .remaining(&want.image, self.pace.now)
             .unwrap_or_else(|| {
-                let alone = self
-                    .estimates
-                    .of(&want.image, want.image_gb, Some(row.fetch_rate));
-                alone + row.cache.fetching(self.pace.now)
+                self.estimates
+                    .of(&want.image, want.image_gb, Some(row.fetch_rate))
             })
     }
 
@@ -546,7 +544,7 @@
         fn cost(&self, w: &Want, r: &Row) -> Span {
             r.cache
                 .remaining(&w.image, NOW)
-                .unwrap_or(Span::secs(w.image_gb) + r.cache.fetching(NOW))
+                .unwrap_or(Span::secs(w.image_gb))
         }
 
         fn holders(&self, w: &Want) -> usize {
--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -377,10 +377,7 @@
                 && m.cache.remaining(&spec.image, now) != Some(Span::ZERO)
             {
                 m.cache.fetched(&spec.image, spec.image_gb, now, room);
-                // Fetches at the same time share the rate and tell nothing.
-                if let Some(since) = cold
-                    && m.cache.fetching(now) == Span::ZERO
-                {
+                if let Some(since) = cold {
                     self.estimates.note(&spec.image, now.since(since));
                 }
             }
--- a/src/core/tables.rs
+++ b/src/core/tables.rs
@@ -34,14 +34,6 @@
         )
     }
 
-    /// Remaining time of all fetches under way, which share the machine's rate.
-    pub fn fetching(&self, now: Time) -> Span {
-        self.entries
-            .iter()
-            .filter_map(|e| e.coming)
-            .fold(Span::ZERO, |sum, t| sum + t.since(now).max(Span::secs(1.0)))
-    }
-
     /// Notes that a task needing `image` was placed; a fetch, if there must be
     /// one, should take `fetch`.
     pub fn used(&mut self, image: &Image, gb: f64, now: Time, fetch: Span) {
