--- a/src/core/rental.rs
+++ b/src/core/rental.rs
@@ -11,7 +11,6 @@
 use crate::types::{Kind, MachineId, Span, Time, Zone};
 use crate::wire;
 use crate::wire::cloud::{MachineList, MachineNames, MachineStage, MachineTypes, Rent};
-use crate::wire::users::Priority;
 use std::collections::BTreeMap;
 
 /// Machines of one type, zone and kind.
@@ -397,34 +396,6 @@
         };
         cycle.run(&mut left);
         left.retain(|w| !w.tasks.is_empty());
-        // Nor does low-priority work that finds room, before a machine would
-        // be up, where tasks end by then.
-        let mut soon: Vec<Row> = rows.iter().map(|r| self.row_soon(now, r)).collect();
-        let mut patient: Vec<Want> = Vec::new();
-        let mut eager: Vec<Want> = Vec::new();
-        for w in left {
-            let waits = w.priority == Priority::Low && !w.entitled;
-            if waits {
-                patient.push(w)
-            } else {
-                eager.push(w)
-            }
-        }
-        let mut cycle = Cycle {
-            pace: Pace {
-                now,
-                most_skew: Span::secs(1e6),
-            },
-            rows: &mut soon,
-            teams: &mut teams,
-            estimates: &estimates,
-            starts: Vec::new(),
-            held: BTreeMap::new(),
-        };
-        cycle.run(&mut patient);
-        patient.retain(|w| !w.tasks.is_empty());
-        let mut left = eager;
-        left.extend(patient);
         self.rental.paused.retain(|_, until| *until > now);
         if self.rental.orders.is_empty() && self.rental.unanswered.is_none() {
             let mut orders: BTreeMap<Market, f64> = BTreeMap::new();
@@ -462,29 +433,6 @@
         self.return_idle(io, &left, rows);
     }
 
-    /// A machine as it should be by the time a new one would be up.
-    fn row_soon(&self, now: Time, row: &Row) -> Row {
-        let mut soon = row.clone();
-        let Some(m) = self.machines.get(&row.id) else {
-            return soon;
-        };
-        let boot = self
-            .types
-            .get(&row.kind)
-            .map_or(Span::ZERO, |t| Span::secs(t.boot_s));
-        for t in &m.tasks {
-            let Some(job) = self.jobs.get(&t.job) else {
-                continue;
-            };
-            if let Some(p) = job.places.get(&t.index)
-                && self.remaining(now, job, p) < boot
-            {
-                soon.free += job.spec.needs();
-            }
-        }
-        soon
-    }
-
     /// Where to rent for a want: the cheapest per task that is not paused,
     /// and how many tasks a machine takes.
     fn market(&self, w: &Want) -> Option<(Market, u32)> {
