--- a/src/core/intake.rs
+++ b/src/core/intake.rs
@@ -73,6 +73,15 @@
         }
     }
 
+    /// Answers from memory if the job's state is final.
+    fn answer_final(&self, io: &mut Io, request: RequestId, id: &JobId) -> bool {
+        let Some(head) = self.finals.get(id) else {
+            return false;
+        };
+        job_answer(io, request, 200, &self.answer(id, *head));
+        true
+    }
+
     /// Keeps what the leader told.
     pub fn note_counts(&mut self, counts: Vec<(JobId, u32, u32)>) {
         for (id, done, running) in counts {
@@ -188,9 +197,8 @@
         if let Some(field) = job.fault() {
             return refuse(io, request, 400, &format!("{field} is invalid"));
         }
-        if let Some(head) = self.finals.get(&job.id).copied() {
-            let answer = self.answer(&job.id, head);
-            return job_answer(io, request, 200, &answer);
+        if self.answer_final(io, request, &job.id) {
+            return;
         }
         let unable = match types {
             None => Some(Unable::NotNow),
@@ -218,9 +226,8 @@
             return refuse(io, request, 404, "no such job");
         }
         let id = JobId::from(id);
-        if let Some(head) = self.finals.get(&id).copied() {
-            let answer = self.answer(&id, head);
-            return job_answer(io, request, 200, &answer);
+        if self.answer_final(io, request, &id) {
+            return;
         }
         self.read(io, request, &id, Step::Poll(id.clone()));
     }
@@ -231,9 +238,8 @@
             return refuse(io, request, 404, "no such job");
         }
         let id = JobId::from(id);
-        if let Some(head) = self.finals.get(&id).copied() {
-            let answer = self.answer(&id, head);
-            return job_answer(io, request, 200, &answer);
+        if self.answer_final(io, request, &id) {
+            return;
         }
         self.read(io, request, &id, Step::CancelRead(id.clone(), CANCEL_TRIES));
     }
--- a/src/core/tables.rs
+++ b/src/core/tables.rs
@@ -171,6 +171,19 @@
         assert_eq!(left, ["i0", "i2", "i3"]);
     }
 
+    // A fetch that took longer than expected once counted as over: work was
+    // sent there as if the image were there, and its arrival was never noted.
+    #[test]
+    fn an_overdue_fetch_is_not_over() {
+        let mut c = Cache::default();
+        let a = Image::from("a");
+        c.used(&a, 6.0, Time(0), Span::secs(10.0));
+        assert_eq!(c.remaining(&a, Time(4_000_000)), Some(Span::secs(6.0)));
+        assert_eq!(c.remaining(&a, Time(60_000_000)), Some(Span::secs(1.0)));
+        c.fetched(&a, 6.0, Time(61_000_000), 40.0);
+        assert_eq!(c.remaining(&a, Time(62_000_000)), Some(Span::ZERO));
+    }
+
     #[test]
     fn an_unseen_image_costs_what_its_size_says() {
         let mut e = Estimates::new(Span::secs(30.0));
--- a/src/driver.rs
+++ b/src/driver.rs
@@ -27,6 +27,8 @@
 const CONNECT: Duration = Duration::from_millis(1500);
 /// Idle connections kept per target.
 const KEPT: usize = 8;
+/// Targets for which idle connections are kept.
+const TARGETS: usize = 32;
 /// Time between ticks of the core.
 const TICK: Duration = Duration::from_millis(50);
 
@@ -92,6 +94,18 @@
         }
     }
 
+    /// An idle connection to a target. Targets without any are forgotten, so
+    /// that workers that are gone leave nothing behind.
+    fn pooled(&self, addr: SocketAddrV4) -> Option<TcpStream> {
+        let mut idle = self.idle.borrow_mut();
+        let kept = idle.get_mut(&addr)?;
+        let stream = kept.pop();
+        if kept.is_empty() {
+            idle.remove(&addr);
+        }
+        stream
+    }
+
     async fn exchange(
         &self,
         addr: SocketAddrV4,
@@ -99,7 +113,7 @@
         sent: &Cell<bool>,
     ) -> std::io::Result<Response> {
         let request = http::write_request(call.method, &addr.to_string(), &call.path, &call.body);
-        let pooled = self.idle.borrow_mut().get_mut(&addr).and_then(Vec::pop);
+        let pooled = self.pooled(addr);
         if let Some(stream) = pooled {
             sent.set(true);
             match self.exchange_on(stream, addr, &request).await {
@@ -133,9 +147,11 @@
             if let Some((r, used)) = parsed {
                 if !r.close && n > 0 && used == data.len() {
                     let mut idle = self.idle.borrow_mut();
-                    let kept = idle.entry(addr).or_default();
-                    if kept.len() < KEPT {
-                        kept.push(stream);
+                    if idle.len() < TARGETS || idle.contains_key(&addr) {
+                        let kept = idle.entry(addr).or_default();
+                        if kept.len() < KEPT {
+                            kept.push(stream);
+                        }
                     }
                 }
                 return Ok(r);
