Drop lost starts of jobs that are over, and of attempts being stopped

Cause: a start that was sent, lost, and whose job was cancelled in between became unsent again; it was never sent, being unwanted, and never dropped, so it counted against its team and kept the job's records for ever.

--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -328,11 +328,11 @@
         let mut freed = false;
         for task in placed {
             let seen = listed.get(&task).copied();
-            let Some(p) = self
-                .jobs
-                .get_mut(&task.job)
-                .and_then(|j| j.places.get_mut(&task.index))
-            else {
+            let Some(job) = self.jobs.get_mut(&task.job) else {
+                continue;
+            };
+            let open = job.is_open();
+            let Some(p) = job.places.get_mut(&task.index) else {
                 continue;
             };
             match p.judge(report.session, report.tally, report.token, self.token, seen) {
@@ -340,6 +340,11 @@
                     freed = true;
                     self.gone(now, &task, "its machine no longer has it");
                 }
+                // What is not wanted any more is not sent again; it never
+                // arrived, so it is nowhere.
+                Verdict::Undelivered if p.stop.is_some() || !open => {
+                    self.gone(now, &task, "never arrived");
+                }
                 Verdict::Undelivered => p.phase = Phase::Unsent,
                 Verdict::Present => {
                     if let Some(t) = seen {
--- a/src/testing/world.rs
+++ b/src/testing/world.rs
@@ -57,6 +57,8 @@
     Hang(u64),
     /// A machine is taken, with notice or without.
     Take(bool),
+    /// A worker cannot reach any node; what is sent is lost.
+    CutWorker(u64),
     /// Two hosts cannot reach each other; what is sent is held back or lost.
     Cut(Host, Host, bool, u64),
     /// The leader is cut off from everything but its zone's workers; messages
@@ -996,6 +998,16 @@
                     w.touch();
                 }
             }
+            Fault::CutWorker(s) => {
+                let all: Vec<String> = self.workers.keys().cloned().collect();
+                if !all.is_empty() {
+                    let m = all[self.rng.random_range(0..all.len())].clone();
+                    for n in 0..3 {
+                        let (a, b) = (Host::Node(n), Host::Worker(m.clone()));
+                        self.cuts.push((a, b, false, t + s * SEC));
+                    }
+                }
+            }
             Fault::Cut(a, b, hold, s) => self.cuts.push((a, b, hold, t + s * SEC)),
             Fault::IsolateLeader(s) => {
                 if let Some(n) = self.leader() {
@@ -1131,7 +1143,7 @@
             let at = self.rng.random_range(from..to);
             let n = self.rng.random_range(0..3);
             let s = self.rng.random_range(3..25);
-            let f = match self.rng.random_range(0..14) {
+            let f = match self.rng.random_range(0..18) {
                 0 => Fault::Crash(n, 5),
                 1 | 2 => Fault::CrashLeader(5),
                 3 => Fault::StateOut(s),
@@ -1148,7 +1160,8 @@
                     s,
                 ),
                 12 => Fault::Cut(Host::Node(n), Host::State, true, s),
-                _ => Fault::IsolateLeader(s),
+                13 => Fault::IsolateLeader(s),
+                _ => Fault::CutWorker(s / 3),
             };
             self.fault(at, f);
         }
@@ -1164,6 +1177,11 @@
         w.mix(150, 40);
         w.trouble(10, 170, 14);
         w.play(460);
+        // Every job is over by now and none of its tasks can be anywhere.
+        if w.state.count("w/j/") > 0 {
+            w.broken
+                .push(format!("leftover: {} jobs", w.state.count("w/j/")));
+        }
         w.broken
             .extend(w.state.breaches.iter().map(|b| format!("state: {b}")));
         w.broken
@@ -1272,6 +1290,24 @@
         }
     }
 
+    // A start that got lost, of a job cancelled meanwhile, once stood for
+    // ever: nobody would send it again, and nobody dropped it.
+    #[test]
+    fn lost_starts_of_cancelled_jobs_leave_nothing() {
+        for seed in 100..104 {
+            let mut w = World::new(seed);
+            for i in 0..60u64 {
+                let j = submission(&format!("wk-{i:06}"), Shape::Array, 3);
+                w.job(5 + 2 * i, j, Some(6 + 2 * i));
+                w.fault(5 + 2 * i, Fault::CutWorker(4));
+                w.fault(6 + 2 * i, Fault::CutWorker(4));
+            }
+            w.play(220);
+            assert_eq!(w.broken, Vec::<String>::new());
+            assert_eq!(w.state.count("w/j/"), 0, "seed {seed}");
+        }
+    }
+
     #[test]
     fn sending_before_storing_is_caught() {
         caught(Decision::WriteAhead, "ran_twice", refused_then_dead);
