Reckon a lease from the first report with our token at the earliest

A direct command can bring our token to a worker whose lease an older leader renewed after our last 200, or without any 200 of ours; its lease then ended later than was reckoned, or was never reckoned to end. Found by reading.

--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -48,8 +48,8 @@
     pub answered: Option<Time>,
     /// Whether its newest report carried our token.
     pub ours: bool,
-    /// Whether any report did.
-    pub ever_ours: bool,
+    /// When the first report did.
+    pub ours_since: Option<Time>,
     /// Unrecorded tasks on it, and what they take.
     pub strays: Amounts,
     /// When the cloud takes it, if noticed.
@@ -91,7 +91,7 @@
             reported: None,
             answered: None,
             ours: false,
-            ever_ours: false,
+            ours_since: None,
             strays: Amounts::default(),
             taken_at: None,
             listed: None,
@@ -191,7 +191,9 @@
         machine.tally = report.tally;
         machine.reported = Some(now);
         machine.ours = report.token == self.token;
-        machine.ever_ours |= machine.ours;
+        if machine.ours {
+            machine.ours_since.get_or_insert(now);
+        }
         machine.addr = report.addr.parse().ok();
         machine.kind = Some(report.kind.clone());
         machine.zone = Some(report.zone.clone());
@@ -771,10 +773,15 @@
             if !weak::holds(Decision::LeaseBeforeWriteOff) {
                 lease = Span::secs(3.0);
             }
-            let (due, proof) = if m.ever_ours {
+            let (due, proof) = if let Some(since) = m.ours_since {
                 // Older leaders' answers are dropped by a worker that has
                 // seen our token, so only our own renew its lease.
-                (m.answered.unwrap_or(now) + lease, "its lease is over")
+                // Before it had our token an older leader may have done so:
+                // a direct command can bring the token without a 200 of ours.
+                (
+                    m.answered.max(Some(since)).unwrap_or(now) + lease,
+                    "its lease is over",
+                )
             } else {
                 // An older leader may have answered it until it noticed.
                 let ours = m.answered.map_or(Time(0), |t| t + lease);
