--- a/src/core/rental.rs
+++ b/src/core/rental.rs
@@ -498,7 +498,9 @@
     /// that it could use goes in the end.
     fn return_idle(&mut self, io: &mut Io, waiting: &[Want], rows: &[Row]) {
         let now = io.now.time;
-        let idle_for = Span::secs(self.policy.idle_s);
+        // With no job left at all there is little to be ready for.
+        let quiet = self.jobs.values().all(|j| !j.is_open());
+        let idle_for = Span::secs(self.policy.idle_s).scaled(if quiet { 0.25 } else { 1.0 });
         let mut idle: Vec<(f64, MachineId, bool)> = Vec::new();
         for row in rows {
             let Some(m) = self.machines.get_mut(&row.id) else {
