Let the leader's work follow what changed; write starts first

Now a cycle looks only at machines with room, victims are indexed by machine and gang, a fruitless search is not repeated for a want like it, held reports wake by what was stored, and cycles get rarer with machines. Chunks with starts are written first; others wait 1 s for further changes. Ruled out: the state service (no request refused), memory (9.5 MB).

--- a/src/core/cycle.rs
+++ b/src/core/cycle.rs
@@ -10,7 +10,7 @@
 use crate::settings::TeamShare;
 use crate::types::{Amounts, Image, JobId, Kind, MachineId, Span, Team, Time, Zone};
 use crate::wire::users::Priority;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 /// What a job wants placed.
 #[derive(Clone, Debug)]
@@ -99,6 +99,13 @@
     pub starts: Vec<Start>,
     /// Rows held for a gang that has waited long.
     pub held: BTreeMap<usize, JobId>,
+    /// Rows that had room for the smallest want when last looked at. Where
+    /// most machines are full, looking at the others is what a cycle costs.
+    open: Vec<usize>,
+    /// Zones with machines.
+    zones: BTreeSet<Zone>,
+    /// How many rows hold each image, or are fetching it.
+    holders: HashMap<Image, usize>,
 }
 
 /// A fetch that is over within this time hardly delays a start.
@@ -153,12 +160,75 @@
         )
     }
 
+    /// Whether what holds for placing this holds for placing `other`, image
+    /// and number of tasks apart.
+    pub fn is_like(&self, other: &Want) -> bool {
+        self.priority == other.priority
+            && self.entitled == other.entitled
+            && self.gang == other.gang
+            && self.spot == other.spot
+            && self.one_zone == other.one_zone
+            && self.most_in_zone == other.most_in_zone
+            && self.need == other.need
+            && self.team == other.team
+            && self.zone == other.zone
+            && self.kinds == other.kinds
+            && self.in_zones == other.in_zones
+            && self.avoid == other.avoid
+    }
+
     fn is_high(&self) -> bool {
         self.priority >= Priority::High
     }
 }
 
-impl Cycle<'_> {
+impl<'a> Cycle<'a> {
+    /// A cycle over these tables, with nothing placed yet.
+    pub fn new(
+        pace: Pace,
+        rows: &'a mut [Row],
+        teams: &'a mut BTreeMap<Team, TeamUse>,
+        estimates: &'a Estimates,
+    ) -> Cycle<'a> {
+        let mut holders: HashMap<Image, usize> = HashMap::new();
+        for image in rows.iter().flat_map(|r| r.cache.known()) {
+            match holders.get_mut(image) {
+                Some(n) => *n += 1,
+                None => {
+                    holders.insert(image.clone(), 1);
+                }
+            }
+        }
+        Cycle {
+            pace,
+            zones: rows.iter().map(|r| r.zone.clone()).collect(),
+            open: Vec::new(),
+            holders,
+            rows,
+            teams,
+            estimates,
+            starts: Vec::new(),
+            held: BTreeMap::new(),
+        }
+    }
+
+    /// Zones with machines.
+    pub fn zones(&self) -> &BTreeSet<Zone> {
+        &self.zones
+    }
+
+    /// Looks anew for rows with room for the smallest of `wants`.
+    fn look(&mut self, wants: &[Want]) {
+        let least = wants.iter().filter(|w| !w.tasks.is_empty()).map(|w| w.need);
+        let least = least.reduce(|a, b| a.least(&b));
+        self.open = match least {
+            Some(need) => (0..self.rows.len())
+                .filter(|&i| need.fits(&self.rows[i].free))
+                .collect(),
+            None => Vec::new(),
+        };
+    }
+
     /// Runs the cycle; what was placed leaves `wants`.
     pub fn run(&mut self, wants: &mut [Want]) {
         self.run_warm(wants);
@@ -169,12 +239,14 @@
     /// nearly is. Between the parts room may be made where an image is held,
     /// which is often sooner than a fetch elsewhere.
     pub fn run_warm(&mut self, wants: &mut [Want]) {
-        wants.sort_by_key(Want::rank);
+        wants.sort_by_cached_key(Want::rank);
+        self.look(wants);
         self.high(wants, Reach::Warm);
     }
 
     /// The rest of the cycle.
     pub fn run_rest(&mut self, wants: &mut [Want]) {
+        self.look(wants);
         self.high(wants, Reach::Any);
         // Without this a gang that needs several machines at once would wait
         // for ever behind smaller work that takes each one as it comes free.
@@ -192,7 +264,7 @@
                 self.place(&mut wants[i], Reach::Holders);
             }
             // Fewest holders first: the rarest image gains most from a fetch.
-            batch.sort_by_key(|&i| {
+            batch.sort_by_cached_key(|&i| {
                 let w = &wants[i];
                 (
                     std::cmp::Reverse(w.entitled),
@@ -241,8 +313,7 @@
     /// Holds the machines that should soonest be free together.
     fn hold(&mut self, want: &Want) {
         let zones: Vec<Option<Zone>> = if want.one_zone {
-            let all: BTreeSet<_> = self.rows.iter().map(|r| r.zone.clone()).collect();
-            all.into_iter().map(Some).collect()
+            self.zones.iter().cloned().map(Some).collect()
         } else {
             vec![None]
         };
@@ -283,10 +354,7 @@
     }
 
     fn holders(&self, image: &Image) -> usize {
-        self.rows
-            .iter()
-            .filter(|r| r.cache.remaining(image, self.pace.now).is_some())
-            .count()
+        self.holders.get(image).copied().unwrap_or(0)
     }
 
     /// What fetching the image costs on a row.
@@ -319,13 +387,12 @@
     /// for gangs.
     fn candidates(&self, want: &Want, reach: Reach, zone: Option<&Zone>) -> Vec<usize> {
         let mut rows: Vec<(Span, i64, i64, usize)> = self
-            .rows
+            .open
             .iter()
-            .enumerate()
+            .map(|&i| (i, &self.rows[i]))
+            .filter(|(_, r)| want.need.fits(&r.free))
             .filter(|(_, r)| zone.is_none_or(|z| z == &r.zone))
-            .filter(|(i, r)| {
-                want.need.fits(&r.free) && want.allows(r) && self.may_use(*i, &want.job)
-            })
+            .filter(|(i, r)| want.allows(r) && self.may_use(*i, &want.job))
             .filter(|(_, r)| self.reachable(want, r, reach))
             .map(|(i, r)| {
                 let late = want.run.scaled((r.slowness - 1.0).max(0.0));
@@ -355,7 +422,7 @@
         let taken = want.in_zones.iter().find(|(_, n)| **n > 0);
         let zones: BTreeSet<Zone> = match taken {
             Some((z, _)) => BTreeSet::from([z.clone()]),
-            None => self.rows.iter().map(|r| r.zone.clone()).collect(),
+            None => self.zones.clone(),
         };
         // The zone where the last image is there first; for arrays the one
         // that takes most tasks.
@@ -445,6 +512,9 @@
         r.free -= want.need;
         let work = want.run.scaled(want.need.share_of(&r.whole).min(1.0));
         r.available = r.available.max(self.pace.now) + work + cost;
+        if r.cache.remaining(&want.image, self.pace.now).is_none() {
+            *self.holders.entry(want.image.clone()).or_default() += 1;
+        }
         r.cache
             .used(&want.image, want.image_gb, self.pace.now, cost);
         if want.is_high() {
@@ -715,10 +785,8 @@
             let mut teams = names.iter().map(|t| (t.clone(), TeamUse { used: Amounts::default(), share })).collect();
             let mut left = rows.clone();
             let estimates = Estimates::new(Span::secs(30.0));
-            let mut cycle = Cycle {
-                pace: Pace { now: NOW, most_skew: Span::secs(20.0) }, rows: &mut left, teams: &mut teams,
-                estimates: &estimates, starts: Vec::new(), held: BTreeMap::new(),
-            };
+            let pace = Pace { now: NOW, most_skew: Span::secs(20.0) };
+            let mut cycle = Cycle::new(pace, &mut left, &mut teams, &estimates);
             cycle.run(&mut wants);
             let starts = cycle.starts;
             prop_assert_eq!(&starts, &plain.out);
--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -76,6 +76,8 @@
     pub slowness: f64,
     /// Tasks placed here.
     pub tasks: BTreeSet<TaskId>,
+    /// What they take together.
+    pub used: Amounts,
 }
 
 impl Machine {
@@ -105,6 +107,25 @@
             faults: BTreeMap::new(),
             slowness: 1.0,
             tasks: BTreeSet::new(),
+            used: Amounts::default(),
+        }
+    }
+
+    /// Notes a task placed here.
+    pub fn take(&mut self, task: TaskId, needs: Amounts) {
+        if self.tasks.insert(task) {
+            self.used += needs;
+        }
+    }
+
+    /// Notes that a task is not here any more.
+    pub fn release(&mut self, task: &TaskId, needs: Amounts) {
+        if self.tasks.remove(task) {
+            self.used -= needs;
+        }
+        if self.tasks.is_empty() {
+            // What rounding leaves must not add up.
+            self.used = Amounts::default();
         }
     }
 
@@ -146,6 +167,8 @@
     cycles: Option<u64>,
 }
 
+/// Time between looks for held reports that are due.
+const HELD_LOOK: Span = Span::millis(20);
 /// How long an answer may wait for a commit that concerns its machine.
 const HOLD: Span = Span::millis(250);
 /// Longest hold of an idle machine's report; workers drop answers after 4 s.
@@ -242,19 +265,33 @@
         Fate::Stay
     }
 
-    /// Answers held reports whose moment has come.
+    /// Answers held reports whose moment has come. Only machines for which a
+    /// start was stored are looked at closely, and after a cycle those that
+    /// wait for one.
     pub fn answer_held(&mut self, io: &mut Io) {
         let now = io.now.time;
-        let due: Vec<MachineId> = self
-            .held
-            .iter()
-            .filter(|(id, h)| {
-                let (waits, ready) = self.unsent(id);
-                let placed = h.cycles.is_some_and(|c| self.cycles > c && !waits);
-                now >= h.until || ready || placed
-            })
-            .map(|(id, _)| id.clone())
-            .collect();
+        let mut due: Vec<MachineId> = Vec::new();
+        let stored = std::mem::take(&mut self.stored);
+        due.extend(stored.into_iter().filter(|id| {
+            let (waits, ready) = self.unsent(id);
+            self.held
+                .get(id)
+                .is_some_and(|h| ready || h.cycles.is_some_and(|c| self.cycles > c && !waits))
+        }));
+        if now >= self.held_due || self.held_cycle < self.cycles {
+            let after_cycle = self.held_cycle < self.cycles;
+            self.held_due = now + HELD_LOOK;
+            self.held_cycle = self.cycles;
+            due.extend(
+                self.held
+                    .iter()
+                    .filter(|(id, h)| {
+                        let placed = after_cycle && h.cycles.is_some_and(|c| self.cycles > c);
+                        now >= h.until || (placed && !self.unsent(id).0)
+                    })
+                    .map(|(id, _)| id.clone()),
+            );
+        }
         for id in due {
             if let Some(h) = self.held.remove(&id) {
                 self.answer_report(io, h.request, &id);
@@ -466,7 +503,8 @@
         job.notes.failures = 0;
         let change = job.touch(size, task.index);
         job.unsaved.insert(task.index, change);
-        self.dirty.insert((task.job.clone(), size.of(task.index)));
+        self.dirty
+            .note((task.job.clone(), size.of(task.index)), now, false);
         if job.done.len() == job.spec.tasks && job.end.is_none() {
             job.end = Some(End::Done { written: false });
             self.finishing.insert(task.job.clone());
@@ -501,14 +539,16 @@
         let Some(p) = job.places.remove(&task.index) else {
             return;
         };
+        let needs = job.spec.needs();
         if !job.done.contains(task.index) && job.is_open() {
             job.waiting.insert(task.index);
         }
         job.touch(size, task.index);
-        self.dirty.insert((task.job.clone(), size.of(task.index)));
+        self.dirty
+            .note((task.job.clone(), size.of(task.index)), now, false);
         tracing::debug!(task = %task, attempt = %p.attempt, machine = %p.machine, proof, "task is gone");
         if let Some(m) = self.machines.get_mut(&p.machine) {
-            m.tasks.remove(task);
+            m.release(task, needs);
             if m.tasks.is_empty() {
                 m.idle = Some(now);
             }
@@ -866,7 +906,7 @@
             m.last_high = Some(now);
         }
         m.idle = None;
-        m.tasks.insert(task.clone());
+        m.take(task.clone(), spec.needs());
         job.waiting.remove(task.index);
         job.attempt = job.attempt.max(attempt);
         let change = job.touch(size, task.index);
@@ -884,6 +924,7 @@
                 stop: None,
             },
         );
-        self.dirty.insert((task.job.clone(), size.of(task.index)));
+        self.dirty
+            .note((task.job.clone(), size.of(task.index)), now, true);
     }
 }
--- a/src/core/leader.rs
+++ b/src/core/leader.rs
@@ -5,10 +5,11 @@
 use super::cycle::{Cycle, Pace, TeamUse, Want};
 use super::fleet::{Held, Leaving, Machine};
 use super::ledger::{
-    self, Assembly, ChunkSize, End, HeadStage, Item, Job, Lane, TxnBuilder, TxnLimits, Watched,
+    self, Assembly, ChunkSize, Dirty, End, HeadStage, Item, Job, Lane, TxnBuilder, TxnLimits,
+    Watched,
 };
 use super::node::{Io, Pending};
-use super::preempt::{self, Victim};
+use super::preempt::{self, Victim, Victims};
 use super::presence::Phase;
 use super::rental::Rental;
 use super::tables::{Estimates, Row};
@@ -47,8 +48,14 @@
 const FRESH_COST: f64 = 20.0;
 /// Puts a job that has missed an aim behind all that have not.
 const LATE: i64 = 1 << 48;
+/// Time between looks for machines that fell silent or are gone.
+const LOOK_EVERY: Span = Span::millis(200);
 /// Least time between two cycles.
-const CYCLE_GAP: Span = Span::millis(100);
+const CYCLE_GAP: Span = Span::millis(80);
+/// By how much each machine lengthens it.
+const GAP_PER_MACHINE: Span = Span(150);
+/// Most searches for room in one pass of a cycle.
+const MOST_SEARCHES: u32 = 64;
 /// Most tasks of one job that one cycle looks at.
 const MOST_TASKS: usize = 512;
 /// Without contact for this long, nothing is started.
@@ -60,6 +67,15 @@
 
 type Listed = Vec<(String, Attempt, TaskState, Option<Why>)>;
 
+/// Tasks to stop, found while a cycle makes room.
+#[derive(Debug, Default)]
+struct Stops {
+    /// All that may be stopped, once something looks for them.
+    victims: Option<Victims>,
+    /// Those that are to be.
+    taken: BTreeSet<usize>,
+}
+
 #[derive(Debug)]
 enum Load {
     Watched(Vec<Entry>, Option<Version>),
@@ -94,14 +110,21 @@
     lane: Lane,
     lane_backoff: Backoff,
     writes: Bucket,
-    pub(super) dirty: BTreeSet<(JobId, u32)>,
+    pub(super) dirty: Dirty,
     pub(super) finishing: BTreeSet<JobId>,
     pub(super) dropping: BTreeSet<JobId>,
+    look_due: Time,
     next_cycle: Time,
     last_cycle: Time,
     /// Cycles run.
     pub cycles: u64,
     pub(super) held: BTreeMap<MachineId, Held>,
+    /// When held reports are next looked through, and the cycle after which
+    /// they last were.
+    pub(super) held_due: Time,
+    pub(super) held_cycle: u64,
+    /// Machines for which starts were stored since.
+    pub(super) stored: BTreeSet<MachineId>,
     pub(super) listed: BTreeMap<MachineId, Listed>,
     pub(super) direct: BTreeMap<MachineId, Vec<TaskId>>,
     pub(super) inherited_wait: Span,
@@ -143,14 +166,18 @@
             chunk_size: ChunkSize::for_value(limits.value_bytes),
             lane: Lane::default(),
             lane_backoff: Backoff::default(),
-            writes: Bucket::new(limits.write_rps * 0.5, limits.write_rps * 0.5),
-            dirty: BTreeSet::new(),
+            writes: Bucket::new(limits.write_rps * 0.7, limits.write_rps * 0.7),
+            dirty: Dirty::default(),
             finishing: BTreeSet::new(),
             dropping: BTreeSet::new(),
+            look_due: now,
             next_cycle: now,
             last_cycle: now,
             cycles: 0,
             held: BTreeMap::new(),
+            held_due: now,
+            held_cycle: 0,
+            stored: BTreeSet::new(),
             listed: BTreeMap::new(),
             direct: BTreeMap::new(),
             inherited_wait: hold.unwrap_or(Span::ZERO) + lease_time,
@@ -193,7 +220,9 @@
 
     /// Has the next cycle run soon.
     pub fn cycle_soon(&mut self, now: Time) {
-        self.next_cycle = self.next_cycle.min(now.max(self.last_cycle + CYCLE_GAP));
+        // The more machines a cycle looks at, the rarer cycles have to be.
+        let gap = CYCLE_GAP + Span(GAP_PER_MACHINE.0 * self.machines.len() as u64);
+        self.next_cycle = self.next_cycle.min(now.max(self.last_cycle + gap));
     }
 
     /// Does what is due as time passes.
@@ -202,7 +231,11 @@
             self.read_on(io);
         }
         if self.is_loaded() {
-            self.expire(io);
+            if io.now.time >= self.look_due {
+                self.look_due = io.now.time + LOOK_EVERY;
+                self.expire(io);
+                self.give_up_machines(io.now.time);
+            }
             self.rental_tick(io);
         }
     }
@@ -393,14 +426,14 @@
         for (id, job) in &mut self.jobs {
             for (&index, p) in &mut job.places {
                 p.placed = now;
+                let task = TaskId {
+                    job: id.clone(),
+                    index,
+                };
                 self.machines
                     .entry(p.machine.clone())
                     .or_insert_with(|| Machine::new(now))
-                    .tasks
-                    .insert(TaskId {
-                        job: id.clone(),
-                        index,
-                    });
+                    .take(task, job.spec.needs());
             }
             if job.end.is_none() && !job.is_service() && job.done.len() == job.spec.tasks {
                 job.end = Some(End::Done { written: false });
@@ -544,13 +577,15 @@
                 self.finishing.insert(id);
             }
         }
-        let dirty = std::mem::take(&mut self.dirty);
-        for (id, chunk) in dirty {
-            let Some(job) = self.jobs.get(&id).filter(|j| j.is_open()) else {
-                // Records of an ended job are only ever deleted.
-                continue;
-            };
-            let Some(c) = job.chunks.get(&chunk) else {
+        for due in self.dirty.due(now) {
+            if b.room() == 0 {
+                break;
+            }
+            let (id, chunk) = due.clone();
+            // Records of an ended job are only ever deleted.
+            let job = self.jobs.get(&id).filter(|j| j.is_open());
+            let Some((job, c)) = job.and_then(|j| Some((j, j.chunks.get(&chunk)?))) else {
+                self.dirty.forget(&due);
                 continue;
             };
             let key = ledger::chunk_key(&id, chunk);
@@ -563,13 +598,10 @@
                 key,
                 version: c.version,
             };
-            if !b.add(
-                Item::Chunk(id.clone(), chunk, c.change),
-                vec![condition],
-                vec![put],
-            ) {
-                self.dirty.insert((id, chunk));
+            if !b.add(Item::Chunk(id, chunk, c.change), vec![condition], vec![put]) {
+                break;
             }
+            self.dirty.forget(&due);
         }
         for id in std::mem::take(&mut self.dropping) {
             let Some(job) = self.jobs.get(&id) else {
@@ -639,7 +671,7 @@
                     let raced = matches!(&item, Item::Finish(id)
                         if failed.contains(&ledger::head_key(id)));
                     if !raced {
-                        self.again(item);
+                        self.again(now, item);
                     }
                 }
                 Fate::Stay
@@ -647,7 +679,7 @@
             Reply::Answer(400, _) => Fate::StepDown("a commit was malformed"),
             Reply::Answer(..) | Reply::NotSent if !self.lane.doubtful => {
                 for item in items {
-                    self.again(item);
+                    self.again(now, item);
                 }
                 self.lane.not_before = now + pause;
                 Fate::Stay
@@ -661,11 +693,9 @@
         }
     }
 
-    fn again(&mut self, item: Item) {
+    fn again(&mut self, now: Time, item: Item) {
         match item {
-            Item::Chunk(id, chunk, _) => {
-                self.dirty.insert((id, chunk));
-            }
+            Item::Chunk(id, chunk, _) => self.dirty.note((id, chunk), now, true),
             Item::Finish(id) => {
                 self.finishing.insert(id);
             }
@@ -684,6 +714,10 @@
                         c.stored = c.stored.max(change);
                     }
                     let size = self.chunk_size;
+                    let low = chunk * size.0;
+                    let here = job.places.range(low..low + size.0);
+                    let unsent = here.filter(|(_, p)| p.unsent() && p.change <= change);
+                    self.stored.extend(unsent.map(|(_, p)| p.machine.clone()));
                     job.unsaved
                         .retain(|&t, n| size.of(t) != chunk || *n > change);
                 }
@@ -733,18 +767,7 @@
         let kind = m.kind.clone()?;
         let t = self.types.get(&kind)?;
         let whole = t.has();
-        let mut free = whole - m.strays;
-        let mut work = 0.0;
-        for task in &m.tasks {
-            let Some(job) = self.jobs.get(&task.job) else {
-                continue;
-            };
-            let needs = job.spec.needs();
-            free -= needs;
-            if let Some(p) = job.places.get(&task.index) {
-                work += self.remaining(now, job, p).as_secs() * needs.share_of(&whole).min(1.0);
-            }
-        }
+        let free = whole - m.strays - m.used;
         Some(Row {
             id: id.clone(),
             kind,
@@ -752,7 +775,7 @@
             spot: m.spot,
             whole,
             free,
-            available: now + Span::secs(work),
+            available: now,
             last_high: m.last_high,
             cache: m.cache.clone(),
             fetch_rate: t.fetch_gb_per_s,
@@ -760,6 +783,23 @@
         })
     }
 
+    /// Predicts when each row's machine will be free altogether.
+    fn predict(&self, now: Time, rows: &mut [Row]) {
+        for row in rows {
+            let tasks = self.machines.get(&row.id).map(|m| &m.tasks);
+            let mut work = 0.0;
+            for task in tasks.into_iter().flatten() {
+                if let Some(job) = self.jobs.get(&task.job)
+                    && let Some(p) = job.places.get(&task.index)
+                {
+                    let share = job.spec.needs().share_of(&row.whole).min(1.0);
+                    work += self.remaining(now, job, p).as_secs() * share;
+                }
+            }
+            row.available = now + Span::secs(work);
+        }
+    }
+
     /// What teams use, counting every place a task may be.
     pub(super) fn team_use(&self) -> BTreeMap<Team, TeamUse> {
         let mut teams: BTreeMap<Team, TeamUse> = self
@@ -919,7 +959,11 @@
     fn cycle(&mut self, io: &mut Io) {
         let now = io.now.time;
         let mut wants = self.wants(now, io.now.wall);
+        let holds = wants.iter().any(|w| w.aged && w.gang);
         let mut rows = self.rows(now);
+        if holds {
+            self.predict(now, &mut rows);
+        }
         let mut teams = self.team_use();
         let wait = self.settings.workers.gang_wait;
         let pace = Pace {
@@ -927,20 +971,12 @@
             most_skew: Span(wait.0 * 6 / 10),
         };
         let estimates = self.estimates.clone();
-        let mut cycle = Cycle {
-            pace,
-            rows: &mut rows,
-            teams: &mut teams,
-            estimates: &estimates,
-            starts: Vec::new(),
-            held: BTreeMap::new(),
-        };
+        let mut cycle = Cycle::new(pace, &mut rows, &mut teams, &estimates);
         cycle.run_warm(&mut wants);
-        let victims = self.victims(now, cycle.rows);
-        let mut stops = BTreeSet::new();
-        self.make_room(&mut cycle, &mut wants, Priority::High, &victims, &mut stops);
+        let mut stops = Stops::default();
+        self.make_room(&mut cycle, &mut wants, Priority::High, &mut stops);
         cycle.run_rest(&mut wants);
-        self.make_room(&mut cycle, &mut wants, Priority::Low, &victims, &mut stops);
+        self.make_room(&mut cycle, &mut wants, Priority::Low, &mut stops);
         let starts = std::mem::take(&mut cycle.starts);
         let mut attempts: BTreeMap<JobId, Attempt> = BTreeMap::new();
         for s in starts {
@@ -960,11 +996,10 @@
             self.put(now, &task, &machine, attempt);
         }
         let mut by_job: BTreeMap<JobId, Vec<u32>> = BTreeMap::new();
-        for n in stops {
-            by_job
-                .entry(victims[n].job.clone())
-                .or_default()
-                .push(victims[n].task);
+        for n in stops.taken {
+            if let Some(v) = stops.victims.as_ref().map(|v| &v[n]) {
+                by_job.entry(v.job.clone()).or_default().push(v.task);
+            }
         }
         for (id, tasks) in by_job {
             let Some(job) = self.jobs.get(&id) else {
@@ -989,8 +1024,7 @@
         cycle: &mut Cycle<'_>,
         wants: &mut [Want],
         least: Priority,
-        victims: &[Victim],
-        taken: &mut BTreeSet<usize>,
+        stops: &mut Stops,
     ) {
         let urgent = |w: &Want| !w.tasks.is_empty() && (w.priority > Priority::Low || w.entitled);
         let mut order: Vec<usize> = (0..wants.len())
@@ -1003,7 +1037,17 @@
                 wants[i].order,
             )
         });
+        // What a search that found nothing is good for: until room is made,
+        // another want like it that is no smaller finds nothing either.
+        let mut failed: Vec<(usize, usize)> = Vec::new();
+        let mut searches = 0;
         for i in order {
+            let hopeless = failed
+                .iter()
+                .any(|&(f, n)| wants[i].tasks.len() >= n && wants[i].is_like(&wants[f]));
+            if hopeless {
+                continue;
+            }
             let want = &mut wants[i];
             let allowed = cycle
                 .teams
@@ -1016,13 +1060,22 @@
             if !allowed {
                 continue;
             }
-            let Some(e) = preempt::evict(cycle, want, victims, taken, 16) else {
+            searches += 1;
+            if searches > MOST_SEARCHES {
+                return;
+            }
+            let victims = stops
+                .victims
+                .get_or_insert_with(|| self.victims(cycle.pace.now, cycle.rows));
+            let Some(e) = preempt::evict(cycle, want, victims, &stops.taken, 16) else {
+                failed.push((i, if want.gang { want.tasks.len() } else { 1 }));
                 continue;
             };
+            failed.clear();
             for &n in &e.victims {
                 cycle.rows[victims[n].row].free += victims[n].need;
             }
-            taken.extend(e.victims);
+            stops.taken.extend(e.victims);
             for row in e.rows {
                 if let Some(task) = (!want.tasks.is_empty()).then(|| want.tasks.remove(0)) {
                     cycle.assign(want, task, row);
@@ -1031,7 +1084,7 @@
         }
     }
 
-    fn victims(&self, now: Time, rows: &[Row]) -> Vec<Victim> {
+    fn victims(&self, now: Time, rows: &[Row]) -> Victims {
         let index: BTreeMap<&MachineId, usize> =
             rows.iter().enumerate().map(|(i, r)| (&r.id, i)).collect();
         let settle = Span::secs(self.policy.settle_s);
@@ -1076,7 +1129,7 @@
                 });
             }
         }
-        victims
+        Victims::new(victims, rows.len())
     }
 
     // ---- telling ----
--- a/src/core/ledger.rs
+++ b/src/core/ledger.rs
@@ -12,7 +12,7 @@
 //! Everything below `w/` is watched by the leader.
 
 use super::presence::Placement;
-use crate::types::{Attempt, JobId, Label, MachineId, Session, Token, Version, Wall};
+use crate::types::{Attempt, JobId, Label, MachineId, Session, Span, Time, Token, Version, Wall};
 use crate::wire::state::{Condition, Op, Txn};
 use crate::wire::users::{Shape, Submission};
 use serde::{Deserialize, Serialize};
@@ -537,6 +537,43 @@
     }
 }
 
+/// Chunks that differ from what is stored. Those with starts go first, as a
+/// start waits for its record; the others wait a little, since a task's end is
+/// often soon followed by the next, or by its job's, and then needs no write
+/// of its own.
+#[derive(Debug, Default)]
+pub struct Dirty {
+    chunks: BTreeMap<(JobId, u32), (Time, bool)>,
+}
+
+/// How long a chunk without starts waits for further changes.
+const SETTLES: Span = Span::millis(1000);
+
+impl Dirty {
+    /// Notes a change; `start`: of a task that is to be started.
+    pub fn note(&mut self, chunk: (JobId, u32), now: Time, start: bool) {
+        let (_, starts) = self.chunks.entry(chunk).or_insert((now, false));
+        *starts |= start;
+    }
+
+    /// The chunks to write now, most pressing first, oldest first among equals.
+    pub fn due(&self, now: Time) -> Vec<(JobId, u32)> {
+        let mut due: Vec<_> = self
+            .chunks
+            .iter()
+            .filter(|(_, (since, start))| *start || now.since(*since) >= SETTLES)
+            .map(|(chunk, (since, start))| (!start, *since, chunk))
+            .collect();
+        due.sort();
+        due.into_iter().map(|(_, _, chunk)| chunk.clone()).collect()
+    }
+
+    /// It is being written, or needs no writing.
+    pub fn forget(&mut self, chunk: &(JobId, u32)) {
+        self.chunks.remove(chunk);
+    }
+}
+
 /// What a transaction in flight carries.
 #[derive(Clone, Debug)]
 pub enum Item {
@@ -559,7 +596,7 @@
     /// Whether a call for it is out.
     pub calling: bool,
     /// Not before this time.
-    pub not_before: crate::types::Time,
+    pub not_before: Time,
 }
 
 /// Collects changes up to the limits of one transaction.
--- a/src/core/node.rs
+++ b/src/core/node.rs
@@ -134,7 +134,7 @@
             },
             rng: StdRng::seed_from_u64(seed),
             user_calls: bucket(per_node(limits.rps, 0.75)),
-            user_writes: bucket(per_node(limits.write_rps, 0.45).max(4.0)),
+            user_writes: bucket(per_node(limits.write_rps, 0.3).max(4.0)),
             state_calls: bucket((limits.rps * 0.12).max(2.0)),
             learned_types: None,
             out: Vec::new(),
@@ -269,7 +269,7 @@
 /// Time between looks at the stored machine types.
 const TYPES_EVERY: Span = Span::millis(30_000);
 /// Machines whose images are remembered for a change of leader.
-const MOST_CACHES: usize = 400;
+const MOST_CACHES: usize = 4000;
 /// Counts told to peers at once.
 const MOST_COUNTS: usize = 300;
 
--- a/src/core/preempt.rs
+++ b/src/core/preempt.rs
@@ -4,7 +4,7 @@
 use super::cycle::{Cycle, TeamUse, Want};
 use crate::types::{Amounts, JobId, Team};
 use crate::wire::users::Priority;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 /// A task that may be stopped; a gang's tasks only go together.
 #[derive(Clone, Debug)]
@@ -29,6 +29,48 @@
     pub settled: bool,
 }
 
+/// The tasks that may be stopped, indexed by where they are.
+#[derive(Debug)]
+pub struct Victims {
+    all: Vec<Victim>,
+    by_row: Vec<Vec<usize>>,
+    /// A gang's tasks, and what stopping all of them costs.
+    gangs: HashMap<JobId, (Vec<usize>, f64)>,
+}
+
+impl Victims {
+    /// Indexes `all`, which lie on some of `rows` rows.
+    pub fn new(all: Vec<Victim>, rows: usize) -> Victims {
+        let mut by_row = vec![Vec::new(); rows];
+        let mut gangs: HashMap<JobId, (Vec<usize>, f64)> = HashMap::new();
+        for (n, v) in all.iter().enumerate() {
+            by_row[v.row].push(n);
+            if v.gang {
+                let gang = gangs.entry(v.job.clone()).or_default();
+                gang.0.push(n);
+                gang.1 += v.cost;
+            }
+        }
+        Victims { all, by_row, gangs }
+    }
+
+    /// What stopping one of them costs: with a gang's task all the gang.
+    fn cost(&self, n: usize) -> f64 {
+        let v = &self.all[n];
+        match self.gangs.get(&v.job) {
+            Some((_, cost)) if v.gang => *cost,
+            _ => v.cost,
+        }
+    }
+}
+
+impl std::ops::Index<usize> for Victims {
+    type Output = Victim;
+    fn index(&self, n: usize) -> &Victim {
+        &self.all[n]
+    }
+}
+
 /// What stopping for one want comes to.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Eviction {
@@ -72,32 +114,26 @@
 pub fn evict(
     cycle: &Cycle<'_>,
     want: &Want,
-    victims: &[Victim],
+    victims: &Victims,
     taken: &BTreeSet<usize>,
     most: u32,
 ) -> Option<Eviction> {
-    let gang_cost = |job: &JobId| -> f64 {
-        victims
-            .iter()
-            .filter(|v| &v.job == job)
-            .map(|v| v.cost)
-            .sum()
-    };
     let wanted = (want.tasks.len() as u32).min(if want.gang { u32::MAX } else { most });
     let mut plans: Vec<RowPlan> = Vec::new();
     for (i, row) in cycle.rows.iter().enumerate() {
-        if !cycle.may_use(i, &want.job)
+        if (victims.by_row[i].is_empty() && !want.need.fits(&row.free))
+            || !cycle.may_use(i, &want.job)
             || !want.allows(row)
             || !want.need.fits(&row.whole)
             || want.zone_room(&row.zone) == 0
         {
             continue;
         }
-        let mut here: Vec<(f64, usize)> = victims
+        let mut here: Vec<(f64, usize)> = victims.by_row[i]
             .iter()
-            .enumerate()
-            .filter(|(n, v)| v.row == i && !taken.contains(n) && may_stop(want, v, cycle.teams))
-            .map(|(n, v)| (if v.gang { gang_cost(&v.job) } else { v.cost }, n))
+            .copied()
+            .filter(|n| !taken.contains(n) && may_stop(want, &victims[*n], cycle.teams))
+            .map(|n| (victims.cost(n), n))
             .collect();
         here.sort_by(|a, b| a.0.total_cmp(&b.0));
         let mut free = row.free;
@@ -126,8 +162,7 @@
     }
     plans.sort_by(|a, b| (a.cost / f64::from(a.tasks)).total_cmp(&(b.cost / f64::from(b.tasks))));
     let zones: Vec<Option<_>> = if want.one_zone {
-        let all: BTreeSet<_> = cycle.rows.iter().map(|r| r.zone.clone()).collect();
-        all.into_iter().map(Some).collect()
+        cycle.zones().iter().cloned().map(Some).collect()
     } else {
         vec![None]
     };
@@ -169,11 +204,11 @@
         .filter(|&&n| victims[n].gang)
         .map(|&n| &victims[n].job)
         .collect();
-    let rest = victims
+    let rest = gangs
         .iter()
-        .enumerate()
-        .filter(|(n, v)| gangs.contains(&v.job) && !taken.contains(n))
-        .map(|(n, _)| n);
+        .filter_map(|job| victims.gangs.get(job))
+        .flat_map(|(members, _)| members)
+        .filter(|n| !taken.contains(n));
     eviction.victims.extend(rest.collect::<Vec<_>>());
     Some(eviction)
 }
--- a/src/core/rental.rs
+++ b/src/core/rental.rs
@@ -11,7 +11,7 @@
 use crate::types::{Kind, MachineId, Span, Time, Zone};
 use crate::wire;
 use crate::wire::cloud::{MachineList, MachineNames, MachineStage, MachineTypes, Rent};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 
 /// Machines of one type, zone and kind.
 type Market = (Kind, Zone, bool);
@@ -50,6 +50,14 @@
     types_due: Time,
 }
 
+/// Machines in each zone.
+type Crowds = HashMap<Zone, u32>;
+
+/// A small cost that evens out where new machines go.
+fn crowd(crowds: &Crowds, zone: &Zone) -> f64 {
+    f64::from(crowds.get(zone).copied().unwrap_or(0))
+}
+
 /// Machines named in one release.
 const MOST_RELEASED: usize = 100;
 /// Machines of one request.
@@ -83,7 +91,6 @@
     /// Makes the next call to the cloud, if one is due.
     pub(super) fn rental_tick(&mut self, io: &mut Io) {
         let now = io.now.time;
-        self.give_up_machines(now);
         if self.rental.calling || now < self.rental.not_before || !self.may_start(now) {
             return;
         }
@@ -267,7 +274,7 @@
     }
 
     /// Sees to machines that never came up, fell silent or are gone.
-    fn give_up_machines(&mut self, now: Time) {
+    pub(super) fn give_up_machines(&mut self, now: Time) {
         let silence = self.silence();
         let lag = self.settings.list_lag;
         let listed = self.rental.listed;
@@ -383,21 +390,15 @@
         // What the machines on their way will take needs no further ones.
         let mut teams = self.team_use();
         let estimates = self.estimates.clone();
-        let mut cycle = Cycle {
-            pace: Pace {
-                now,
-                most_skew: Span::secs(1e6),
-            },
-            rows: &mut booting,
-            teams: &mut teams,
-            estimates: &estimates,
-            starts: Vec::new(),
-            held: BTreeMap::new(),
+        let pace = Pace {
+            now,
+            most_skew: Span::secs(1e6),
         };
-        cycle.run(&mut left);
+        Cycle::new(pace, &mut booting, &mut teams, &estimates).run(&mut left);
         left.retain(|w| !w.tasks.is_empty());
         self.rental.paused.retain(|_, until| *until > now);
         if self.rental.orders.is_empty() && self.rental.unanswered.is_none() {
+            let crowds = self.crowds();
             let mut orders: BTreeMap<Market, f64> = BTreeMap::new();
             for w in &left {
                 let allowed = teams.get(&w.team).is_some_and(|t| {
@@ -410,7 +411,7 @@
                 if !allowed {
                     continue;
                 }
-                if let Some((market, per)) = self.market(w) {
+                if let Some((market, per)) = self.market(w, &crowds) {
                     *orders.entry(market).or_default() += w.tasks.len() as f64 / f64::from(per);
                 }
             }
@@ -418,7 +419,7 @@
                 + booting.iter().filter(|r| r.free == r.whole).count();
             let reserve = self.reserve(io.now.wall) as usize;
             if idle < reserve
-                && let Some(market) = self.any_market()
+                && let Some(market) = self.any_market(&crowds)
             {
                 *orders.entry(market).or_default() += (reserve - idle) as f64;
             }
@@ -435,7 +436,7 @@
 
     /// Where to rent for a want: the cheapest per task that is not paused,
     /// and how many tasks a machine takes.
-    fn market(&self, w: &Want) -> Option<(Market, u32)> {
+    fn market(&self, w: &Want, crowds: &Crowds) -> Option<(Market, u32)> {
         let mut best: Option<(f64, Market, u32)> = None;
         let taken = w.in_zones.iter().find(|(_, n)| **n > 0).map(|(z, _)| z);
         for t in self.types.values() {
@@ -453,7 +454,7 @@
                         continue;
                     }
                     let price = if spot { t.spot_price } else { t.price };
-                    let cost = price / f64::from(per) + self.crowd(zone) * 1e-6;
+                    let cost = price / f64::from(per) + crowd(crowds, zone) * 1e-6;
                     if best.as_ref().is_none_or(|(c, _, _)| cost < *c) {
                         best = Some((cost, market, per));
                     }
@@ -464,7 +465,7 @@
     }
 
     /// The cheapest market at all.
-    fn any_market(&self) -> Option<Market> {
+    fn any_market(&self, crowds: &Crowds) -> Option<Market> {
         let mut best: Option<(f64, Market)> = None;
         for t in self.types.values() {
             for zone in &t.zones {
@@ -474,7 +475,7 @@
                         continue;
                     }
                     let price = if spot { t.spot_price } else { t.price };
-                    let cost = price + self.crowd(zone) * 1e-6;
+                    let cost = price + crowd(crowds, zone) * 1e-6;
                     if best.as_ref().is_none_or(|(c, _)| cost < *c) {
                         best = Some((cost, market));
                     }
@@ -484,12 +485,18 @@
         best.map(|(_, m)| m)
     }
 
-    /// Machines in a zone: evens out where new ones go.
-    fn crowd(&self, zone: &Zone) -> f64 {
-        self.machines
-            .values()
-            .filter(|m| m.zone.as_ref() == Some(zone))
-            .count() as f64
+    /// Machines in each zone.
+    fn crowds(&self) -> Crowds {
+        let mut crowds = Crowds::new();
+        for zone in self.machines.values().filter_map(|m| m.zone.as_ref()) {
+            match crowds.get_mut(zone) {
+                Some(n) => *n += 1,
+                None => {
+                    crowds.insert(zone.clone(), 1);
+                }
+            }
+        }
+        crowds
     }
 
     /// Returns machines that have been idle for long and that nothing waiting
@@ -510,19 +517,17 @@
                 continue;
             }
             let since = now.since(*m.idle.get_or_insert(now));
-            let wanted = waiting
-                .iter()
-                .any(|w| w.allows(row) && w.need.fits(&row.whole));
-            let patience = if wanted {
-                idle_for.scaled(3.0)
-            } else {
-                idle_for
+            let wanted = || {
+                waiting
+                    .iter()
+                    .any(|w| w.allows(row) && w.need.fits(&row.whole))
             };
+            let long = since >= idle_for && (since >= idle_for.scaled(3.0) || !wanted());
             let price = self
                 .types
                 .get(&row.kind)
                 .map_or(0.0, |t| if row.spot { t.spot_price } else { t.price });
-            idle.push((price, row.id.clone(), since >= patience));
+            idle.push((price, row.id.clone(), long));
         }
         let reserve = self.reserve(io.now.wall) as usize;
         let spare = idle.len().saturating_sub(reserve);
--- a/src/core/tables.rs
+++ b/src/core/tables.rs
@@ -77,6 +77,11 @@
         self.entries.clear();
     }
 
+    /// The images that are there or being fetched.
+    pub fn known(&self) -> impl Iterator<Item = &Image> {
+        self.entries.iter().map(|e| &e.image)
+    }
+
     /// The images that are there, with their sizes.
     pub fn images(&self) -> impl Iterator<Item = (&Image, f64)> {
         self.entries
--- a/src/types.rs
+++ b/src/types.rs
@@ -241,6 +241,14 @@
             memory_gb: self.memory_gb * n,
         }
     }
+    /// The smaller of both, amount by amount.
+    pub fn least(&self, other: &Amounts) -> Amounts {
+        Amounts {
+            cpus: self.cpus.min(other.cpus),
+            gpus: self.gpus.min(other.gpus),
+            memory_gb: self.memory_gb.min(other.memory_gb),
+        }
+    }
     /// How many times this fits into `room`, at most `most`.
     pub fn count_in(&self, room: &Amounts, most: u32) -> u32 {
         let part = |need: f64, have: f64| {
