--- a/deploy/policy.lua
+++ b/deploy/policy.lua
@@ -22,7 +22,7 @@
   -- Renting: work that has waited this long asks for machines.
   rent_after_s = 1.0,
   -- Most machines that may be on their way at once.
-  most_booting = 24,
+  most_booting = 400,
   -- Pause for a zone and kind of machine that had no capacity.
   no_capacity_pause_s = 20.0,
   -- A machine that is not up after this many usual boot times is given up.
