Forget released machines for good; let users write up to 0.6 of the rate

Each had been returned before; a list that lagged brought it back, and as a machine on its way it took the place of one to be rented.

--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -197,6 +197,11 @@
             io.answer_later(request, 503, 1);
             return Fate::Stay;
         }
+        if self.rental.is_released(&report.machine) {
+            // Held back by the network; the machine is gone.
+            io.answer_later(request, 503, 1);
+            return Fate::Stay;
+        }
         let machine = self
             .machines
             .entry(report.machine.clone())
--- a/src/core/node.rs
+++ b/src/core/node.rs
@@ -122,7 +122,8 @@
 const MOST_WAITING: usize = 600;
 
 impl Io {
-    fn new(settings: &Settings, seed: u64) -> Io {
+    /// Hands that have done nothing yet.
+    pub(super) fn new(settings: &Settings, seed: u64) -> Io {
         let limits = settings.state_limits;
         let nodes = f64::from(settings.size);
         let per_node = |all: f64, share: f64| (all * share / nodes).max(1.0);
@@ -134,7 +135,7 @@
             },
             rng: StdRng::seed_from_u64(seed),
             user_calls: bucket(per_node(limits.rps, 0.75)),
-            user_writes: bucket(per_node(limits.write_rps, 0.3).max(4.0)),
+            user_writes: bucket(per_node(limits.write_rps, 0.6).max(4.0)),
             state_calls: bucket((limits.rps * 0.12).max(2.0)),
             learned_types: None,
             out: Vec::new(),
--- a/src/core/rental.rs
+++ b/src/core/rental.rs
@@ -48,6 +48,8 @@
     /// When the last whole list was taken in.
     pub listed: Option<Time>,
     types_due: Time,
+    /// Machines released, and when; lists go on naming them for a while.
+    released: BTreeMap<MachineId, Time>,
 }
 
 /// Machines in each zone.
@@ -62,6 +64,8 @@
 const MOST_RELEASED: usize = 100;
 /// Machines of one request.
 const MOST_RENTED: u32 = 50;
+/// How long a released machine is remembered, beyond what lists lag.
+const RELEASED_KEPT: Span = Span::millis(60_000);
 /// Time between looks at the machine types.
 const TYPES_EVERY: Span = Span::millis(60_000);
 
@@ -83,8 +87,15 @@
             listing: Vec::new(),
             listed: None,
             types_due: now,
+            released: BTreeMap::new(),
         }
     }
+
+    /// Whether a machine was released not long ago, so that a list or report
+    /// that has it is old.
+    pub fn is_released(&self, id: &MachineId) -> bool {
+        self.released.contains_key(id)
+    }
 }
 
 impl Leader {
@@ -245,6 +256,7 @@
                     self.write_off(now, &id, "released");
                     self.machines.remove(&id);
                     self.held.remove(&id);
+                    self.rental.released.insert(id, now);
                 }
             }
         }
@@ -254,7 +266,14 @@
     fn take_list(&mut self, now: Time) {
         let list = std::mem::take(&mut self.rental.listing);
         self.rental.listed = Some(now);
+        let old = Span(self.settings.list_lag.0 * 3) + RELEASED_KEPT;
+        self.rental.released.retain(|_, t| now.since(*t) < old);
         for l in list {
+            // One that was taken in again would count as coming up, and
+            // nothing would be rented for the work that waits for it.
+            if self.rental.is_released(&l.id) {
+                continue;
+            }
             let m = self
                 .machines
                 .entry(l.id)
@@ -541,3 +560,63 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::super::Now;
+    use super::*;
+    use crate::policy::{DEFAULT_SCRIPT, Policy};
+    use crate::testing;
+    use crate::types::{Token, Wall};
+    use crate::wire::cloud::ListedMachine;
+    use std::rc::Rc;
+
+    // Lists lag: one that still had a machine just released once brought it
+    // back as a machine that never came up, and for minutes nothing was rented
+    // for work that this phantom seemed to have room for.
+    #[test]
+    fn a_late_list_does_not_bring_back_a_released_machine() {
+        let settings = Rc::new(testing::settings(0));
+        let policy = Rc::new(Policy::from_script(DEFAULT_SCRIPT, &settings).unwrap());
+        let mut io = Io::new(&settings, 1);
+        let mut at = |secs: f64| {
+            io.now = Now {
+                time: Time(0) + Span::secs(secs),
+                wall: Wall(0),
+            };
+            std::mem::replace(&mut io, Io::new(&settings, 1))
+        };
+        let kinds = vec![testing::cloud::Cloud::kind()];
+        let mut leader = Leader::new(
+            Rc::clone(&settings),
+            policy,
+            Token(5),
+            1,
+            Time(0),
+            &MachineTypes { kinds },
+        );
+        let list = |names: &[&str]| {
+            let machines = names.iter().map(|n| ListedMachine {
+                id: (*n).into(),
+                addr: "10.1.0.1:9000".into(),
+                kind: "g4".into(),
+                zone: "z0".into(),
+                spot: false,
+                stage: MachineStage::Running,
+                age_s: 60.0,
+            });
+            let list = MachineList {
+                machines: machines.collect(),
+                more: false,
+            };
+            Reply::Answer(200, wire::encode(&list))
+        };
+        leader.on_cloud(&mut at(1.0), CloudCall::List, list(&["host-1", "host-2"]));
+        assert_eq!(leader.machines.len(), 2);
+        let release = CloudCall::Release(vec!["host-1".into()]);
+        leader.on_cloud(&mut at(2.0), release, Reply::Answer(200, Vec::new()));
+        leader.on_cloud(&mut at(9.0), CloudCall::List, list(&["host-1", "host-2"]));
+        let left: Vec<_> = leader.machines.keys().map(|m| m.to_string()).collect();
+        assert_eq!(left, ["host-2"]);
+    }
+}
