--- a/src/core/budget.rs
+++ b/src/core/budget.rs
@@ -28,6 +28,11 @@
         self.at = self.at.max(now);
     }
 
+    /// The most that are allowed at once.
+    pub fn burst(&self) -> f64 {
+        self.burst
+    }
+
     /// How many are allowed at once now.
     pub fn level(&mut self, now: Time) -> f64 {
         self.refill(now);
--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -72,8 +72,6 @@
     pub idle: Option<Time>,
     /// Jobs that failed here, and when.
     pub faults: BTreeMap<JobId, Time>,
-    /// How much slower than usual its tasks run.
-    pub slowness: f64,
     /// Tasks placed here.
     pub tasks: BTreeSet<TaskId>,
     /// What they take together.
@@ -105,7 +103,6 @@
             last_high: None,
             idle: None,
             faults: BTreeMap::new(),
-            slowness: 1.0,
             tasks: BTreeSet::new(),
             used: Amounts::default(),
         }
@@ -226,6 +223,9 @@
         machine.kind = Some(report.kind.clone());
         machine.zone = Some(report.zone.clone());
         machine.spot = report.spot;
+        if report.notice_s.is_some() && machine.taken_at.is_none() {
+            self.takes.taken += 1.0;
+        }
         machine.taken_at = report.notice_s.map(|s| now + Span::secs(s));
         if let Some(held) = self.held.remove(&report.machine) {
             io.answer_later(held.request, 503, 1);
@@ -839,6 +839,9 @@
                     proof
                 };
                 tracing::info!(machine = %id, proof, tasks = m.tasks.len(), "machine presumed dead");
+                if failed && m.spot && m.taken_at.is_none() {
+                    self.takes.taken += 1.0;
+                }
                 m.lost = true;
                 m.ours = false;
                 m.cache.clear();
--- a/src/core/intake.rs
+++ b/src/core/intake.rs
@@ -4,12 +4,13 @@
 
 use super::ledger::{self, Head, HeadStage, TxnLimits};
 use super::node::{Io, Pending};
+use super::polls::{Asked, Polls};
 use super::{Answer, Reply, RequestId, Target};
 use crate::settings::Settings;
 use crate::types::{Amounts, JobId, Span, Version};
 use crate::wire;
 use crate::wire::cloud::MachineTypes;
-use crate::wire::state::{Condition, Entry, Op, Txn};
+use crate::wire::state::{Condition, Entry, Op, Revision, Txn};
 use crate::wire::users::{JobAnswer, Refusal, Shape, Stage, Submission, valid_id};
 use std::collections::{BTreeMap, VecDeque};
 
@@ -20,8 +21,8 @@
     Poll(JobId),
     /// The head of a job that is submitted but cannot be accepted.
     Known(JobId, Unable),
-    /// The commit that accepts a job.
-    Accept(JobId),
+    /// The commit that accepts a job, of so many tasks.
+    Accept(JobId, u32),
     /// The head of a job whose acceptance was lost or raced.
     Accepted(JobId),
     /// The head of a job to cancel; tries left.
@@ -45,6 +46,10 @@
 const MOST_COUNTS: usize = 4000;
 /// Tries of a cancellation that races with changes.
 const CANCEL_TRIES: u32 = 3;
+/// The part of the users' calls that polls leave to other requests.
+const POLLS_LEAVE: f64 = 0.3;
+/// The part of the users' calls that shared reads for polls may take.
+const SHARED_READS: f64 = 0.4;
 /// A user waits 2 s for a poll.
 const READ_TIMEOUT: Span = Span::millis(1500);
 /// A user waits 5 s for a submission.
@@ -57,11 +62,16 @@
     order: VecDeque<JobId>,
     /// Task counts as the leader last told, for display.
     pub counts: BTreeMap<JobId, (u32, u32)>,
+    polls: Polls,
 }
 
 impl Intake {
-    fn remember(&mut self, id: &JobId, head: Head) {
-        if head.s == HeadStage::Open || self.finals.insert(id.clone(), head).is_some() {
+    fn remember(&mut self, id: &JobId, head: Head, version: Version) {
+        if head.s == HeadStage::Open {
+            return self.polls.remember(id, head, version);
+        }
+        self.polls.forget(id);
+        if self.finals.insert(id.clone(), head).is_some() {
             return;
         }
         self.counts.remove(id);
@@ -120,6 +130,7 @@
 }
 
 fn refuse(io: &mut Io, request: RequestId, status: u16, error: &str) {
+    tracing::debug!(status, error, "refused a user's request");
     let error = error.to_string();
     io.answer(
         request,
@@ -154,7 +165,13 @@
 
 impl Intake {
     fn read(&self, io: &mut Io, request: RequestId, id: &JobId, step: Step) {
-        if !io.user_calls.take(io.now.time, 1.0) {
+        // Polls leave a part of the rate to submissions and cancellations.
+        let spare = match step {
+            Step::Poll(_) => io.user_calls.burst() * POLLS_LEAVE,
+            _ => 0.0,
+        };
+        let now = io.now.time;
+        if io.user_calls.level(now) < spare || !io.user_calls.take(now, 1.0) {
             return refuse(io, request, 503, "too many requests");
         }
         io.call(
@@ -215,7 +232,7 @@
             value_bytes: settings.state_limits.value_bytes,
         };
         match ledger::accept_txn(&job, io.now.wall, limits) {
-            Some(txn) => self.commit(io, request, &txn, Step::Accept(job.id.clone())),
+            Some(txn) => self.commit(io, request, &txn, Step::Accept(job.id.clone(), job.tasks)),
             None => refuse(io, request, 400, "the submission is too large"),
         }
     }
@@ -229,7 +246,47 @@
         if self.answer_final(io, request, &id) {
             return;
         }
-        self.read(io, request, &id, Step::Poll(id.clone()));
+        if self.polls.take(request, &id) {
+            self.compare(io);
+        } else {
+            self.read(io, request, &id, Step::Poll(id.clone()));
+        }
+    }
+
+    /// Makes the next shared read for polls, if one is due.
+    pub fn compare(&mut self, io: &mut Io) {
+        let now = io.now.time;
+        let Some((txn, asked)) = self.polls.next(now, io.most_conditions) else {
+            return;
+        };
+        if !io.user_calls.take(now, 1.0) {
+            return self.on_compare(io, asked, &Reply::NotSent);
+        }
+        io.call(
+            Target::State,
+            "POST",
+            "/commit".into(),
+            wire::encode(&txn),
+            READ_TIMEOUT,
+            Pending::Compare { asked },
+        );
+    }
+
+    /// A shared read for polls was answered, or not.
+    pub fn on_compare(&mut self, io: &mut Io, asked: Vec<Asked>, reply: &Reply) {
+        let pause = Span::secs(1.0 / (io.user_calls.burst() * SHARED_READS).max(1.0));
+        let out = self.polls.answered(io.now.time, pause, asked, reply);
+        for (request, id, head) in out.open {
+            let answer = self.answer(&id, head);
+            job_answer(io, request, 200, &answer);
+        }
+        for (request, id) in out.changed {
+            self.read(io, request, &id, Step::Poll(id.clone()));
+        }
+        for (request, _) in out.failed {
+            refuse(io, request, 503, "the state service does not answer");
+        }
+        self.compare(io);
     }
 
     /// `POST /submissions/{id}/cancel`
@@ -247,7 +304,7 @@
     /// The state service answered a step, or not.
     pub fn on_reply(&mut self, io: &mut Io, request: RequestId, step: Step, reply: Reply) {
         match step {
-            Step::Accept(id) => self.on_accept(io, request, id, reply),
+            Step::Accept(id, tasks) => self.on_accept(io, request, id, tasks, reply),
             Step::Cancel(id, tries) => self.on_cancel(io, request, id, tries, reply),
             Step::Poll(_) | Step::Known(..) | Step::Accepted(_) | Step::CancelRead(..) => {
                 self.on_head(io, request, step, reply);
@@ -255,9 +312,13 @@
         }
     }
 
-    fn on_accept(&mut self, io: &mut Io, request: RequestId, id: JobId, reply: Reply) {
+    fn on_accept(&mut self, io: &mut Io, request: RequestId, id: JobId, tasks: u32, reply: Reply) {
         match reply {
-            Reply::Answer(200, _) => {
+            Reply::Answer(200, body) => {
+                if let Some(r) = wire::decode::<Revision>(&body) {
+                    let s = HeadStage::Open;
+                    self.polls.remember(&id, Head { s, n: tasks }, r.revision);
+                }
                 let answer = JobAnswer {
                     id,
                     stage: Stage::Queued,
@@ -282,7 +343,7 @@
                     s: HeadStage::Cancelled,
                     n: 0,
                 };
-                self.remember(&id, head);
+                self.remember(&id, head, Version(0));
                 let answer = self.answer(&id, head);
                 job_answer(io, request, 200, &answer);
             }
@@ -317,8 +378,8 @@
             (Some((head, version)), Step::CancelRead(id, tries)) if head.s == HeadStage::Open => {
                 self.write_cancel(io, request, id, head, version, *tries);
             }
-            (Some((head, _)), _) => {
-                self.remember(id, head);
+            (Some((head, version)), _) => {
+                self.remember(id, head, version);
                 let answer = self.answer(id, head);
                 job_answer(io, request, 200, &answer);
             }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -9,6 +9,7 @@
 pub mod leader;
 pub mod ledger;
 pub mod node;
+pub mod polls;
 pub mod preempt;
 pub mod presence;
 pub mod rental;
--- a/src/core/node.rs
+++ b/src/core/node.rs
@@ -79,6 +79,11 @@
         /// The step.
         step: Step,
     },
+    /// A shared read for polls.
+    Compare {
+        /// The polls.
+        asked: Vec<super::polls::Asked>,
+    },
     /// The stored machine types.
     Types,
     /// A greeting to a peer.
@@ -105,6 +110,8 @@
     pub rng: StdRng,
     /// Calls to the state service that users may cause.
     pub user_calls: Bucket,
+    /// Conditions that one transaction may have.
+    pub most_conditions: usize,
     /// Writes to the state service that users may cause.
     pub user_writes: Bucket,
     /// Calls of the leader's writing lane.
@@ -135,6 +142,7 @@
             },
             rng: StdRng::seed_from_u64(seed),
             user_calls: bucket(per_node(limits.rps, 0.75)),
+            most_conditions: limits.txn_ops * 4,
             user_writes: bucket(per_node(limits.write_rps, 0.6).max(4.0)),
             state_calls: bucket((limits.rps * 0.12).max(2.0)),
             learned_types: None,
@@ -324,6 +332,7 @@
             self.election.renew(&mut self.io, leader.lease);
             leader.tick(&mut self.io);
         }
+        self.intake.compare(&mut self.io);
         if now >= self.greet_due {
             self.greet_due = now + GREET_EVERY;
             self.greet();
@@ -450,6 +459,10 @@
                 self.intake.on_reply(io, request, step, reply);
                 Outcome::None
             }
+            Pending::Compare { asked } => {
+                self.intake.on_compare(io, asked, &reply);
+                Outcome::None
+            }
             Pending::Types => {
                 self.on_types(&reply);
                 Outcome::None
