--- a/src/core/cycle.rs
+++ b/src/core/cycle.rs
@@ -49,8 +49,6 @@
     pub spot: bool,
     /// Expected run time of a task.
     pub run: Span,
-    /// Most work of a task that a stop without notice loses.
-    pub unsaved: Span,
     /// Whether it has waited so long that machines are held for it.
     pub aged: bool,
     /// Machines to stay away from.
@@ -84,8 +82,6 @@
     pub now: Time,
     /// Most that the fetches of one gang may differ.
     pub most_skew: Span,
-    /// How many times a second a spot machine is taken back.
-    pub taken_rate: f64,
 }
 
 /// A cycle's state.
@@ -112,8 +108,6 @@
     holders: HashMap<Image, usize>,
 }
 
-/// Most losses of a gang that its placement reckons with.
-const MOST_RISK: f64 = 4.0;
 /// A fetch that is over within this time hardly delays a start.
 const WARM: Span = Span::millis(3000);
 
@@ -373,26 +367,6 @@
             })
     }
 
-    /// Time that a gang may expect to lose by one of its machines being taken
-    /// back, if that one is `row`: the work since a checkpoint, and the fetch
-    /// before it runs again, for all its tasks.
-    fn risk(&self, want: &Want, row: &Row) -> Span {
-        if !want.gang || !row.spot {
-            return Span::ZERO;
-        }
-        let fetch = self
-            .estimates
-            .of(&want.image, want.image_gb, Some(row.fetch_rate));
-        let redo = Span(want.unsaved.0 / 2) + fetch;
-        let run = want.run.as_secs() * want.tasks.len() as f64;
-        redo.scaled((self.pace.taken_rate * run).min(MOST_RISK))
-    }
-
-    /// By how much a row delays a want: its fetch, and what it risks.
-    pub fn delay(&self, want: &Want, row: &Row) -> Span {
-        self.fetch(want, row) + self.risk(want, row)
-    }
-
     fn reachable(&self, want: &Want, row: &Row, reach: Reach) -> bool {
         let holds = row.cache.remaining(&want.image, self.pace.now).is_some();
         let idle = || {
@@ -408,11 +382,10 @@
         }
     }
 
-    /// Rows with room for a task, best first: the least delay, then the
-    /// tightest fit, so that whole machines stay free for gangs. Other work
-    /// goes to spot machines before that: what it loses there is least.
+    /// Rows with room for a task, best first: the cheapest fetch, then the
+    /// tightest fit, so that whole machines stay free for gangs.
     fn candidates(&self, want: &Want, reach: Reach, zone: Option<&Zone>) -> Vec<usize> {
-        let mut rows: Vec<(Span, bool, i64, usize)> = self
+        let mut rows: Vec<(Span, i64, bool, usize)> = self
             .open
             .iter()
             .map(|&i| (i, &self.rows[i]))
@@ -422,7 +395,7 @@
             .filter(|(_, r)| self.reachable(want, r, reach))
             .map(|(i, r)| {
                 let left = (r.free - want.need).share_of(&r.whole);
-                (self.delay(want, r), !r.spot, (left * 1000.0) as i64, i)
+                (self.fetch(want, r), (left * 1000.0) as i64, !r.spot, i)
             })
             .collect();
         rows.sort();
@@ -512,7 +485,7 @@
     fn trial(&self, want: &Want, rows: &[usize], allowed: u32) -> (usize, Span) {
         let spread = self.spread(want, rows, allowed);
         let picked = spread.iter().map(|(_, n)| *n as usize).sum();
-        let worst = spread.iter().map(|&(i, _)| self.delay(want, &self.rows[i]));
+        let worst = spread.iter().map(|&(i, _)| self.fetch(want, &self.rows[i]));
         (picked, worst.max().unwrap_or(Span::ZERO))
     }
 
@@ -622,7 +595,6 @@
             in_zones: BTreeMap::new(),
             spot,
             run: Span::secs(30.0),
-            unsaved: Span::secs(if i % 2 == 0 { 30.0 } else { 10.0 }),
             aged: false,
             avoid: BTreeSet::new(),
         }
@@ -641,17 +613,6 @@
                 .unwrap_or(Span::secs(w.image_gb))
         }
 
-        /// Seconds lost by machines taken back, as expected.
-        fn risk(w: &Want, r: &Row, left: usize) -> Span {
-            let takes = 0.01 * w.run.as_secs() * left as f64;
-            let each = w.unsaved.as_secs() / 2.0 + w.image_gb;
-            Span::secs(if w.gang && r.spot {
-                takes.min(4.0) * each
-            } else {
-                0.0
-            })
-        }
-
         fn holders(&self, w: &Want) -> usize {
             self.rows
                 .iter()
@@ -682,8 +643,7 @@
                 .min_by_key(|&i| {
                     let r = &self.rows[i];
                     let left = (r.free - w.need).share_of(&r.whole);
-                    let delay = self.cost(w, r) + Self::risk(w, r, w.tasks.len());
-                    (delay, !r.spot, (left * 1000.0) as i64, i)
+                    (self.cost(w, r), (left * 1000.0) as i64, !r.spot, i)
                 })
         }
 
@@ -702,7 +662,7 @@
                 if w.gang && cost > *first.get_or_insert(cost) + Span::secs(20.0) {
                     return (n, worst);
                 }
-                worst = worst.max(cost + Self::risk(w, &self.rows[row], w.tasks.len()));
+                worst = worst.max(cost);
                 let r = &mut self.rows[row];
                 r.free -= w.need;
                 r.cache.used(&w.image, w.image_gb, NOW, cost);
@@ -821,7 +781,7 @@
             let mut teams = names.iter().map(|t| (t.clone(), TeamUse { used: Amounts::default(), share })).collect();
             let mut left = rows.clone();
             let estimates = Estimates::new(Span::secs(30.0));
-            let pace = Pace { now: NOW, most_skew: Span::secs(20.0), taken_rate: 0.01 };
+            let pace = Pace { now: NOW, most_skew: Span::secs(20.0) };
             let mut cycle = Cycle::new(pace, &mut left, &mut teams, &estimates);
             cycle.run(&mut wants);
             let starts = cycle.starts;
--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -223,9 +223,6 @@
         machine.kind = Some(report.kind.clone());
         machine.zone = Some(report.zone.clone());
         machine.spot = report.spot;
-        if report.notice_s.is_some() && machine.taken_at.is_none() {
-            self.takes.taken += 1.0;
-        }
         machine.taken_at = report.notice_s.map(|s| now + Span::secs(s));
         if let Some(held) = self.held.remove(&report.machine) {
             io.answer_later(held.request, 503, 1);
@@ -839,9 +836,6 @@
                     proof
                 };
                 tracing::info!(machine = %id, proof, tasks = m.tasks.len(), "machine presumed dead");
-                if failed && m.spot && m.taken_at.is_none() {
-                    self.takes.taken += 1.0;
-                }
                 m.lost = true;
                 m.ours = false;
                 m.cache.clear();
--- a/src/core/leader.rs
+++ b/src/core/leader.rs
@@ -12,7 +12,7 @@
 use super::preempt::{self, Victim, Victims};
 use super::presence::Phase;
 use super::rental::Rental;
-use super::tables::{Estimates, Row, Takes};
+use super::tables::{Estimates, Row};
 use super::weak::{self, Decision};
 use super::{Reply, Target};
 use crate::policy::Policy;
@@ -130,7 +130,6 @@
     pub(super) inherited_wait: Span,
     hold: Option<Span>,
     pub(super) rental: Rental,
-    pub(super) takes: Takes,
     pub(super) arrivals: BTreeMap<Class, VecDeque<(Wall, f64, u32)>>,
     told: BTreeMap<JobId, (u32, u32)>,
     told_caches: BTreeMap<MachineId, Vec<(Image, f64)>>,
@@ -184,7 +183,6 @@
             inherited_wait: hold.unwrap_or(Span::ZERO) + lease_time,
             hold,
             rental: Rental::new(&settings, now),
-            takes: Takes::new(now),
             arrivals: BTreeMap::new(),
             told: BTreeMap::new(),
             told_caches: BTreeMap::new(),
@@ -235,9 +233,6 @@
         if self.is_loaded() {
             if io.now.time >= self.look_due {
                 self.look_due = io.now.time + LOOK_EVERY;
-                let spot = self.machines.values();
-                let spot = spot.filter(|m| m.spot && m.reported.is_some()).count();
-                self.takes.pass(io.now.time, spot);
                 self.expire(io);
                 self.give_up_machines(io.now.time);
             }
@@ -946,11 +941,6 @@
                 in_zones,
                 spot: spec.spot,
                 run: Span::secs(spec.estimate_s),
-                unsaved: Span::secs(if spec.checkpoint_s > 0.0 {
-                    spec.checkpoint_s.min(spec.estimate_s)
-                } else {
-                    spec.estimate_s
-                }),
                 aged: job.notes.waiting_since.is_some_and(|t| {
                     let most = if job.is_gang() {
                         patience
@@ -978,7 +968,6 @@
         let pace = Pace {
             now,
             most_skew: Span(wait.0 * 6 / 10),
-            taken_rate: self.takes.rate(),
         };
         let estimates = self.estimates.clone();
         let mut cycle = Cycle::new(pace, &mut rows, &mut teams, &estimates);
--- a/src/core/preempt.rs
+++ b/src/core/preempt.rs
@@ -156,7 +156,7 @@
             .count_in(&free, wanted.min(want.zone_room(&row.zone)));
         if plan.tasks > 0 {
             // The work that is made room for also waits for its image.
-            plan.cost += cycle.delay(want, row).as_secs() * FETCH_WEIGHT;
+            plan.cost += cycle.fetch(want, row).as_secs() * FETCH_WEIGHT;
             plans.push(plan);
         }
     }
--- a/src/core/rental.rs
+++ b/src/core/rental.rs
@@ -331,9 +331,6 @@
                 // then, and its answer proves that the tasks are gone, long
                 // before the lease would.
                 _ if quiet > silence && unlisted => {
-                    if m.spot && m.taken_at.is_none() && !m.lost {
-                        self.takes.taken += 1.0;
-                    }
                     if !m.tasks.is_empty() {
                         tracing::info!(machine = %id, "silent and not listed, released");
                     }
@@ -415,7 +412,6 @@
         let pace = Pace {
             now,
             most_skew: Span::secs(1e6),
-            taken_rate: self.takes.rate(),
         };
         Cycle::new(pace, &mut booting, &mut teams, &estimates).run(&mut left);
         left.retain(|w| !w.tasks.is_empty());
--- a/src/core/tables.rs
+++ b/src/core/tables.rs
@@ -131,47 +131,6 @@
     }
 }
 
-/// How often spot machines are taken back, learned from those that were. What
-/// is long past counts for less and less.
-#[derive(Clone, Debug)]
-pub struct Takes {
-    /// Machines taken.
-    pub taken: f64,
-    seconds: f64,
-    at: Time,
-}
-
-/// Time in which what was seen comes to count for half.
-const TAKES_HALVE: f64 = 90.0;
-/// What is assumed before anything is seen: one in so many seconds.
-const TAKEN_ONCE_IN: f64 = 3600.0;
-
-impl Takes {
-    /// Nothing seen yet.
-    pub fn new(now: Time) -> Takes {
-        Takes {
-            taken: 1.0,
-            seconds: TAKEN_ONCE_IN,
-            at: now,
-        }
-    }
-
-    /// Time passes with so many spot machines about.
-    pub fn pass(&mut self, now: Time, machines: usize) {
-        let secs = now.since(self.at).as_secs();
-        self.at = now;
-        let keep = 0.5_f64.powf(secs / TAKES_HALVE);
-        self.taken = 1.0 + (self.taken - 1.0) * keep;
-        self.seconds = TAKEN_ONCE_IN + (self.seconds - TAKEN_ONCE_IN) * keep;
-        self.seconds += secs * machines as f64;
-    }
-
-    /// Takings a second of one machine.
-    pub fn rate(&self) -> f64 {
-        self.taken / self.seconds
-    }
-}
-
 /// A machine as a cycle sees it.
 #[derive(Clone, Debug)]
 pub struct Row {
@@ -228,27 +187,6 @@
         assert_eq!(c.remaining(&a, Time(62_000_000)), Some(Span::ZERO));
     }
 
-    // Gangs were put on spot machines as on any other; while these were taken
-    // back often a large gang hardly ever got to its end.
-    #[test]
-    fn the_rate_of_takings_follows_what_is_seen() {
-        let mut takes = Takes::new(Time(0));
-        let per_hour = |t: &Takes| t.rate() * 3600.0;
-        assert!((per_hour(&takes) - 1.0).abs() < 1e-9);
-        let mut now = Time(0);
-        let mut play = |takes: &mut Takes, seconds: u32, per_second: f64| {
-            for _ in 0..seconds {
-                now = now + Span::secs(1.0);
-                takes.taken += per_second;
-                takes.pass(now, 600);
-            }
-            per_hour(takes)
-        };
-        assert!((1.5..2.5).contains(&play(&mut takes, 300, 600.0 * 2.0 / 3600.0)));
-        assert!((13.0..16.0).contains(&play(&mut takes, 300, 600.0 * 15.0 / 3600.0)));
-        assert!(play(&mut takes, 600, 0.0) < 0.5);
-    }
-
     #[test]
     fn an_unseen_image_costs_what_its_size_says() {
         let mut e = Estimates::new(Span::secs(30.0));
