--- a/deploy/policy.lua
+++ b/deploy/policy.lua
@@ -42,6 +42,10 @@
   -- Work that has waited this long goes ahead of everything but urgent work,
   -- and machines are held for a gang that waits for several at once.
   patience_s = 60.0,
+  -- Among jobs of the same rank, one that would keep all machines busy for a
+  -- second goes this many seconds later: when not all can be on time, small
+  -- ones first let more of them be.
+  small_first = 60.0,
   -- A machine silent for this long is released for good.
   silent_release_s = 120.0,
 }
--- a/src/core/leader.rs
+++ b/src/core/leader.rs
@@ -853,8 +853,9 @@
     /// by which its tasks should start. The job whose next such time comes
     /// first goes first, but one that has missed an aim goes behind those that
     /// have not: in a rush, work that is late anyway must not make the rest
-    /// late too.
-    fn order(&self, wall: Wall, job: &Job) -> i64 {
+    /// late too. Large jobs go later by what they would take of `fleet`: when
+    /// not all can be on time, the small ones are more.
+    fn order(&self, wall: Wall, job: &Job, fleet: &Amounts) -> i64 {
         let ms = |s: f64| (s * 1000.0).clamp(0.0, 1e10) as i64;
         let since = wall.0 as i64 - job.at.0 as i64;
         let run = ms(job.spec.estimate_s);
@@ -876,8 +877,21 @@
         }
         let missed = times.iter().filter(|t| **t < since).count() as i64;
         let next = times.iter().filter(|t| **t >= since).min();
+        let left = f64::from(job.waiting.len()) * job.spec.needs().share_of(fleet);
+        let size = ms(left * job.spec.estimate_s * self.policy.small_first);
         // What has missed everything goes by age.
-        missed * LATE + job.at.0 as i64 + next.copied().unwrap_or(0)
+        missed * LATE + job.at.0 as i64 + next.copied().unwrap_or(0) + size
+    }
+
+    /// What all machines together have.
+    fn fleet(&self) -> Amounts {
+        let mut all = Amounts::default();
+        for m in self.machines.values().filter(|m| m.reported.is_some()) {
+            if let Some(t) = m.kind.as_ref().and_then(|k| self.types.get(k)) {
+                all += t.has();
+            }
+        }
+        all
     }
 
     fn wants(&mut self, now: Time, wall: Wall) -> Vec<Want> {
@@ -889,9 +903,10 @@
             .map(|(id, _)| id.clone())
             .collect();
         let patience = Span::secs(self.policy.patience_s);
+        let fleet = self.fleet();
         let mut wants = Vec::new();
         for id in ids {
-            let order = self.order(wall, &self.jobs[&id]);
+            let order = self.order(wall, &self.jobs[&id], &fleet);
             let Some(job) = self.jobs.get_mut(&id) else {
                 continue;
             };
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -95,6 +95,8 @@
     settle_s: 0.0, 3600.0;
     /// Waiting time after which machines are held for a gang.
     patience_s: 1.0, 86400.0;
+    /// Seconds that a job goes later for each second it would take the fleet.
+    small_first: 0.0, 1000.0;
     /// Silence after which a machine is released.
     silent_release_s: 1.0, 86400.0;
 }
