Make room where the image is in time; fresh starts without an aim go first

A fetch that makes a start miss its aim now weighs 100 s. And tasks just started were spared even if nobody asks when they start, so older ones lost more work.

--- a/src/core/cycle.rs
+++ b/src/core/cycle.rs
@@ -49,6 +49,8 @@
     pub spot: bool,
     /// Expected run time of a task.
     pub run: Span,
+    /// When it must run for its next aim about starting to be met.
+    pub start_by: Option<Time>,
     /// Whether it has waited so long that machines are held for it.
     pub aged: bool,
     /// Machines to stay away from.
@@ -595,6 +597,7 @@
             in_zones: BTreeMap::new(),
             spot,
             run: Span::secs(30.0),
+            start_by: None,
             aged: false,
             avoid: BTreeSet::new(),
         }
--- a/src/core/leader.rs
+++ b/src/core/leader.rs
@@ -883,6 +883,25 @@
         missed * LATE + job.at.0 as i64 + next.copied().unwrap_or(0) + size
     }
 
+    /// When a job's tasks must run for its next aim about starting to be met:
+    /// that of its class, or of work within a guarantee.
+    fn start_by(&self, now: Time, wall: Wall, job: &Job) -> Option<Time> {
+        if !job.done.is_empty() {
+            return None;
+        }
+        let since = Span::millis(wall.0.saturating_sub(job.at.0));
+        let left = self.settings.objectives.iter().filter_map(|o| {
+            let concerns = match o.kind {
+                ObjectiveKind::Wait => o.class.as_ref() == Some(&job.spec.class),
+                ObjectiveKind::Guarantee => job.notes.entitled,
+                _ => false,
+            };
+            let within = o.within.filter(|w| concerns && *w > since)?;
+            Some(Span(within.0 - since.0))
+        });
+        left.min().map(|left| now + left)
+    }
+
     /// What all machines together have.
     fn fleet(&self) -> Amounts {
         let mut all = Amounts::default();
@@ -907,6 +926,7 @@
         let mut wants = Vec::new();
         for id in ids {
             let order = self.order(wall, &self.jobs[&id], &fleet);
+            let start_by = self.start_by(now, wall, &self.jobs[&id]);
             let Some(job) = self.jobs.get_mut(&id) else {
                 continue;
             };
@@ -956,6 +976,7 @@
                 in_zones,
                 spot: spec.spot,
                 run: Span::secs(spec.estimate_s),
+                start_by,
                 aged: job.notes.waiting_since.is_some_and(|t| {
                     let most = if job.is_gang() {
                         patience
@@ -1112,6 +1133,10 @@
             if job.is_gang() && !reachable {
                 continue;
             }
+            let aims = job.notes.entitled
+                || self.settings.objectives.iter().any(|o| {
+                    o.kind == ObjectiveKind::Wait && o.class.as_ref() == Some(&job.spec.class)
+                });
             for (&task, p) in &job.places {
                 let Some(&row) = index.get(&p.machine) else {
                     continue;
@@ -1128,8 +1153,9 @@
                 let share = job.spec.needs().share_of(&rows[row].whole);
                 let settled = matches!(p.phase, Phase::Seen(_) | Phase::Inherited)
                     && now.since(p.placed) > settle;
-                // A start that is stopped soon does not count for its users.
-                let fresh = if settled { 0.0 } else { FRESH_COST };
+                // A start that is stopped soon does not count for its users,
+                // if they have an aim about starting.
+                let fresh = if settled || !aims { 0.0 } else { FRESH_COST };
                 victims.push(Victim {
                     job: id.clone(),
                     task,
--- a/src/core/preempt.rs
+++ b/src/core/preempt.rs
@@ -102,6 +102,9 @@
 /// What a second of fetching weighs against a machine's second of lost work.
 const FETCH_WEIGHT: f64 = 2.0;
 
+/// What it costs, in such seconds, if the fetch makes a start miss its aim.
+const MISSED: f64 = 100.0;
+
 struct RowPlan {
     row: usize,
     tasks: u32,
@@ -156,7 +159,11 @@
             .count_in(&free, wanted.min(want.zone_room(&row.zone)));
         if plan.tasks > 0 {
             // The work that is made room for also waits for its image.
-            plan.cost += cycle.fetch(want, row).as_secs() * FETCH_WEIGHT;
+            let fetch = cycle.fetch(want, row);
+            plan.cost += fetch.as_secs() * FETCH_WEIGHT;
+            if want.start_by.is_some_and(|t| cycle.pace.now + fetch > t) {
+                plan.cost += MISSED * f64::from(plan.tasks);
+            }
             plans.push(plan);
         }
     }
