Pass on reports of workers that cannot reach the leader

A follower now passes on a report that already carries the leader's token, on the peers' listener, without holding it; it may take an eighth of the sockets. A test fails without it.

--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -183,8 +183,14 @@
         self.settings.workers.report.scaled(2.5) + Span::secs(1.0)
     }
 
-    /// Handles a worker's report.
-    pub fn on_report(&mut self, io: &mut Io, request: RequestId, report: Report) -> Fate {
+    /// Handles a worker's report; `may_hold`: its answer may wait for work.
+    pub fn on_report(
+        &mut self,
+        io: &mut Io,
+        request: RequestId,
+        report: Report,
+        may_hold: bool,
+    ) -> Fate {
         let now = io.now.time;
         if report.token > self.token {
             io.answer_status(request, 421);
@@ -237,7 +243,7 @@
             .values()
             .any(|j| j.is_open() && !j.waiting.is_empty());
         let id = &report.machine;
-        if self.idles(now, id, &report) {
+        if may_hold && self.idles(now, id, &report) {
             // A long poll: an idle machine's next work reaches it at once
             // instead of with its next report.
             let hold = self.settings.workers.report.scaled(0.6);
--- a/src/core/node.rs
+++ b/src/core/node.rs
@@ -86,6 +86,11 @@
     },
     /// The stored machine types.
     Types,
+    /// A worker's report, passed on to the leader.
+    Relay {
+        /// The request.
+        request: RequestId,
+    },
     /// A greeting to a peer.
     Greet(Label),
     /// Nobody waits for it.
@@ -275,6 +280,8 @@
 const STATE_FRESH: Span = Span::millis(5000);
 /// How long a peer's word counts.
 const PEER_FRESH: Span = Span::millis(3500);
+/// How long a report passed on may take; workers wait 4 s.
+const RELAY_TIMEOUT: Span = Span::millis(3000);
 /// Time between looks at the stored machine types.
 const TYPES_EVERY: Span = Span::millis(30_000);
 /// Machines whose images are remembered for a change of leader.
@@ -386,7 +393,8 @@
             (Side::Api, "POST", ["submissions", job, "cancel"]) => {
                 self.intake.cancel(&mut self.io, id, job);
             }
-            (Side::Api, "POST", ["checkin"]) => self.checkin(id, &r.body),
+            (Side::Api, "POST", ["checkin"]) => self.checkin(id, r.body),
+            (Side::Internal, "POST", ["checkin"]) => self.relayed(id, &r.body),
             (Side::Api, "GET", ["ready"]) => {
                 let status = if self.is_ready() { 200 } else { 503 };
                 self.io.answer_status(id, status);
@@ -405,7 +413,9 @@
             }
             (Side::Api, _, ["submissions"] | ["submissions", _] | ["submissions", _, "cancel"])
             | (Side::Api, _, ["checkin"] | ["ready"])
-            | (Side::Internal, _, ["greet"] | ["inspect"]) => self.io.answer_status(id, 405),
+            | (Side::Internal, _, ["greet"] | ["inspect"] | ["checkin"]) => {
+                self.io.answer_status(id, 405)
+            }
             _ => self.io.answer_status(id, 404),
         }
     }
@@ -459,6 +469,7 @@
                 self.intake.on_reply(io, request, step, reply);
                 Outcome::None
             }
+            Pending::Relay { request } => return self.on_relay(request, reply),
             Pending::Compare { asked } => {
                 self.intake.on_compare(io, asked, &reply);
                 Outcome::None
@@ -612,18 +623,68 @@
 
     // ---- workers ----
 
-    fn checkin(&mut self, id: RequestId, body: &[u8]) {
-        let Some(report) = wire::decode::<Report>(body) else {
+    fn checkin(&mut self, id: RequestId, body: Vec<u8>) {
+        let Some(report) = wire::decode::<Report>(&body) else {
             return self.io.answer_status(id, 400);
         };
+        if self.leader.is_some() {
+            return self.report(id, report, true);
+        }
+        let foreman = self.foreman();
+        // A worker that has the leader's token already comes here only when it
+        // cannot reach the leader. This node perhaps can, and the answer is
+        // the leader's wherever it is heard: its lease need not run out.
+        if let Some((label, token)) = &foreman
+            && *token == report.token
+            && let Some(peer) = self.settings.peers.iter().find(|p| p.label == *label)
+        {
+            return self.io.call(
+                Target::Host(peer.addr),
+                "POST",
+                "/checkin".into(),
+                body,
+                RELAY_TIMEOUT,
+                Pending::Relay { request: id },
+            );
+        }
+        self.report_elsewhere(id, foreman.map(|(label, _)| label));
+    }
+
+    /// A report that another node passes on.
+    fn relayed(&mut self, id: RequestId, body: &[u8]) {
+        match wire::decode::<Report>(body) {
+            Some(report) if self.leader.is_some() => self.report(id, report, false),
+            Some(_) => self.io.answer_status(id, 421),
+            None => self.io.answer_status(id, 400),
+        }
+    }
+
+    fn report(&mut self, id: RequestId, report: Report, may_hold: bool) {
         if let Some(leader) = &mut self.leader {
-            let fate = leader.on_report(&mut self.io, id, report);
+            let fate = leader.on_report(&mut self.io, id, report, may_hold);
             if fate != Fate::Stay {
                 self.end_leadership(fate);
             }
-            return;
         }
-        let report_to = self.foreman();
+    }
+
+    /// The leader answered a report that was passed on, or not.
+    fn on_relay(&mut self, id: RequestId, reply: Reply) {
+        match reply {
+            Reply::Answer(200, body) => self.io.answer(
+                id,
+                Answer {
+                    status: 200,
+                    body,
+                    ..Default::default()
+                },
+            ),
+            // Another node may do better.
+            _ => self.report_elsewhere(id, None),
+        }
+    }
+
+    fn report_elsewhere(&mut self, id: RequestId, report_to: Option<Label>) {
         let body = wire::encode(&ReportElsewhere { report_to });
         self.io.answer(
             id,
@@ -635,8 +696,8 @@
         );
     }
 
-    /// The leader as far as known, if it is another node.
-    fn foreman(&self) -> Option<Label> {
+    /// The leader and its token as far as known, if it is another node.
+    fn foreman(&self) -> Option<(Label, Token)> {
         let now = self.io.now.time;
         let told = self
             .peers
@@ -645,8 +706,7 @@
             .map(|(l, p)| (l.clone(), p.token));
         told.chain(self.election.leader.clone())
             .max_by_key(|(_, t)| *t)
-            .map(|(l, _)| l)
-            .filter(|l| *l != self.settings.label)
+            .filter(|(l, _)| *l != self.settings.label)
     }
 
     // ---- peers ----
--- a/src/driver.rs
+++ b/src/driver.rs
@@ -265,7 +265,7 @@
         // Sockets are shared out: most for users and workers, a part for
         // peers and operators, the rest for our own calls.
         let most_api = settings.max_sockets * 7 / 10;
-        let most_internal = (settings.max_sockets / 20).max(4);
+        let most_internal = (settings.max_sockets / 8).max(4);
         let (state, cloud) = (settings.state, settings.cloud);
         let started = Instant::now();
         let seed: u64 = rand::random();
--- a/src/testing/world.rs
+++ b/src/testing/world.rs
@@ -59,6 +59,8 @@
     Take(bool),
     /// A worker cannot reach any node; what is sent is lost.
     CutWorker(u64),
+    /// The leader and the workers cannot reach each other; what is sent is lost.
+    LeaderLosesWorkers(u64),
     /// Two hosts cannot reach each other; what is sent is held back or lost.
     Cut(Host, Host, bool, u64),
     /// The leader is cut off from everything but its zone's workers; messages
@@ -1008,6 +1010,14 @@
                     }
                 }
             }
+            Fault::LeaderLosesWorkers(s) => {
+                if let Some(n) = self.leader() {
+                    let until = t + s * SEC;
+                    let workers = self.workers.keys();
+                    let cuts = workers.map(|m| (Host::Node(n), Host::Worker(m.clone())));
+                    self.cuts.extend(cuts.map(|(a, b)| (a, b, false, until)));
+                }
+            }
             Fault::Cut(a, b, hold, s) => self.cuts.push((a, b, hold, t + s * SEC)),
             Fault::IsolateLeader(s) => {
                 if let Some(n) = self.leader() {
@@ -1143,7 +1153,7 @@
             let at = self.rng.random_range(from..to);
             let n = self.rng.random_range(0..3);
             let s = self.rng.random_range(3..25);
-            let f = match self.rng.random_range(0..18) {
+            let f = match self.rng.random_range(0..19) {
                 0 => Fault::Crash(n, 5),
                 1 | 2 => Fault::CrashLeader(5),
                 3 => Fault::StateOut(s),
@@ -1161,6 +1171,7 @@
                 ),
                 12 => Fault::Cut(Host::Node(n), Host::State, true, s),
                 13 => Fault::IsolateLeader(s),
+                14 => Fault::LeaderLosesWorkers(s),
                 _ => Fault::CutWorker(s / 3),
             };
             self.fault(at, f);
@@ -1308,6 +1319,23 @@
         }
     }
 
+    // Workers that could reach other nodes, but not the leader, were sent back
+    // to it until their leases ran out and all their tasks were killed.
+    #[test]
+    fn reports_are_passed_on_where_the_leader_is_out_of_reach() {
+        let mut w = World::new(7);
+        for i in 0..4 {
+            let mut j = submission(&format!("wk-{i:06}"), Shape::Array, 4);
+            j.estimate_s = 60.0;
+            w.job(2, j, None);
+        }
+        w.fault(30, Fault::LeaderLosesWorkers(40));
+        w.play(110);
+        assert_eq!(w.broken, Vec::<String>::new());
+        assert_eq!(w.unserved(), Vec::<&str>::new());
+        assert_eq!(w.started, 16, "no task had to start again");
+    }
+
     #[test]
     fn sending_before_storing_is_caught() {
         caught(Decision::WriteAhead, "ran_twice", refused_then_dead);
