--- a/src/core/rental.rs
+++ b/src/core/rental.rs
@@ -48,6 +48,8 @@
     /// When the last whole list was taken in.
     pub listed: Option<Time>,
     types_due: Time,
+    /// Whether the last call released machines.
+    released_last: bool,
     /// Machines released, and when; lists go on naming them for a while.
     released: BTreeMap<MachineId, Time>,
 }
@@ -87,6 +89,7 @@
             listing: Vec::new(),
             listed: None,
             types_due: now,
+            released_last: false,
             released: BTreeMap::new(),
         }
     }
@@ -105,12 +108,13 @@
         if self.rental.calling || now < self.rental.not_before || !self.may_start(now) {
             return;
         }
+        if self.rental.calls.level(now) < 1.0 {
+            return;
+        }
         let Some(call) = self.next_call(now) else {
             return;
         };
-        if !self.rental.calls.take(now, 1.0) {
-            return;
-        }
+        self.rental.calls.take(now, 1.0);
         self.rental.calling = true;
         let (method, path, body) = match &call {
             CloudCall::Types => ("GET", "/machine_types".to_string(), Vec::new()),
@@ -142,10 +146,24 @@
         );
     }
 
+    /// The next call; made only if the rate allows it.
     fn next_call(&mut self, now: Time) -> Option<CloudCall> {
         if self.types.is_empty() {
             return Some(CloudCall::Types);
         }
+        // While spot machines go all the time there is always something to
+        // release; other calls take turns with it.
+        let turn = if self.rental.released_last {
+            [Self::other_call, Self::release_call]
+        } else {
+            [Self::release_call, Self::other_call]
+        };
+        let call = turn.into_iter().find_map(|next| next(self, now));
+        self.rental.released_last = matches!(call, Some(CloudCall::Release(_)));
+        call
+    }
+
+    fn release_call(&mut self, _: Time) -> Option<CloudCall> {
         let release: Vec<MachineId> = self
             .machines
             .iter()
@@ -153,8 +171,13 @@
             .map(|(id, _)| id.clone())
             .take(MOST_RELEASED)
             .collect();
-        if !release.is_empty() {
-            return Some(CloudCall::Release(release));
+        (!release.is_empty()).then_some(CloudCall::Release(release))
+    }
+
+    fn other_call(&mut self, now: Time) -> Option<CloudCall> {
+        let late = now >= self.rental.list_due + self.rental.list_every;
+        if late {
+            return Some(CloudCall::List);
         }
         if let Some(r) = &self.rental.unanswered {
             return Some(CloudCall::Rent(r.clone()));
@@ -571,52 +594,77 @@
     use crate::wire::cloud::ListedMachine;
     use std::rc::Rc;
 
+    fn io(secs: f64) -> Io {
+        let mut io = Io::new(&testing::settings(0), 1);
+        io.now = Now {
+            time: Time(0) + Span::secs(secs),
+            wall: Wall(0),
+        };
+        io
+    }
+
+    fn leader() -> Leader {
+        let settings = Rc::new(testing::settings(0));
+        let policy = Rc::new(Policy::from_script(DEFAULT_SCRIPT, &settings).unwrap());
+        let kinds = vec![testing::cloud::Cloud::kind()];
+        let types = MachineTypes { kinds };
+        Leader::new(settings, policy, Token(5), 1, Time(0), &types)
+    }
+
+    fn list(names: &[&str]) -> Reply {
+        let machines = names.iter().map(|n| ListedMachine {
+            id: (*n).into(),
+            addr: "10.1.0.1:9000".into(),
+            kind: "g4".into(),
+            zone: "z0".into(),
+            spot: false,
+            stage: MachineStage::Running,
+            age_s: 60.0,
+        });
+        let list = MachineList {
+            machines: machines.collect(),
+            more: false,
+        };
+        Reply::Answer(200, wire::encode(&list))
+    }
+
     // Lists lag: one that still had a machine just released once brought it
     // back as a machine that never came up, and for minutes nothing was rented
     // for work that this phantom seemed to have room for.
     #[test]
     fn a_late_list_does_not_bring_back_a_released_machine() {
-        let settings = Rc::new(testing::settings(0));
-        let policy = Rc::new(Policy::from_script(DEFAULT_SCRIPT, &settings).unwrap());
-        let mut io = Io::new(&settings, 1);
-        let mut at = |secs: f64| {
-            io.now = Now {
-                time: Time(0) + Span::secs(secs),
-                wall: Wall(0),
-            };
-            std::mem::replace(&mut io, Io::new(&settings, 1))
-        };
-        let kinds = vec![testing::cloud::Cloud::kind()];
-        let mut leader = Leader::new(
-            Rc::clone(&settings),
-            policy,
-            Token(5),
-            1,
-            Time(0),
-            &MachineTypes { kinds },
-        );
-        let list = |names: &[&str]| {
-            let machines = names.iter().map(|n| ListedMachine {
-                id: (*n).into(),
-                addr: "10.1.0.1:9000".into(),
-                kind: "g4".into(),
-                zone: "z0".into(),
-                spot: false,
-                stage: MachineStage::Running,
-                age_s: 60.0,
-            });
-            let list = MachineList {
-                machines: machines.collect(),
-                more: false,
-            };
-            Reply::Answer(200, wire::encode(&list))
-        };
-        leader.on_cloud(&mut at(1.0), CloudCall::List, list(&["host-1", "host-2"]));
+        let mut leader = leader();
+        leader.on_cloud(&mut io(1.0), CloudCall::List, list(&["host-1", "host-2"]));
         assert_eq!(leader.machines.len(), 2);
         let release = CloudCall::Release(vec!["host-1".into()]);
-        leader.on_cloud(&mut at(2.0), release, Reply::Answer(200, Vec::new()));
-        leader.on_cloud(&mut at(9.0), CloudCall::List, list(&["host-1", "host-2"]));
+        leader.on_cloud(&mut io(2.0), release, Reply::Answer(200, Vec::new()));
+        leader.on_cloud(&mut io(9.0), CloudCall::List, list(&["host-1", "host-2"]));
         let left: Vec<_> = leader.machines.keys().map(|m| m.to_string()).collect();
         assert_eq!(left, ["host-2"]);
     }
+
+    // While spot machines were taken back all the time every call to the cloud
+    // was a release, and for minutes nothing was rented.
+    #[test]
+    fn releases_leave_turns_to_renting_and_listing() {
+        let mut leader = leader();
+        let market: Market = ("g4".into(), "z0".into(), true);
+        leader.rental.orders.insert(market, 3);
+        let mut made = Vec::new();
+        for n in 0..6 {
+            let mut m = Machine::new(Time(0));
+            m.leaving = Leaving::Release;
+            leader.machines.insert(format!("host-{n}").into(), m);
+            made.push(match leader.next_call(Time(1)) {
+                Some(CloudCall::Release(names)) => {
+                    names.iter().for_each(|m| drop(leader.machines.remove(m)));
+                    "release"
+                }
+                Some(CloudCall::Rent(_)) => "rent",
+                Some(CloudCall::List) => "list",
+                _ => "other",
+            });
+        }
+        assert_eq!(made[..4], ["release", "rent", "release", "list"]);
+    }
 }
