--- /dev/null
+++ b/benches/cycle.rs
@@ -0,0 +1,170 @@
+//! What one placement cycle costs at the size of the largest deployment known:
+//! `cargo bench`. Times are reported, not checked; they depend on the machine.
+
+use hdrhistogram::Histogram;
+use pebblefold::core::cycle::{Cycle, Pace, TeamUse, Want};
+use pebblefold::core::preempt::{Victim, Victims, evict};
+use pebblefold::core::tables::{Cache, Estimates, Row};
+use pebblefold::settings::TeamShare;
+use pebblefold::types::{Amounts, Image, Span, Time};
+use pebblefold::wire::users::Priority;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Instant;
+
+const NOW: Time = Time(1_000_000_000);
+const MACHINES: usize = 1800;
+const JOBS: usize = 300;
+const ROUNDS: usize = 40;
+
+fn amounts(cpus: f64, gpus: f64, memory_gb: f64) -> Amounts {
+    Amounts {
+        cpus,
+        gpus,
+        memory_gb,
+    }
+}
+
+fn image(n: u32) -> Image {
+    format!("image-{n:02}").into()
+}
+
+/// Machines, of which about one in `busy` has room.
+fn rows(rng: &mut StdRng, busy: usize) -> Vec<Row> {
+    let whole = amounts(48.0, 8.0, 288.0);
+    (0..MACHINES)
+        .map(|i| {
+            let mut cache = Cache::default();
+            for _ in 0..6 {
+                cache.fetched(&image(rng.random_range(0..24)), 6.0, NOW, 150.0);
+            }
+            let gpus = if i % busy == 0 { 8.0 } else { 0.0 };
+            Row {
+                id: format!("host-{i:06}").into(),
+                kind: "box".into(),
+                zone: format!("zone-{}", i % 3).into(),
+                spot: i % 2 == 0,
+                whole,
+                free: amounts(gpus * 6.0, gpus, gpus * 36.0),
+                available: NOW,
+                last_high: None,
+                cache,
+                fetch_rate: 0.6,
+            }
+        })
+        .collect()
+}
+
+fn wants(rng: &mut StdRng) -> Vec<Want> {
+    (0..JOBS)
+        .map(|i| {
+            let gang = i % 3 != 0;
+            let tasks = if gang {
+                1 << rng.random_range(0..5)
+            } else {
+                rng.random_range(20u32..400)
+            };
+            let levels = [Priority::Low, Priority::Normal, Priority::High];
+            Want {
+                job: format!("wk-{i:06}").into(),
+                team: "team".into(),
+                image: image(rng.random_range(0..24)),
+                image_gb: 6.0,
+                need: if gang {
+                    amounts(43.0, 8.0, 230.0)
+                } else {
+                    amounts(5.0, 1.0, 27.0)
+                },
+                tasks: (0..tasks).collect(),
+                gang,
+                priority: levels[i % 3],
+                entitled: i % 2 == 0,
+                order: i as i64,
+                kinds: None,
+                zone: None,
+                one_zone: gang,
+                most_in_zone: None,
+                in_zones: BTreeMap::new(),
+                spot: true,
+                run: Span::secs(60.0),
+                start_by: None,
+                aged: false,
+                avoid: BTreeSet::new(),
+            }
+        })
+        .collect()
+}
+
+/// Eight small tasks on each machine without room.
+fn victims(rows: &[Row]) -> Vec<Victim> {
+    let full = rows.iter().enumerate().filter(|(_, r)| r.free.gpus < 1.0);
+    full.flat_map(|(row, _)| {
+        (0..8).map(move |n| Victim {
+            job: format!("old-{:04}", row / 10).into(),
+            task: (row % 10 * 8 + n) as u32,
+            team: "team".into(),
+            priority: Priority::Low,
+            need: amounts(5.0, 1.0, 27.0),
+            gang: false,
+            row,
+            cost: f64::from(n as u32),
+            settled: true,
+        })
+    })
+    .collect()
+}
+
+fn histogram() -> Histogram<u64> {
+    Histogram::new_with_bounds(1, 60_000_000, 3).expect("fixed bounds are valid")
+}
+
+fn report(name: &str, times: &Histogram<u64>) {
+    let ms = |q: f64| times.value_at_quantile(q) as f64 / 1000.0;
+    let (half, most) = (ms(0.5), ms(1.0));
+    println!("{name}: {half:.2} ms, at most {most:.2} ms ({ROUNDS} rounds)");
+}
+
+fn main() {
+    let pace = Pace {
+        now: NOW,
+        most_skew: Span::secs(30.0),
+    };
+    let estimates = Estimates::new(Span::secs(30.0));
+    let teams = || {
+        let share = TeamShare::default();
+        let used = Amounts::default();
+        BTreeMap::from([("team".into(), TeamUse { used, share })])
+    };
+    println!("{MACHINES} machines, {JOBS} waiting jobs");
+    for (name, busy) in [
+        ("a cycle, every machine free", 1),
+        ("a cycle, one in 100 free", 100),
+    ] {
+        let mut rng = StdRng::seed_from_u64(1);
+        let mut times = histogram();
+        for _ in 0..ROUNDS {
+            let (mut rows, mut wants) = (rows(&mut rng, busy), wants(&mut rng));
+            let mut teams = teams();
+            let start = Instant::now();
+            Cycle::new(pace, &mut rows, &mut teams, &estimates).run(&mut wants);
+            times.saturating_record(start.elapsed().as_micros() as u64);
+        }
+        report(name, &times);
+    }
+    let mut rng = StdRng::seed_from_u64(2);
+    let mut times = histogram();
+    for _ in 0..ROUNDS {
+        let (mut rows, wants) = (rows(&mut rng, 100), wants(&mut rng));
+        let found = victims(&rows);
+        let mut teams = teams();
+        let start = Instant::now();
+        let victims = Victims::new(found, rows.len());
+        let cycle = Cycle::new(pace, &mut rows, &mut teams, &estimates);
+        let gangs = wants.iter().filter(|w| w.gang).take(16);
+        let room = gangs.filter(|w| evict(&cycle, w, &victims, &BTreeSet::new(), 16).is_some());
+        std::hint::black_box(room.count());
+        times.saturating_record(start.elapsed().as_micros() as u64);
+    }
+    report("16 searches for room", &times);
+}
--- a/src/core/rental.rs
+++ b/src/core/rental.rs
@@ -606,7 +606,7 @@
     fn leader() -> Leader {
         let settings = Rc::new(testing::settings(0));
         let policy = Rc::new(Policy::from_script(DEFAULT_SCRIPT, &settings).unwrap());
-        let kinds = vec![testing::cloud::Cloud::kind()];
+        let kinds = vec![testing::cloud::Cloud::kind(3)];
         let types = MachineTypes { kinds };
         Leader::new(settings, policy, Token(5), 1, Time(0), &types)
     }
--- a/src/testing/cloud.rs
+++ b/src/testing/cloud.rs
@@ -24,6 +24,7 @@
     next: u32,
     /// Answers 503 to everything.
     pub out: bool,
+    zones: usize,
     /// Most machines at once.
     pub capacity: usize,
     /// Protocol breaches seen.
@@ -31,9 +32,10 @@
 }
 
 impl Cloud {
-    /// An empty cloud with room for `capacity` machines.
-    pub fn new(capacity: usize) -> Cloud {
+    /// An empty cloud with so many zones and room for `capacity` machines.
+    pub fn new(zones: usize, capacity: usize) -> Cloud {
         Cloud {
+            zones,
             boxes: BTreeMap::new(),
             rented: BTreeMap::new(),
             history: Vec::new(),
@@ -44,8 +46,8 @@
         }
     }
 
-    /// The only machine type.
-    pub fn kind() -> MachineType {
+    /// The only machine type, in so many zones.
+    pub fn kind(zones: usize) -> MachineType {
         MachineType {
             name: "g4".into(),
             cpus: 16.0,
@@ -56,7 +58,7 @@
             price: 4.0,
             spot_price: 1.0,
             boot_s: 10.0,
-            zones: vec!["z0".into(), "z1".into(), "z2".into()],
+            zones: (0..zones).map(|z| format!("z{z}").into()).collect(),
         }
     }
 
@@ -67,7 +69,7 @@
         let name = format!("host-{n:06}");
         let listed = ListedMachine {
             id: name.as_str().into(),
-            addr: format!("10.1.0.{n}:9000"),
+            addr: format!("10.1.{}.{}:9000", n / 256, n % 256),
             kind: "g4".into(),
             zone: zone.into(),
             spot,
@@ -102,7 +104,7 @@
             ("GET", "/machine_types") => (
                 200,
                 encode(&MachineTypes {
-                    kinds: vec![Cloud::kind()],
+                    kinds: vec![Cloud::kind(self.zones)],
                 }),
                 Vec::new(),
             ),
--- a/src/testing/mod.rs
+++ b/src/testing/mod.rs
@@ -3,20 +3,26 @@
 use crate::settings::Settings;
 use crate::wire::users::{Priority, Shape, Submission};
 
-/// Settings of node `n` of three.
+/// Settings of node `n` of three, each in a zone of its own.
 pub fn settings(n: u32) -> Settings {
+    settings_of(n, 3, 3)
+}
+
+/// Settings of node `n` of so many, in so many zones.
+pub fn settings_of(n: u32, nodes: u32, zones: u32) -> Settings {
+    let zone = |i: u32| format!("z{}", i % zones);
     let node = |i: u32| {
-        serde_json::json!({"label": format!("node-{i}"), "zone": format!("z{i}"),
+        serde_json::json!({"label": format!("node-{i}"), "zone": zone(i),
             "endpoint": format!("10.0.0.{}:8081", i + 1)})
     };
-    let peers: Vec<_> = (0..3).filter(|&i| i != n).map(node).collect();
+    let peers: Vec<_> = (0..nodes).filter(|&i| i != n).map(node).collect();
     let team = |name: &str, gpus: f64, most: f64| serde_json::json!({"name": name, "gpus": gpus, "gpus_max": most});
     let text = serde_json::json!({
-        "label": format!("node-{n}"), "zone": format!("z{n}"),
+        "label": format!("node-{n}"), "zone": zone(n),
         "api_addr": format!("10.0.0.{}:8080", n + 1), "internal_addr": format!("10.0.0.{}:8081", n + 1),
         "peers": peers, "services": {"cloud": "10.2.0.2:8443", "state": "10.2.0.1:2379"},
         "settings": {
-            "size": 3, "zones": ["z0", "z1", "z2"],
+            "size": nodes, "zones": (0..zones).map(zone).collect::<Vec<_>>(),
             "teams": [team("red", 16.0, 40.0), team("blue", 16.0, 32.0)],
             "objectives": [{"kind": "wait", "class": "urgent", "within_s": 18.0, "share": 0.9}],
             "workers": {"report_s": 1.0, "lease_s": 10.0, "gang_wait_s": 30.0, "gang_peer_s": 8.0, "cancel_s": 40.0},
--- a/src/testing/world.rs
+++ b/src/testing/world.rs
@@ -10,7 +10,7 @@
 use super::cloud::Cloud;
 use super::state::{Handled, State};
 use super::worker::Worker;
-use super::{settings, submission};
+use super::{settings_of, submission};
 use crate::core::node::Node;
 use crate::core::{CallId, Input, Now, Output, Reply, RequestId, Side, Target};
 use crate::http::Request;
@@ -167,8 +167,22 @@
     answered: BTreeSet<u64>,
 }
 
+/// How large a world is.
+#[derive(Clone, Copy, Debug)]
+pub struct Size {
+    /// Controller nodes.
+    pub nodes: usize,
+    /// Zones.
+    pub zones: usize,
+    /// Machines up at the start.
+    pub machines: usize,
+    /// Most machines that the cloud has.
+    pub capacity: usize,
+}
+
 /// The world.
 pub struct World {
+    size: Size,
     t: u64,
     rng: StdRng,
     queue: BTreeMap<(u64, u64), Ev>,
@@ -199,14 +213,26 @@
 impl World {
     /// A world with six machines and three nodes.
     pub fn new(seed: u64) -> World {
+        let size = Size {
+            nodes: 3,
+            zones: 3,
+            machines: 6,
+            capacity: 14,
+        };
+        World::of(seed, size)
+    }
+
+    /// A world of any size.
+    pub fn of(seed: u64, size: Size) -> World {
         let mut w = World {
+            size,
             t: SEC,
             rng: StdRng::seed_from_u64(seed),
             queue: BTreeMap::new(),
             seq: 0,
             slots: Vec::new(),
             state: State::default(),
-            cloud: Cloud::new(14),
+            cloud: Cloud::new(size.zones, size.capacity),
             workers: BTreeMap::new(),
             watches: Vec::new(),
             jobs: BTreeMap::new(),
@@ -216,10 +242,11 @@
             broken: Vec::new(),
             started: 0,
         };
-        for i in 0..6 {
-            w.cloud.add(0, ["z0", "z1", "z2"][i % 3], i >= 4, 0);
+        for i in 0..size.machines {
+            let zone = format!("z{}", i % size.zones);
+            w.cloud.add(0, &zone, i * 3 >= size.machines * 2, 0);
         }
-        for n in 0..3 {
+        for n in 0..size.nodes as u64 {
             w.slots.push(Slot {
                 node: None,
                 life: 0,
@@ -257,7 +284,7 @@
 
     fn zone(&self, h: &Host) -> Option<String> {
         match h {
-            Host::Node(n) => Some(format!("z{n}")),
+            Host::Node(n) => Some(format!("z{}", n % self.size.zones)),
             Host::Worker(m) => self.workers.get(m).map(|w| w.machine.zone.to_string()),
             _ => None,
         }
@@ -330,7 +357,8 @@
                         Target::State => Host::State,
                         Target::Cloud => Host::Cloud,
                         Target::Host(a) if a.ip().octets()[1] == 1 => {
-                            Host::Worker(format!("host-{:06}", a.ip().octets()[3]))
+                            let [_, _, high, low] = a.ip().octets();
+                            Host::Worker(format!("host-{:06}", u16::from_be_bytes([high, low])))
                         }
                         Target::Host(a) => Host::Node(usize::from(a.ip().octets()[3]) - 1),
                     };
@@ -647,7 +675,7 @@
                 w.next = self.t + 200_000;
             }
             _ => {
-                w.node = (w.node + 1) % 3;
+                w.node = (w.node + 1) % self.size.nodes;
                 w.next = self.t + SEC;
             }
         }
@@ -660,7 +688,9 @@
         told.asks += 1;
         told.asked_cancel |= what == Ask::Cancel;
         let tried = told.asks;
-        let up: Vec<usize> = (0..3).filter(|&n| self.slots[n].node.is_some()).collect();
+        let up: Vec<usize> = (0..self.size.nodes)
+            .filter(|&n| self.slots[n].node.is_some())
+            .collect();
         let patience = if what == Ask::Poll { 2 } else { 5 };
         self.at(
             self.t + patience * SEC,
@@ -757,7 +787,7 @@
         self.state.tick(t);
         self.wake_watches();
         for m in self.cloud.tick(t) {
-            let node = self.rng.random_range(0..3);
+            let node = self.rng.random_range(0..self.size.nodes);
             self.workers
                 .insert(m.id.to_string(), Worker::new(m, t, node));
         }
@@ -781,7 +811,7 @@
             let w = self.workers.get_mut(name).unwrap();
             if w.flight.is_some_and(|(_, sent)| t > sent + 4 * SEC) {
                 w.flight = None;
-                w.node = (w.node + 1) % 3;
+                w.node = (w.node + 1) % self.size.nodes;
                 w.next = t + SEC;
             }
             if w.due(t) {
@@ -936,7 +966,7 @@
     // ---- faults ----
 
     fn leader(&self) -> Option<usize> {
-        (0..3).find(|&n| self.slots[n].node.as_ref().is_some_and(Node::leads))
+        (0..self.size.nodes).find(|&n| self.slots[n].node.as_ref().is_some_and(Node::leads))
     }
 
     fn heal_in(&mut self, seconds: u64, f: Fault) {
@@ -1004,7 +1034,7 @@
                 let all: Vec<String> = self.workers.keys().cloned().collect();
                 if !all.is_empty() {
                     let m = all[self.rng.random_range(0..all.len())].clone();
-                    for n in 0..3 {
+                    for n in 0..self.size.nodes {
                         let (a, b) = (Host::Node(n), Host::Worker(m.clone()));
                         self.cuts.push((a, b, false, t + s * SEC));
                     }
@@ -1041,7 +1071,7 @@
     }
 
     fn restart(&mut self, n: usize) {
-        let s = settings(n as u32);
+        let s = settings_of(n as u32, self.size.nodes as u32, self.size.zones as u32);
         let policy = Policy::from_script(DEFAULT_SCRIPT, &s).unwrap();
         let seed = self.rng.random();
         let slot = &mut self.slots[n];
@@ -1151,7 +1181,7 @@
     pub fn trouble(&mut self, from: u64, to: u64, count: u32) {
         for _ in 0..count {
             let at = self.rng.random_range(from..to);
-            let n = self.rng.random_range(0..3);
+            let n = self.rng.random_range(0..self.size.nodes);
             let s = self.rng.random_range(3..25);
             let f = match self.rng.random_range(0..19) {
                 0 => Fault::Crash(n, 5),
@@ -1165,7 +1195,7 @@
                 10 => Fault::Take(false),
                 11 => Fault::Cut(
                     Host::Node(n),
-                    Host::Node((n + 1) % 3),
+                    Host::Node((n + 1) % self.size.nodes),
                     self.rng.random_bool(0.5),
                     s,
                 ),
@@ -1187,7 +1217,11 @@
         let mut w = World::new(seed);
         w.mix(150, 40);
         w.trouble(10, 170, 14);
-        w.play(460);
+        checked(w, 460)
+    }
+
+    fn checked(mut w: World, until: u64) -> World {
+        w.play(until);
         // Every job is over by now and none of its tasks can be anywhere.
         if w.state.count("w/j/") > 0 {
             w.broken
@@ -1232,6 +1266,34 @@
         }
     }
 
+    // More nodes than zones, and more zones than nodes; several leaders' worth
+    // of trouble; arrays that need several transactions to start.
+    #[test]
+    fn plays_rough_days_of_other_shapes() {
+        let (nodes, zones) = ([5, 3], [3, 4]);
+        for seed in 200..204 {
+            let shape = seed as usize % 2;
+            let size = Size {
+                nodes: nodes[shape],
+                zones: zones[shape],
+                machines: 30,
+                capacity: 60,
+            };
+            let mut w = World::of(seed, size);
+            w.mix(150, 80);
+            for i in 0..6 {
+                let mut j = submission(&format!("wk-9{i:05}"), Shape::Array, 150);
+                j.priority = Priority::Low;
+                j.estimate_s = 8.0;
+                w.job(10 + 20 * i, j, None);
+            }
+            w.trouble(10, 170, 20);
+            let w = checked(w, 700);
+            assert_eq!(w.broken, Vec::<String>::new(), "seed {seed}");
+            assert_eq!(w.unserved(), Vec::<&str>::new(), "seed {seed}");
+        }
+    }
+
     /// The checker would notice: with a safety decision switched off, rules
     /// break within a few days.
     fn caught(d: Decision, rule: &str, day: impl Fn(u64) -> World) {
