--- a/src/testing/world.rs
+++ b/src/testing/world.rs
@@ -503,8 +503,9 @@
                     node,
                     life,
                     id,
+                    method,
+                    path,
                     body,
-                    ..
                 },
             ) => {
                 let Some(w) = self.workers.get_mut(&m) else {
@@ -521,13 +522,17 @@
                                 node,
                                 life,
                                 id,
-                                method: "POST",
-                                path: "/commands".into(),
+                                method,
+                                path,
                                 body,
                             },
                         ),
                     );
                 }
+                if path == "/inspect" {
+                    let report = encode(&w.report(self.t));
+                    return self.reply(Host::Worker(m), node, life, id, 200, report);
+                }
                 let Some(d) = decode::<DirectCommands>(&body) else {
                     self.broken.push("commands cannot be read".into());
                     return;
