--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -44,8 +44,6 @@
     pub tally: Tally,
     /// When it last reported.
     pub reported: Option<Time>,
-    /// When a silent one was last asked directly.
-    pub probed: Option<Time>,
     /// When we last answered a report with 200.
     pub answered: Option<Time>,
     /// Whether its newest report carried our token.
@@ -91,7 +89,6 @@
             session: Session(0),
             tally: Tally(0),
             reported: None,
-            probed: None,
             answered: None,
             ours: false,
             ours_since: None,
--- a/src/core/leader.rs
+++ b/src/core/leader.rs
@@ -205,12 +205,6 @@
         matches!(self.load, Load::Done)
     }
 
-    /// As if everything had been read and nothing found.
-    #[cfg(test)]
-    pub(super) fn load_nothing(&mut self, now: Time) {
-        (self.load, self.contact) = (Load::Done, now);
-    }
-
     /// Whether reports may be answered: everything is loaded, and the last
     /// contact is not so old that a cancellation told since could be missed.
     pub fn may_answer(&self, now: Time) -> bool {
@@ -241,7 +235,6 @@
                 self.look_due = io.now.time + LOOK_EVERY;
                 self.expire(io);
                 self.give_up_machines(io.now.time);
-                self.probe_silent(io);
             }
             self.rental_tick(io);
         }
--- a/src/core/node.rs
+++ b/src/core/node.rs
@@ -65,13 +65,6 @@
         /// Whose leadership.
         token: Token,
     },
-    /// A look at a silent machine.
-    Probe {
-        /// Whose leadership.
-        token: Token,
-        /// The machine.
-        machine: MachineId,
-    },
     /// A call to the cloud.
     Cloud {
         /// Whose leadership.
@@ -465,9 +458,6 @@
             Pending::Commit { token } => {
                 return self.lead(token, |l, io| l.on_commit(io, reply));
             }
-            Pending::Probe { token, machine } => {
-                return self.lead(token, |l, io| l.on_probe(io, &machine, &reply));
-            }
             Pending::Cloud { token, call } => {
                 self.lead(token, |l, io| l.on_cloud(io, call, reply));
                 if let Some(types) = self.io.learned_types.take() {
