Tell a peer everything again only when it is back; split the leader's module

Cause of the first, found by reading: while one peer was down the leader began to tell from the start every second, so the others never heard of more than the first 100 machines' images. The leader's writing, placing and telling have modules of their own; what an operator is shown is bounded and can be narrowed. Behaviour else as before.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -68,6 +68,12 @@
         /// Address of a node's internal interface.
         #[arg(long, value_name = "ADDR")]
         node: SocketAddr,
+        /// Only machines whose names begin like this.
+        #[arg(long, value_name = "NAME", default_value = "")]
+        machine: String,
+        /// Only jobs whose ids begin like this.
+        #[arg(long, value_name = "ID", default_value = "")]
+        job: String,
     },
 }
 
@@ -200,6 +206,9 @@
             let path = format!("/submissions/{id}/cancel");
             show(ask(node, "POST", &path, &[]))
         }
-        Some(Verb::Inspect { node }) => show(ask(node, "GET", "/inspect", &[])),
+        Some(Verb::Inspect { node, machine, job }) => {
+            let path = format!("/inspect?machine={machine}&job={job}");
+            show(ask(node, "GET", &path, &[]))
+        }
     }
 }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -9,12 +9,15 @@
 pub mod leader;
 pub mod ledger;
 pub mod node;
+mod placing;
 pub mod polls;
 pub mod preempt;
 pub mod presence;
 pub mod rental;
 pub mod tables;
+mod telling;
 pub(crate) mod weak;
+mod writing;
 
 use crate::types::{Span, Time, Wall};
 use std::net::SocketAddrV4;
--- a/src/core/node.rs
+++ b/src/core/node.rs
@@ -19,7 +19,7 @@
 use hdrhistogram::Histogram;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 
@@ -266,6 +266,8 @@
     intake: Intake,
     leader: Option<Leader>,
     peers: BTreeMap<Label, PeerView>,
+    /// Peers that missed what was last told.
+    missed: BTreeSet<Label>,
     /// Images on machines, as the last leader told.
     caches: BTreeMap<MachineId, (Time, Vec<(Image, f64)>)>,
     types: Option<MachineTypes>,
@@ -299,6 +301,7 @@
             intake: Intake::default(),
             leader: None,
             peers: BTreeMap::new(),
+            missed: BTreeSet::new(),
             caches: BTreeMap::new(),
             types: None,
             types_due: Time(0),
@@ -401,7 +404,7 @@
             }
             (Side::Internal, "POST", ["greet"]) => self.greeted(id, &r.body),
             (Side::Internal, "GET", ["inspect"]) => {
-                let body = wire::encode(&self.inspect());
+                let body = wire::encode(&self.inspect(&r.query));
                 self.io.answer(
                     id,
                     Answer {
@@ -484,8 +487,13 @@
                     && g.label == label
                 {
                     self.heard(g);
-                } else if let Some(leader) = &mut self.leader {
-                    leader.tell_again();
+                    if self.missed.remove(&label)
+                        && let Some(leader) = &mut self.leader
+                    {
+                        leader.tell_again();
+                    }
+                } else {
+                    self.missed.insert(label);
                 }
                 Outcome::None
             }
@@ -824,7 +832,14 @@
 
     // ---- operators ----
 
-    fn inspect(&self) -> serde_json::Value {
+    /// `query` may have `machine=` and `job=`, what their names begin with.
+    fn inspect(&self, query: &str) -> serde_json::Value {
+        let starts = |name: &str| {
+            let pairs = query.split('&').filter_map(|p| p.split_once('='));
+            let mut named = pairs.filter(|(n, _)| *n == name);
+            named.next().map_or("", |(_, value)| value)
+        };
+        let (machine, job) = (starts("machine"), starts("job"));
         let now = self.io.now.time;
         let times: serde_json::Map<String, serde_json::Value> = self
             .io
@@ -854,8 +869,59 @@
             "standing": format!("{:?}", self.election.standing),
             "leader": self.election.leader.as_ref().map(|(l, _)| l),
             "peers": peers, "times": times,
-            "leading": self.leader.as_ref().map(|l| l.inspect(now)),
+            "leading": self.leader.as_ref().map(|l| l.inspect(now, machine, job)),
             "standing_by": matches!(self.election.standing, Standing::Following(_)),
         })
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::policy::DEFAULT_SCRIPT;
+    use crate::testing;
+
+    // While one peer was down everything was told from the beginning again
+    // every second, and the others never heard of more than the first machines.
+    #[test]
+    fn a_peer_that_is_down_does_not_keep_the_others_from_hearing() {
+        let settings = testing::settings(0);
+        let policy = Policy::from_script(DEFAULT_SCRIPT, &settings).unwrap();
+        let mut node = Node::new(settings, policy, 1);
+        let mut leader = Leader::new(
+            Rc::clone(&node.settings),
+            Rc::clone(&node.policy),
+            Token(5),
+            1,
+            Time(0),
+            &MachineTypes::default(),
+        );
+        for n in 0..1000 {
+            let images = [(Image::from("img"), 5.0)];
+            leader.inherit_cache(Time(0), &format!("host-{n:04}").into(), &images);
+        }
+        node.leader = Some(leader);
+        let mut heard = BTreeSet::new();
+        for _ in 0..20 {
+            node.greet();
+            for out in std::mem::take(&mut node.io.out) {
+                let Output::Call(call) = out else { continue };
+                let Some(Pending::Greet(label)) = node.io.pending.remove(&call.id) else {
+                    continue;
+                };
+                let reply = if label.as_str() == "node-1" {
+                    let told: Greeting = wire::decode(&call.body).unwrap();
+                    heard.extend(told.caches.into_iter().map(|(id, _)| id));
+                    let mut answer = node.greeting(Vec::new());
+                    answer.label = label.clone();
+                    (answer.token, answer.leads) = (Token(0), false);
+                    Reply::Answer(200, wire::encode(&answer))
+                } else {
+                    Reply::Lost
+                };
+                node.reply(Pending::Greet(label), reply);
+            }
+        }
+        assert_eq!(heard.len(), 1000);
+    }
+}
--- /dev/null
+++ b/src/core/placing.rs
@@ -0,0 +1,456 @@
+//! The leader's cycle: from its tables and what waits to starts, stops and
+//! orders for machines.
+
+use super::cycle::{Cycle, Pace, TeamUse, Want};
+use super::fleet::Machine;
+use super::leader::Leader;
+use super::ledger::Job;
+use super::node::Io;
+use super::preempt::{self, Victim, Victims};
+use super::presence::Phase;
+use super::tables::Row;
+use crate::settings::ObjectiveKind;
+use crate::types::{Amounts, Attempt, JobId, MachineId, Span, TaskId, Team, Time, Wall};
+use crate::wire::users::{Priority, Shape};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Seconds that stopping a task soon after its start weighs more.
+const FRESH_COST: f64 = 20.0;
+/// Puts a job that has missed an aim behind all that have not.
+const LATE: i64 = 1 << 48;
+/// Most searches for room in one pass of a cycle.
+const MOST_SEARCHES: u32 = 64;
+/// Most tasks of one job that one cycle looks at.
+const MOST_TASKS: usize = 512;
+
+/// Tasks to stop, found while a cycle makes room.
+#[derive(Debug, Default)]
+struct Stops {
+    /// All that may be stopped, once something looks for them.
+    victims: Option<Victims>,
+    /// Those that are to be.
+    taken: BTreeSet<usize>,
+}
+
+impl Leader {
+    /// The machines as the cycle sees them, and their names by row.
+    pub(super) fn rows(&self, now: Time) -> Vec<Row> {
+        let silence = self.silence();
+        self.machines
+            .iter()
+            .filter(|(_, m)| m.usable(now, silence))
+            .filter_map(|(id, m)| self.row(now, id, m))
+            .collect()
+    }
+
+    /// One machine as a row.
+    pub(super) fn row(&self, now: Time, id: &MachineId, m: &Machine) -> Option<Row> {
+        let kind = m.kind.clone()?;
+        let t = self.types.get(&kind)?;
+        let whole = t.has();
+        let free = whole - m.strays - m.used;
+        Some(Row {
+            id: id.clone(),
+            kind,
+            zone: m.zone.clone()?,
+            spot: m.spot,
+            whole,
+            free,
+            available: now,
+            last_high: m.last_high,
+            cache: m.cache.clone(),
+            fetch_rate: t.fetch_gb_per_s,
+        })
+    }
+
+    /// Predicts when each row's machine will be free altogether.
+    fn predict(&self, now: Time, rows: &mut [Row]) {
+        for row in rows {
+            let tasks = self.machines.get(&row.id).map(|m| &m.tasks);
+            let mut work = 0.0;
+            for task in tasks.into_iter().flatten() {
+                if let Some(job) = self.jobs.get(&task.job)
+                    && let Some(p) = job.places.get(&task.index)
+                {
+                    let share = job.spec.needs().share_of(&row.whole).min(1.0);
+                    work += self.remaining(now, job, p).as_secs() * share;
+                }
+            }
+            row.available = now + Span::secs(work);
+        }
+    }
+
+    /// What teams use, counting every place a task may be.
+    pub(super) fn team_use(&self) -> BTreeMap<Team, TeamUse> {
+        let mut teams: BTreeMap<Team, TeamUse> = self
+            .settings
+            .teams
+            .iter()
+            .map(|(t, share)| {
+                let none = Amounts::default();
+                (
+                    t.clone(),
+                    TeamUse {
+                        used: none,
+                        share: *share,
+                    },
+                )
+            })
+            .collect();
+        for job in self.jobs.values() {
+            if let Some(t) = teams.get_mut(&job.spec.team) {
+                t.used += job.spec.needs().times(job.places.len() as f64);
+            }
+        }
+        teams
+    }
+
+    /// Marks the open jobs that lie within their team's guarantee: together
+    /// with the team's earlier unfinished jobs they fit into it.
+    fn mark_entitled(&mut self) {
+        let mut order: Vec<(Wall, JobId)> = self
+            .jobs
+            .iter()
+            .filter(|(_, j)| j.is_open())
+            .map(|(id, j)| (j.at, id.clone()))
+            .collect();
+        order.sort();
+        let mut sums: BTreeMap<Team, Amounts> = BTreeMap::new();
+        for (_, id) in order {
+            let Some(job) = self.jobs.get_mut(&id) else {
+                continue;
+            };
+            let Some(share) = self.settings.teams.get(&job.spec.team) else {
+                continue;
+            };
+            let sum = sums.entry(job.spec.team.clone()).or_default();
+            let whole = *sum + job.spec.needs().times(f64::from(job.spec.tasks));
+            job.notes.entitled = share.guarantees(&whole);
+            *sum = whole;
+        }
+    }
+
+    /// Orders jobs of the same rank. Each aim for a job's class gives a time
+    /// by which its tasks should start. The job whose next such time comes
+    /// first goes first, but one that has missed an aim goes behind those that
+    /// have not: in a rush, work that is late anyway must not make the rest
+    /// late too. Large jobs go later by what they would take of `fleet`: when
+    /// not all can be on time, the small ones are more.
+    fn order(&self, wall: Wall, job: &Job, fleet: &Amounts) -> i64 {
+        let ms = |s: f64| (s * 1000.0).clamp(0.0, 1e10) as i64;
+        let since = wall.0 as i64 - job.at.0 as i64;
+        let run = ms(job.spec.estimate_s);
+        let started = !job.done.is_empty() || !job.places.is_empty();
+        let mut times: Vec<i64> = self
+            .settings
+            .objectives
+            .iter()
+            .filter(|o| o.class.as_ref() == Some(&job.spec.class))
+            .filter_map(|o| match (o.kind, o.within, job.spec.deadline_s) {
+                (ObjectiveKind::Wait, Some(w), _) if !started => Some(ms(w.as_secs())),
+                (ObjectiveKind::Finished, Some(w), _) => Some(ms(w.as_secs()) - run),
+                (ObjectiveKind::Deadline, _, Some(d)) => Some(ms(d * o.times) - run),
+                _ => None,
+            })
+            .collect();
+        if times.is_empty() {
+            times.push(ms(job.spec.deadline_s.unwrap_or(600.0)) - run);
+        }
+        let missed = times.iter().filter(|t| **t < since).count() as i64;
+        let next = times.iter().filter(|t| **t >= since).min();
+        let left = f64::from(job.waiting.len()) * job.spec.needs().share_of(fleet);
+        let size = ms(left * job.spec.estimate_s * self.policy.small_first);
+        // What has missed everything goes by age.
+        missed * LATE + job.at.0 as i64 + next.copied().unwrap_or(0) + size
+    }
+
+    /// When a job's tasks must run for its next aim about starting to be met:
+    /// that of its class, or of work within a guarantee.
+    fn start_by(&self, now: Time, wall: Wall, job: &Job) -> Option<Time> {
+        if !job.done.is_empty() {
+            return None;
+        }
+        let since = Span::millis(wall.0.saturating_sub(job.at.0));
+        let left = self.settings.objectives.iter().filter_map(|o| {
+            let concerns = match o.kind {
+                ObjectiveKind::Wait => o.class.as_ref() == Some(&job.spec.class),
+                ObjectiveKind::Guarantee => job.notes.entitled,
+                _ => false,
+            };
+            let within = o.within.filter(|w| concerns && *w > since)?;
+            Some(Span(within.0 - since.0))
+        });
+        left.min().map(|left| now + left)
+    }
+
+    /// What all machines together have.
+    fn fleet(&self) -> Amounts {
+        let mut all = Amounts::default();
+        for m in self.machines.values().filter(|m| m.reported.is_some()) {
+            if let Some(t) = m.kind.as_ref().and_then(|k| self.types.get(k)) {
+                all += t.has();
+            }
+        }
+        all
+    }
+
+    fn wants(&mut self, now: Time, wall: Wall) -> Vec<Want> {
+        self.mark_entitled();
+        let ids: Vec<JobId> = self
+            .jobs
+            .iter()
+            .filter(|(_, j)| j.is_open() && !j.waiting.is_empty())
+            .map(|(id, _)| id.clone())
+            .collect();
+        let patience = Span::secs(self.policy.patience_s);
+        let fleet = self.fleet();
+        let mut wants = Vec::new();
+        for id in ids {
+            let order = self.order(wall, &self.jobs[&id], &fleet);
+            let start_by = self.start_by(now, wall, &self.jobs[&id]);
+            let Some(job) = self.jobs.get_mut(&id) else {
+                continue;
+            };
+            job.notes.waiting_since.get_or_insert(now);
+            if now < job.notes.not_before {
+                job.notes.why = "it failed lately";
+                continue;
+            }
+            if job.is_gang() && !job.places.is_empty() {
+                job.notes.why = "its last attempt is not gone yet";
+                continue;
+            }
+            let spec = job.spec.clone();
+            let mut in_zones = BTreeMap::new();
+            let mut unknown = false;
+            for p in job.places.values() {
+                match self.machines.get(&p.machine).and_then(|m| m.zone.clone()) {
+                    Some(z) => *in_zones.entry(z).or_default() += 1,
+                    None => unknown = true,
+                }
+            }
+            if unknown && (spec.one_zone || spec.spread) {
+                job.notes.why = "the zone of one of its tasks is not known yet";
+                continue;
+            }
+            job.notes.why = "no room";
+            let tasks: Vec<u32> = if job.is_gang() {
+                job.waiting.iter().collect()
+            } else {
+                job.waiting.iter().take(MOST_TASKS).collect()
+            };
+            wants.push(Want {
+                job: id,
+                team: spec.team.clone(),
+                image: spec.image.clone(),
+                image_gb: spec.image_gb,
+                need: spec.needs(),
+                tasks,
+                gang: spec.shape == Shape::Gang,
+                priority: spec.priority,
+                entitled: job.notes.entitled,
+                order,
+                kinds: spec.kinds.clone(),
+                zone: spec.zone.clone(),
+                one_zone: spec.one_zone,
+                most_in_zone: spec.spread.then(|| spec.tasks.div_ceil(2)),
+                in_zones,
+                spot: spec.spot,
+                run: Span::secs(spec.estimate_s),
+                start_by,
+                aged: job.notes.waiting_since.is_some_and(|t| {
+                    let most = if job.is_gang() {
+                        patience
+                    } else {
+                        patience.scaled(10.0)
+                    };
+                    now.since(t) > most
+                }),
+                avoid: job.notes.failed_on.clone(),
+            });
+        }
+        wants
+    }
+
+    /// One cycle.
+    pub(super) fn cycle(&mut self, io: &mut Io) {
+        let now = io.now.time;
+        let mut wants = self.wants(now, io.now.wall);
+        let holds = wants.iter().any(|w| w.aged && w.gang);
+        let mut rows = self.rows(now);
+        if holds {
+            self.predict(now, &mut rows);
+        }
+        let mut teams = self.team_use();
+        let wait = self.settings.workers.gang_wait;
+        let pace = Pace {
+            now,
+            most_skew: Span(wait.0 * 6 / 10),
+        };
+        let estimates = self.estimates.clone();
+        let mut cycle = Cycle::new(pace, &mut rows, &mut teams, &estimates);
+        cycle.run_warm(&mut wants);
+        let mut stops = Stops::default();
+        self.make_room(&mut cycle, &mut wants, Priority::High, &mut stops);
+        cycle.run_rest(&mut wants);
+        self.make_room(&mut cycle, &mut wants, Priority::Low, &mut stops);
+        let starts = std::mem::take(&mut cycle.starts);
+        let mut attempts: BTreeMap<JobId, Attempt> = BTreeMap::new();
+        for s in starts {
+            let attempt = *attempts
+                .entry(s.job.clone())
+                .or_insert_with(|| Attempt(self.jobs.get(&s.job).map_or(0, |j| j.attempt.0) + 1));
+            let task = TaskId {
+                job: s.job,
+                index: s.task,
+            };
+            let machine = rows[s.row].id.clone();
+            let fetch = self.machines.get(&machine).map(|m| {
+                let image = &self.jobs[&task.job].spec.image;
+                m.cache.remaining(image, now).map(Span::as_secs)
+            });
+            tracing::debug!(task = %task, %machine, ?fetch, "placed");
+            self.put(now, &task, &machine, attempt);
+        }
+        let mut by_job: BTreeMap<JobId, Vec<u32>> = BTreeMap::new();
+        for n in stops.taken {
+            if let Some(v) = stops.victims.as_ref().map(|v| &v[n]) {
+                by_job.entry(v.job.clone()).or_default().push(v.task);
+            }
+        }
+        for (id, tasks) in by_job {
+            let Some(job) = self.jobs.get(&id) else {
+                continue;
+            };
+            let grace = job.spec.save_s;
+            tracing::info!(job = %id, team = %job.spec.team, tasks = tasks.len(), "stopped for more urgent work");
+            self.stop_tasks(now, &id, &tasks, grace, "stopped for more urgent work");
+        }
+        for job in self.jobs.values_mut().filter(|j| j.waiting.is_empty()) {
+            job.notes.waiting_since = None;
+            job.notes.why = "";
+        }
+        wants.retain(|w| !w.tasks.is_empty());
+        self.plan_rental(io, &wants, &rows);
+    }
+
+    /// Stops tasks for work that found no room, and places that work where
+    /// they were; it is sent once they have left.
+    fn make_room(
+        &self,
+        cycle: &mut Cycle<'_>,
+        wants: &mut [Want],
+        least: Priority,
+        stops: &mut Stops,
+    ) {
+        let urgent = |w: &Want| !w.tasks.is_empty() && (w.priority > Priority::Low || w.entitled);
+        let mut order: Vec<usize> = (0..wants.len())
+            .filter(|&i| wants[i].priority >= least && urgent(&wants[i]))
+            .collect();
+        order.sort_by_key(|&i| {
+            (
+                std::cmp::Reverse(wants[i].priority),
+                std::cmp::Reverse(wants[i].entitled),
+                wants[i].order,
+            )
+        });
+        // What a search that found nothing is good for: until room is made,
+        // another want like it that is no smaller finds nothing either.
+        let mut failed: Vec<(usize, usize)> = Vec::new();
+        let mut searches = 0;
+        for i in order {
+            let hopeless = failed
+                .iter()
+                .any(|&(f, n)| wants[i].tasks.len() >= n && wants[i].is_like(&wants[f]));
+            if hopeless {
+                continue;
+            }
+            let want = &mut wants[i];
+            let allowed = cycle
+                .teams
+                .get(&want.team)
+                .map(|t| TeamUse {
+                    used: t.used + want.need.times(want.tasks.len() as f64),
+                    share: t.share,
+                })
+                .is_some_and(|t| t.share.allows(&t.used));
+            if !allowed {
+                continue;
+            }
+            searches += 1;
+            if searches > MOST_SEARCHES {
+                return;
+            }
+            let victims = stops
+                .victims
+                .get_or_insert_with(|| self.victims(cycle.pace.now, cycle.rows));
+            let Some(e) = preempt::evict(cycle, want, victims, &stops.taken, 16) else {
+                failed.push((i, if want.gang { want.tasks.len() } else { 1 }));
+                continue;
+            };
+            failed.clear();
+            for &n in &e.victims {
+                cycle.rows[victims[n].row].free += victims[n].need;
+            }
+            stops.taken.extend(e.victims);
+            for row in e.rows {
+                if let Some(task) = (!want.tasks.is_empty()).then(|| want.tasks.remove(0)) {
+                    cycle.assign(want, task, row);
+                }
+            }
+        }
+    }
+
+    fn victims(&self, now: Time, rows: &[Row]) -> Victims {
+        let index: BTreeMap<&MachineId, usize> =
+            rows.iter().enumerate().map(|(i, r)| (&r.id, i)).collect();
+        let settle = Span::secs(self.policy.settle_s);
+        let mut victims = Vec::new();
+        for (id, job) in self.jobs.iter().filter(|(_, j)| j.is_open()) {
+            // A gang goes whole, so all of it must be within reach.
+            let reachable = job
+                .places
+                .values()
+                .all(|p| index.contains_key(&p.machine) && p.stop.is_none());
+            if job.is_gang() && !reachable {
+                continue;
+            }
+            let aims = job.notes.entitled
+                || self.settings.objectives.iter().any(|o| {
+                    o.kind == ObjectiveKind::Wait && o.class.as_ref() == Some(&job.spec.class)
+                });
+            for (&task, p) in &job.places {
+                let Some(&row) = index.get(&p.machine) else {
+                    continue;
+                };
+                if p.stop.is_some() || p.unsent() {
+                    continue;
+                }
+                let ran = p.running.map_or(0.0, |t| now.since(t).as_secs());
+                let lost = if job.spec.checkpoint_s > 0.0 {
+                    job.spec.save_s
+                } else {
+                    ran
+                };
+                let share = job.spec.needs().share_of(&rows[row].whole);
+                let settled = matches!(p.phase, Phase::Seen(_) | Phase::Inherited)
+                    && now.since(p.placed) > settle;
+                // A start that is stopped soon does not count for its users,
+                // if they have an aim about starting.
+                let fresh = if settled || !aims { 0.0 } else { FRESH_COST };
+                victims.push(Victim {
+                    job: id.clone(),
+                    task,
+                    team: job.spec.team.clone(),
+                    priority: job.spec.priority,
+                    need: job.spec.needs(),
+                    gang: job.is_gang(),
+                    row,
+                    cost: (lost + 5.0 + fresh) * share,
+                    settled,
+                });
+            }
+        }
+        Victims::new(victims, rows.len())
+    }
+}
--- /dev/null
+++ b/src/core/telling.rs
@@ -0,0 +1,127 @@
+//! What the leader tells peers and operators.
+
+use super::fleet::{Leaving, Machine};
+use super::leader::Leader;
+use super::presence::Phase;
+use crate::types::{Image, JobId, MachineId, Time};
+use crate::wire::workers::TaskState;
+
+/// Machines, and jobs, that one answer to an operator shows.
+const MOST_SHOWN: usize = 200;
+/// Machines whose images are told to peers at once.
+const MOST_CACHES: usize = 100;
+
+impl Leader {
+    /// Task counts of a job, for display: done and running.
+    pub fn counts(&self, id: &JobId) -> Option<(u32, u32)> {
+        let job = self.jobs.get(id)?;
+        let running = job
+            .places
+            .values()
+            .filter(|p| p.phase == Phase::Seen(TaskState::Running))
+            .count();
+        Some((job.done.len(), running as u32))
+    }
+
+    /// Counts that changed since the last call, at most `most`.
+    pub fn changed_counts(&mut self, most: usize) -> Vec<(JobId, u32, u32)> {
+        let ids: Vec<JobId> = self.jobs.keys().cloned().collect();
+        let mut out = Vec::new();
+        for id in ids {
+            let Some(now) = self.counts(&id) else {
+                continue;
+            };
+            if out.len() < most && self.told.get(&id) != Some(&now) {
+                self.told.insert(id.clone(), now);
+                out.push((id, now.0, now.1));
+            }
+        }
+        out
+    }
+
+    /// Images of machines where they changed since the last call.
+    pub fn changed_caches(&mut self) -> Vec<(MachineId, Vec<(Image, f64)>)> {
+        self.told_caches
+            .retain(|id, _| self.machines.contains_key(id));
+        let mut out = Vec::new();
+        for (id, m) in &self.machines {
+            let now: Vec<(Image, f64)> = m.cache.images().map(|(i, gb)| (i.clone(), gb)).collect();
+            if out.len() < MOST_CACHES && self.told_caches.get(id) != Some(&now) {
+                self.told_caches.insert(id.clone(), now.clone());
+                out.push((id.clone(), now));
+            }
+        }
+        out
+    }
+
+    /// A peer missed what was told: tells everything once more.
+    pub fn tell_again(&mut self) {
+        self.told.clear();
+        self.told_caches.clear();
+    }
+
+    /// Takes over what the last leader told of a machine's images.
+    pub fn inherit_cache(&mut self, now: Time, id: &MachineId, images: &[(Image, f64)]) {
+        let m = self
+            .machines
+            .entry(id.clone())
+            .or_insert_with(|| Machine::new(now));
+        for (image, gb) in images {
+            m.cache.fetched(image, *gb, now, f64::INFINITY);
+        }
+    }
+
+    /// Everything an operator may ask for, of machines and jobs whose names
+    /// begin like this; of each at most `MOST_SHOWN`, after the totals.
+    pub fn inspect(&self, now: Time, machine: &str, job: &str) -> serde_json::Value {
+        let age = |t: Option<Time>| t.map(|t| now.since(t).as_secs());
+        let machines: Vec<_> = self
+            .machines
+            .iter()
+            .filter(|(id, _)| id.as_str().starts_with(machine))
+            .take(MOST_SHOWN)
+            .map(|(id, m)| {
+                serde_json::json!({
+                    "machine": id, "kind": m.kind, "zone": m.zone, "spot": m.spot,
+                    "session": m.session, "reported_s_ago": age(m.reported),
+                    "usable": m.usable(now, self.silence()), "lost": m.lost,
+                    "leaving": m.leaving != Leaving::No, "taken_in_s": m.taken_at.map(|t| t.since(now).as_secs()),
+                    "images": m.cache.images().map(|(i, _)| i).collect::<Vec<_>>(),
+                    "tasks": m.tasks.iter().map(|t| {
+                        let job = self.jobs.get(&t.job);
+                        let p = job.and_then(|j| j.places.get(&t.index));
+                        serde_json::json!({
+                            "task": t.to_string(), "owner": job.map(|j| &j.spec.team),
+                            "attempt": p.map(|p| p.attempt),
+                            "phase": p.map(|p| format!("{:?}", p.phase)),
+                            "stopping": p.is_some_and(|p| p.stop.is_some()),
+                        })
+                    }).collect::<Vec<_>>(),
+                })
+            })
+            .collect();
+        let jobs: Vec<_> = self
+            .jobs
+            .iter()
+            .filter(|(id, _)| id.as_str().starts_with(job))
+            .take(MOST_SHOWN)
+            .map(|(id, j)| {
+                serde_json::json!({
+                    "job": id, "owner": j.spec.team, "class": j.spec.class,
+                    "priority": j.spec.priority, "tasks": j.spec.tasks, "done": j.done.len(),
+                    "placed": j.places.len(), "waiting": j.waiting.len(),
+                    "waits_s": age(j.notes.waiting_since), "why": j.notes.why,
+                    "within_guarantee": j.notes.entitled, "last_stop": j.notes.last_stop,
+                    "end": j.end.map(|e| format!("{e:?}")),
+                })
+            })
+            .collect();
+        serde_json::json!({
+            "token": self.token, "in_office_s": now.since(self.office).as_secs(),
+            "contact_s_ago": now.since(self.contact).as_secs(), "loaded": self.is_loaded(),
+            "cycles": self.cycles,
+            "totals": {"machines": self.machines.len(), "jobs": self.jobs.len()},
+            "machines": machines, "jobs": jobs,
+        })
+    }
+}
--- /dev/null
+++ b/src/core/writing.rs
@@ -0,0 +1,254 @@
+//! The leader's lane of writes: what changed goes out in conditional
+//! transactions, one at a time, ahead of what depends on it.
+
+use super::leader::{Fate, Leader};
+use super::ledger::{self, End, Item, TxnBuilder, TxnLimits};
+use super::node::{Io, Pending};
+use super::{Reply, Target};
+use crate::types::{Span, Time, Version};
+use crate::wire;
+use crate::wire::state::{Condition, Op, Revision, Txn};
+
+/// Least time between two commits.
+const COMMIT_GAP: Span = Span::millis(40);
+
+impl Leader {
+    /// Sends the next transaction, if there is anything to write.
+    pub(super) fn pump(&mut self, io: &mut Io) {
+        let now = io.now.time;
+        if self.lane.calling || now < self.lane.not_before {
+            return;
+        }
+        if self.lane.flight.is_none() {
+            self.lane.flight = self.gather(now);
+            self.lane.doubtful = false;
+        }
+        let Some((txn, _)) = &self.lane.flight else {
+            return;
+        };
+        if !io.state_calls.take(now, 1.0) {
+            self.lane.not_before = now + Span::millis(50);
+            return;
+        }
+        self.lane.calling = true;
+        let body = wire::encode(txn);
+        let token = self.token;
+        io.call(
+            Target::State,
+            "POST",
+            "/commit".into(),
+            body,
+            Span::secs(2.0),
+            Pending::Commit { token },
+        );
+    }
+
+    fn gather(&mut self, now: Time) -> Option<(Txn, Vec<Item>)> {
+        let limits = self.settings.state_limits;
+        let level = self.writes.level(now) as usize;
+        let ops = limits.txn_ops.min(level);
+        if ops < 4 {
+            return None;
+        }
+        let mut b = TxnBuilder::new(
+            self.token,
+            TxnLimits {
+                ops,
+                value_bytes: limits.value_bytes,
+            },
+        );
+        for id in std::mem::take(&mut self.finishing) {
+            let Some(job) = self.jobs.get(&id) else {
+                continue;
+            };
+            if job.end != Some(End::Done { written: false }) {
+                continue;
+            }
+            let head = ledger::head_value(ledger::HeadStage::Done, job.spec.tasks);
+            let put = |key: String| Op::Put {
+                key,
+                value: head.clone(),
+                lease: None,
+            };
+            let condition = Condition {
+                key: ledger::head_key(&id),
+                version: job.version,
+            };
+            let ops = vec![put(ledger::head_key(&id)), put(ledger::end_key(&id))];
+            if !b.add(Item::Finish(id.clone()), vec![condition], ops) {
+                self.finishing.insert(id);
+            }
+        }
+        for due in self.dirty.due(now) {
+            if b.room() == 0 {
+                break;
+            }
+            let (id, chunk) = due.clone();
+            // Records of an ended job are only ever deleted.
+            let job = self.jobs.get(&id).filter(|j| j.is_open());
+            let Some((job, c)) = job.and_then(|j| Some((j, j.chunks.get(&chunk)?))) else {
+                self.dirty.forget(&due);
+                continue;
+            };
+            let key = ledger::chunk_key(&id, chunk);
+            let put = Op::Put {
+                key: key.clone(),
+                value: job.chunk_value(self.chunk_size, chunk),
+                lease: None,
+            };
+            let condition = Condition {
+                key,
+                version: c.version,
+            };
+            if !b.add(Item::Chunk(id, chunk, c.change), vec![condition], vec![put]) {
+                break;
+            }
+            self.dirty.forget(&due);
+        }
+        for id in std::mem::take(&mut self.dropping) {
+            let Some(job) = self.jobs.get(&id) else {
+                continue;
+            };
+            let over = matches!(job.end, Some(End::Cancelled | End::Done { written: true }));
+            if !over || !job.places.is_empty() {
+                if !job.is_open() && !over {
+                    self.dropping.insert(id);
+                }
+                continue;
+            }
+            let keys = job.keys();
+            let n = keys.len().min(b.room());
+            let last = n == keys.len();
+            let ops = keys[..n]
+                .iter()
+                .map(|k| Op::Delete { key: k.clone() })
+                .collect();
+            if n == 0 || !b.add(Item::Drop(id.clone(), last), Vec::new(), ops) {
+                self.dropping.insert(id);
+            }
+        }
+        let built = b.finish()?;
+        self.writes.take(now, built.0.ops.len() as f64);
+        Some(built)
+    }
+
+    /// A transaction was answered, or not.
+    pub fn on_commit(&mut self, io: &mut Io, reply: Reply) -> Fate {
+        let now = io.now.time;
+        self.lane.calling = false;
+        let Some((txn, items)) = self.lane.flight.take() else {
+            return Fate::Stay;
+        };
+        let pause = self
+            .lane_backoff
+            .failed(Span::millis(100), Span::secs(1.0), io.jitter());
+        match reply {
+            Reply::Answer(200, body) => {
+                self.lane_backoff.succeeded();
+                self.lane.not_before = now + COMMIT_GAP;
+                let Some(answer) = wire::decode::<Revision>(&body) else {
+                    return Fate::StepDown("a commit's answer could not be read");
+                };
+                for item in items {
+                    self.committed(item, &txn, answer.revision);
+                }
+                Fate::Stay
+            }
+            Reply::Answer(409, _) if self.lane.doubtful => {
+                // Either the lost first try went through or something else
+                // changed. What is recorded decides: start over from it.
+                Fate::StepDown("a write's fate is unknown")
+            }
+            Reply::Answer(409, body) => {
+                self.lane.not_before = now + COMMIT_GAP;
+                let failed = wire::decode::<Revision>(&body).unwrap_or_default().failed;
+                if failed.iter().any(|k| k == ledger::LEADER) {
+                    return Fate::StepDown("a commit found another leader");
+                }
+                if failed.iter().any(|k| k.starts_with(ledger::RECORDS)) {
+                    return Fate::StepDown("a record was changed by somebody else");
+                }
+                for item in items {
+                    // A job cancelled in the meantime is told by the watch.
+                    let raced = matches!(&item, Item::Finish(id)
+                        if failed.contains(&ledger::head_key(id)));
+                    if !raced {
+                        self.again(now, item);
+                    }
+                }
+                Fate::Stay
+            }
+            Reply::Answer(400, _) => Fate::StepDown("a commit was malformed"),
+            Reply::Answer(..) | Reply::NotSent if !self.lane.doubtful => {
+                for item in items {
+                    self.again(now, item);
+                }
+                self.lane.not_before = now + pause;
+                Fate::Stay
+            }
+            Reply::Answer(..) | Reply::NotSent | Reply::Lost => {
+                self.lane.doubtful |= matches!(reply, Reply::Lost);
+                self.lane.flight = Some((txn, items));
+                self.lane.not_before = now + pause;
+                Fate::Stay
+            }
+        }
+    }
+
+    fn again(&mut self, now: Time, item: Item) {
+        match item {
+            Item::Chunk(id, chunk, _) => self.dirty.note((id, chunk), now, true),
+            Item::Finish(id) => {
+                self.finishing.insert(id);
+            }
+            Item::Drop(id, _) => {
+                self.dropping.insert(id);
+            }
+        }
+    }
+
+    fn committed(&mut self, item: Item, txn: &Txn, revision: Version) {
+        match item {
+            Item::Chunk(id, chunk, change) => {
+                if let Some(job) = self.jobs.get_mut(&id) {
+                    if let Some(c) = job.chunks.get_mut(&chunk) {
+                        c.version = revision;
+                        c.stored = c.stored.max(change);
+                    }
+                    let size = self.chunk_size;
+                    let low = chunk * size.0;
+                    let here = job.places.range(low..low + size.0);
+                    let unsent = here.filter(|(_, p)| p.unsent() && p.change <= change);
+                    self.stored.extend(unsent.map(|(_, p)| p.machine.clone()));
+                    job.unsaved
+                        .retain(|&t, n| size.of(t) != chunk || *n > change);
+                }
+            }
+            Item::Finish(id) => {
+                if let Some(job) = self.jobs.get_mut(&id)
+                    && job.end == Some(End::Done { written: false })
+                {
+                    job.end = Some(End::Done { written: true });
+                    job.unsaved.clear();
+                    tracing::info!(job = %id, team = %job.spec.team, class = %job.spec.class, "done");
+                    self.dropping.insert(id);
+                }
+            }
+            Item::Drop(id, true) => {
+                self.jobs.remove(&id);
+                self.told.remove(&id);
+            }
+            Item::Drop(id, false) => {
+                if let Some(job) = self.jobs.get_mut(&id) {
+                    job.chunks.retain(|&c, _| {
+                        let key = ledger::chunk_key(&id, c);
+                        !txn.ops
+                            .iter()
+                            .any(|op| matches!(op, Op::Delete { key: k } if *k == key))
+                    });
+                }
+                self.dropping.insert(id);
+            }
+        }
+    }
+}
