--- a/src/core/leader.rs
+++ b/src/core/leader.rs
@@ -356,7 +356,10 @@
         match self.assembly.job(id, version, value) {
             Some(job) => {
                 self.note_arrival(&job);
-                tracing::info!(job = %id, team = %job.spec.team, class = %job.spec.class, tasks = job.spec.tasks, image = %job.spec.image, "accepted");
+                // A new leader reads all open jobs at once: that is no news.
+                if self.is_loaded() {
+                    tracing::info!(job = %id, team = %job.spec.team, class = %job.spec.class, tasks = job.spec.tasks, image = %job.spec.image, "accepted");
+                }
                 self.jobs.insert(id.clone(), job);
             }
             None => tracing::error!(job = %id, "record of the submission cannot be read"),
--- a/src/core/node.rs
+++ b/src/core/node.rs
@@ -135,7 +135,7 @@
 
 impl Io {
     /// Hands that have done nothing yet.
-    pub(super) fn new(settings: &Settings, seed: u64) -> Io {
+    pub(crate) fn new(settings: &Settings, seed: u64) -> Io {
         let limits = settings.state_limits;
         let nodes = f64::from(settings.size);
         let per_node = |all: f64, share: f64| (all * share / nodes).max(1.0);
@@ -888,14 +888,7 @@
         let settings = testing::settings(0);
         let policy = Policy::from_script(DEFAULT_SCRIPT, &settings).unwrap();
         let mut node = Node::new(settings, policy, 1);
-        let mut leader = Leader::new(
-            Rc::clone(&node.settings),
-            Rc::clone(&node.policy),
-            Token(5),
-            1,
-            Time(0),
-            &MachineTypes::default(),
-        );
+        let mut leader = testing::leader();
         for n in 0..1000 {
             let images = [(Image::from("img"), 5.0)];
             leader.inherit_cache(Time(0), &format!("host-{n:04}").into(), &images);
--- a/src/core/placing.rs
+++ b/src/core/placing.rs
@@ -344,16 +344,10 @@
         stops: &mut Stops,
     ) {
         let urgent = |w: &Want| !w.tasks.is_empty() && (w.priority > Priority::Low || w.entitled);
-        let mut order: Vec<usize> = (0..wants.len())
+        // They stand in the order of their ranks since the cycle's first part.
+        let order: Vec<usize> = (0..wants.len())
             .filter(|&i| wants[i].priority >= least && urgent(&wants[i]))
             .collect();
-        order.sort_by_key(|&i| {
-            (
-                std::cmp::Reverse(wants[i].priority),
-                std::cmp::Reverse(wants[i].entitled),
-                wants[i].order,
-            )
-        });
         // What a search that found nothing is good for: until room is made,
         // another want like it that is no smaller finds nothing either.
         let mut failed: Vec<(usize, usize)> = Vec::new();
--- a/src/core/rental.rs
+++ b/src/core/rental.rs
@@ -586,30 +586,9 @@
 
 #[cfg(test)]
 mod tests {
-    use super::super::Now;
     use super::*;
-    use crate::policy::{DEFAULT_SCRIPT, Policy};
-    use crate::testing;
-    use crate::types::{Token, Wall};
+    use crate::testing::{io_at, leader};
     use crate::wire::cloud::ListedMachine;
-    use std::rc::Rc;
-
-    fn io(secs: f64) -> Io {
-        let mut io = Io::new(&testing::settings(0), 1);
-        io.now = Now {
-            time: Time(0) + Span::secs(secs),
-            wall: Wall(0),
-        };
-        io
-    }
-
-    fn leader() -> Leader {
-        let settings = Rc::new(testing::settings(0));
-        let policy = Rc::new(Policy::from_script(DEFAULT_SCRIPT, &settings).unwrap());
-        let kinds = vec![testing::cloud::Cloud::kind(3)];
-        let types = MachineTypes { kinds };
-        Leader::new(settings, policy, Token(5), 1, Time(0), &types)
-    }
 
     fn list(names: &[&str]) -> Reply {
         let machines = names.iter().map(|n| ListedMachine {
@@ -634,11 +613,19 @@
     #[test]
     fn a_late_list_does_not_bring_back_a_released_machine() {
         let mut leader = leader();
-        leader.on_cloud(&mut io(1.0), CloudCall::List, list(&["host-1", "host-2"]));
+        leader.on_cloud(
+            &mut io_at(1.0),
+            CloudCall::List,
+            list(&["host-1", "host-2"]),
+        );
         assert_eq!(leader.machines.len(), 2);
         let release = CloudCall::Release(vec!["host-1".into()]);
-        leader.on_cloud(&mut io(2.0), release, Reply::Answer(200, Vec::new()));
-        leader.on_cloud(&mut io(9.0), CloudCall::List, list(&["host-1", "host-2"]));
+        leader.on_cloud(&mut io_at(2.0), release, Reply::Answer(200, Vec::new()));
+        leader.on_cloud(
+            &mut io_at(9.0),
+            CloudCall::List,
+            list(&["host-1", "host-2"]),
+        );
         let left: Vec<_> = leader.machines.keys().map(|m| m.to_string()).collect();
         assert_eq!(left, ["host-2"]);
     }
--- a/src/testing/mod.rs
+++ b/src/testing/mod.rs
@@ -1,7 +1,14 @@
 //! Fixtures for tests.
 
+use crate::core::Now;
+use crate::core::leader::Leader;
+use crate::core::node::Io;
+use crate::policy::{DEFAULT_SCRIPT, Policy};
 use crate::settings::Settings;
+use crate::types::{Span, Time, Token, Wall};
+use crate::wire::cloud::MachineTypes;
 use crate::wire::users::{Priority, Shape, Submission};
+use std::rc::Rc;
 
 /// Settings of node `n` of three, each in a zone of its own.
 pub fn settings(n: u32) -> Settings {
@@ -35,6 +42,25 @@
     Settings::parse(&text.to_string()).expect("the fixture is valid")
 }
 
+/// Hands at a second of the day.
+pub fn io_at(secs: f64) -> Io {
+    let mut io = Io::new(&settings(0), 1);
+    io.now = Now {
+        time: Time(0) + Span::secs(secs),
+        wall: Wall(0),
+    };
+    io
+}
+
+/// A leader that has just got its token and knows the machine type.
+pub fn leader() -> Leader {
+    let settings = Rc::new(settings(0));
+    let policy = Policy::from_script(DEFAULT_SCRIPT, &settings).expect("the default is valid");
+    let kinds = vec![cloud::Cloud::kind(3)];
+    let types = MachineTypes { kinds };
+    Leader::new(settings, Rc::new(policy), Token(5), 1, Time(0), &types)
+}
+
 /// A job of one-GPU tasks.
 pub fn submission(id: &str, shape: Shape, tasks: u32) -> Submission {
     Submission {
