--- a/src/core/node.rs
+++ b/src/core/node.rs
@@ -159,6 +159,11 @@
         }
     }
 
+    /// What is to be done, as collected so far.
+    pub(super) fn take_outputs(&mut self) -> Vec<Output> {
+        std::mem::take(&mut self.out)
+    }
+
     /// A random number in 0..1.
     pub fn jitter(&mut self) -> f64 {
         self.rng.random()
@@ -327,7 +332,7 @@
         if let Some(leader) = &mut self.leader {
             leader.advance(&mut self.io);
         }
-        std::mem::take(&mut self.io.out)
+        self.io.take_outputs()
     }
 
     /// Whether this node leads and has loaded everything.
@@ -897,7 +902,7 @@
         let mut heard = BTreeSet::new();
         for _ in 0..20 {
             node.greet();
-            for out in std::mem::take(&mut node.io.out) {
+            for out in node.io.take_outputs() {
                 let Output::Call(call) = out else { continue };
                 let Some(Pending::Greet(label)) = node.io.pending.remove(&call.id) else {
                     continue;
