--- a/src/core/node.rs
+++ b/src/core/node.rs
@@ -261,6 +261,18 @@
     state_ok: bool,
 }
 
+/// A worker that reports here though this node does not lead.
+#[derive(Debug, Default)]
+struct Passing {
+    seen: Time,
+    /// When it was last sent to the leader.
+    told: Option<Time>,
+    /// Since when its reports are passed on.
+    since: Option<Time>,
+    /// How often it was sent back after that.
+    turns: u32,
+}
+
 /// A controller node.
 #[derive(Debug)]
 pub struct Node {
@@ -271,6 +283,8 @@
     intake: Intake,
     leader: Option<Leader>,
     peers: BTreeMap<Label, PeerView>,
+    /// Workers that report here though this node does not lead.
+    passing: BTreeMap<MachineId, Passing>,
     /// Peers that missed what was last told.
     missed: BTreeSet<Label>,
     /// Images on machines, as the last leader told.
@@ -287,6 +301,13 @@
 const STATE_FRESH: Span = Span::millis(5000);
 /// How long a peer's word counts.
 const PEER_FRESH: Span = Span::millis(3500);
+/// How long a worker's reports are passed on before it is sent to the leader
+/// again, the first time.
+const PASSES_ON: Span = Span::millis(20_000);
+/// A worker that is back within this time did not reach the leader.
+const CAME_BACK: Span = Span::millis(12_000);
+/// How long a worker that was here is remembered.
+const PASSING_KEPT: Span = Span::millis(120_000);
 /// How long a report passed on may take; workers wait 4 s.
 const RELAY_TIMEOUT: Span = Span::millis(3000);
 /// Time between looks at the stored machine types.
@@ -306,6 +327,7 @@
             intake: Intake::default(),
             leader: None,
             peers: BTreeMap::new(),
+            passing: BTreeMap::new(),
             missed: BTreeSet::new(),
             caches: BTreeMap::new(),
             types: None,
@@ -350,6 +372,7 @@
         self.intake.compare(&mut self.io);
         if now >= self.greet_due {
             self.greet_due = now + GREET_EVERY;
+            self.passing.retain(|_, p| now.since(p.seen) < PASSING_KEPT);
             self.greet();
         }
         if !self.types_calling && now >= self.types_due {
@@ -644,11 +667,10 @@
             return self.report(id, report, true);
         }
         let foreman = self.foreman();
-        // A worker that has the leader's token already comes here only when it
-        // cannot reach the leader. This node perhaps can, and the answer is
-        // the leader's wherever it is heard: its lease need not run out.
+        // The answer is the leader's wherever it is heard: where the leader is
+        // out of a worker's reach, its lease need not run out.
         if let Some((label, token)) = &foreman
-            && *token == report.token
+            && self.passes_on(&report, *token)
             && let Some(peer) = self.settings.peers.iter().find(|p| p.label == *label)
         {
             return self.io.call(
@@ -663,6 +685,27 @@
         self.report_elsewhere(id, foreman.map(|(label, _)| label));
     }
 
+    /// Whether a report is to be passed on. A worker that has the leader's token
+    /// already, or was sent to the leader a moment ago, comes here only when it
+    /// cannot reach the leader. It stays here as long as it is answered, so
+    /// after a while it is sent to the leader again, rarer each time.
+    fn passes_on(&mut self, report: &Report, token: Token) -> bool {
+        let now = self.io.now.time;
+        let p = self.passing.entry(report.machine.clone()).or_default();
+        p.seen = now;
+        let came_back = p.told.is_some_and(|t| now.since(t) < CAME_BACK);
+        if token == report.token || came_back {
+            let since = *p.since.get_or_insert(now);
+            if now.since(since) < Span(PASSES_ON.0 << p.turns.min(4)) {
+                return true;
+            }
+            p.since = None;
+            p.turns += 1;
+        }
+        p.told = Some(now);
+        false
+    }
+
     /// A report that another node passes on.
     fn relayed(&mut self, id: RequestId, body: &[u8]) {
         match wire::decode::<Report>(body) {
--- a/src/testing/world.rs
+++ b/src/testing/world.rs
@@ -1392,10 +1392,14 @@
             w.job(2, j, None);
         }
         w.fault(30, Fault::LeaderLosesWorkers(40));
-        w.play(110);
+        w.play(125);
         assert_eq!(w.broken, Vec::<String>::new());
         assert_eq!(w.unserved(), Vec::<&str>::new());
         assert_eq!(w.started, 16, "no task had to start again");
+        // Once workers stayed for ever with the node that passed them on,
+        // whose answers do not wait for work.
+        let leader = w.leader().unwrap();
+        assert!(w.workers.values().all(|m| m.node == leader));
     }
 
     #[test]
