--- a/src/core/node.rs
+++ b/src/core/node.rs
@@ -265,8 +265,6 @@
 #[derive(Debug, Default)]
 struct Passing {
     seen: Time,
-    /// When it was last sent to the leader.
-    told: Option<Time>,
     /// Since when its reports are passed on.
     since: Option<Time>,
     /// How often it was sent back after that.
@@ -304,8 +302,6 @@
 /// How long a worker's reports are passed on before it is sent to the leader
 /// again, the first time.
 const PASSES_ON: Span = Span::millis(20_000);
-/// A worker that is back within this time did not reach the leader.
-const CAME_BACK: Span = Span::millis(12_000);
 /// How long a worker that was here is remembered.
 const PASSING_KEPT: Span = Span::millis(120_000);
 /// How long a report passed on may take; workers wait 4 s.
@@ -686,15 +682,15 @@
     }
 
     /// Whether a report is to be passed on. A worker that has the leader's token
-    /// already, or was sent to the leader a moment ago, comes here only when it
-    /// cannot reach the leader. It stays here as long as it is answered, so
-    /// after a while it is sent to the leader again, rarer each time.
+    /// already comes here only when it cannot reach the leader. It stays here
+    /// as long as it is answered, so after a while it is sent to the leader
+    /// again, rarer each time. One that has not may have found the leader not
+    /// ready yet, and is better off with it.
     fn passes_on(&mut self, report: &Report, token: Token) -> bool {
         let now = self.io.now.time;
         let p = self.passing.entry(report.machine.clone()).or_default();
         p.seen = now;
-        let came_back = p.told.is_some_and(|t| now.since(t) < CAME_BACK);
-        if token == report.token || came_back {
+        if token == report.token {
             let since = *p.since.get_or_insert(now);
             if now.since(since) < Span(PASSES_ON.0 << p.turns.min(4)) {
                 return true;
@@ -702,7 +698,6 @@
             p.since = None;
             p.turns += 1;
         }
-        p.told = Some(now);
         false
     }
 
