--- a/src/core/node.rs
+++ b/src/core/node.rs
@@ -261,7 +261,7 @@
     state_ok: bool,
 }
 
-/// A worker that reports here though this node does not lead.
+/// A worker whose reports are passed on, or lately were.
 #[derive(Debug, Default)]
 struct Passing {
     seen: Time,
@@ -281,7 +281,7 @@
     intake: Intake,
     leader: Option<Leader>,
     peers: BTreeMap<Label, PeerView>,
-    /// Workers that report here though this node does not lead.
+    /// Workers whose reports are passed on.
     passing: BTreeMap<MachineId, Passing>,
     /// Peers that missed what was last told.
     missed: BTreeSet<Label>,
@@ -302,7 +302,7 @@
 /// How long a worker's reports are passed on before it is sent to the leader
 /// again, the first time.
 const PASSES_ON: Span = Span::millis(20_000);
-/// How long a worker that was here is remembered.
+/// How long such a worker is remembered.
 const PASSING_KEPT: Span = Span::millis(120_000);
 /// How long a report passed on may take; workers wait 4 s.
 const RELAY_TIMEOUT: Span = Span::millis(3000);
@@ -687,18 +687,19 @@
     /// again, rarer each time. One that has not may have found the leader not
     /// ready yet, and is better off with it.
     fn passes_on(&mut self, report: &Report, token: Token) -> bool {
+        if token != report.token {
+            return false;
+        }
         let now = self.io.now.time;
         let p = self.passing.entry(report.machine.clone()).or_default();
         p.seen = now;
-        if token == report.token {
-            let since = *p.since.get_or_insert(now);
-            if now.since(since) < Span(PASSES_ON.0 << p.turns.min(4)) {
-                return true;
-            }
+        let since = *p.since.get_or_insert(now);
+        let goes_on = now.since(since) < Span(PASSES_ON.0 << p.turns.min(4));
+        if !goes_on {
             p.since = None;
             p.turns += 1;
         }
-        false
+        goes_on
     }
 
     /// A report that another node passes on.
