--- /dev/null
+++ b/crates/pebblefold/src/core/commands.rs
@@ -0,0 +1,287 @@
+//! What workers are told: starts, stops, `clear`, and the answers that carry them.
+
+use super::io::Io;
+use super::leader::Leader;
+use super::ledger::End;
+use super::presence::{Phase, Placement};
+use super::weak::{self, Decision};
+use super::{Answer, RequestId};
+use crate::types::{Attempt, JobId, MachineId, Span, TaskId, Time};
+use crate::wire;
+use crate::wire::workers::{Command, ReportAnswer, TaskState, Why};
+
+impl Leader {
+    /// Orders tasks of a job to stop; unsent starts are dropped at once.
+    pub fn stop_tasks(
+        &mut self,
+        now: Time,
+        id: &JobId,
+        tasks: &[u32],
+        grace_s: f64,
+        why: &'static str,
+    ) {
+        let mut unsent = Vec::new();
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        job.notes.last_stop = Some(why);
+        for index in tasks {
+            let Some(p) = job.places.get_mut(index) else {
+                continue;
+            };
+            if p.unsent() {
+                unsent.push(*index);
+            } else if p.stop.is_none_or(|s| grace_s < s.grace_s && grace_s == 0.0) {
+                // A gang that saves must not be cut short because one of its
+                // tasks has ended, saved, before the others.
+                let saving = p.stop.is_some() && job.end != Some(End::Cancelled);
+                if !saving {
+                    p.stop = Some(super::presence::Stop { grace_s, at: now });
+                    self.direct
+                        .entry(p.machine.clone())
+                        .or_default()
+                        .push(TaskId {
+                            job: id.clone(),
+                            index: *index,
+                        });
+                }
+            }
+        }
+        for index in unsent {
+            let task = TaskId {
+                job: id.clone(),
+                index,
+            };
+            self.remove_place(now, &task, "never sent");
+        }
+    }
+
+    /// A machine will be taken: its tasks save, or at least leave in time to
+    /// prove that they are gone.
+    pub(super) fn drain_noticed(&mut self, io: &mut Io, id: &MachineId) {
+        let now = io.now.time;
+        let Some(m) = self.machines.get(id) else {
+            return;
+        };
+        let left = m.taken_at.map_or(Span::ZERO, |t| t.since(now));
+        let here: Vec<TaskId> = m.tasks.iter().cloned().collect();
+        for task in here {
+            let Some(job) = self.jobs.get(&task.job) else {
+                continue;
+            };
+            let Some(p) = job.places.get(&task.index) else {
+                continue;
+            };
+            if p.stop.is_some() {
+                continue;
+            }
+            let rest = self.remaining(now, job, p);
+            let spare = Span::secs(1.0);
+            if rest + spare < left {
+                continue;
+            }
+            let grace = job.spec.save_s.min((left.as_secs() - 1.0).max(0.0));
+            let tasks: Vec<u32> = if job.is_gang() {
+                job.places.keys().copied().collect()
+            } else {
+                vec![task.index]
+            };
+            self.stop_tasks(now, &task.job, &tasks, grace, "its machine is being taken");
+        }
+    }
+
+    /// Answers a report with what its machine is to do.
+    pub(super) fn answer_report(&mut self, io: &mut Io, request: RequestId, id: &MachineId) {
+        let now = io.now.time;
+        if !self.may_answer(now) {
+            io.answer_later(request, 503, 1);
+            return;
+        }
+        let commands = self.commands(now, id);
+        if let Some(m) = self.machines.get_mut(id) {
+            m.answered = Some(now);
+        }
+        let body = wire::encode(&ReportAnswer {
+            token: self.token,
+            commands,
+        });
+        io.answer(
+            request,
+            Answer {
+                status: 200,
+                body,
+                ..Default::default()
+            },
+        );
+    }
+
+    pub(super) fn commands(&mut self, now: Time, id: &MachineId) -> Vec<Command> {
+        let mut stops = Vec::new();
+        let mut forgets = Vec::new();
+        let mut starts = Vec::new();
+        let listed = self.listed.remove(id).unwrap_or_default();
+        let Some(m) = self.machines.get(id) else {
+            return Vec::new();
+        };
+        let ours = m.ours;
+        let session = m.session;
+        let tally = m.tally;
+        let mut busy = m.strays;
+        for (text, attempt, state, why) in listed {
+            let Some(task) = TaskId::parse(&text) else {
+                continue;
+            };
+            let job = self.jobs.get(&task.job);
+            let place = job
+                .and_then(|j| j.places.get(&task.index))
+                .filter(|p| &p.machine == id && p.attempt == attempt && p.session == session);
+            if state == TaskState::Exited {
+                // Cleared only once nothing can start it again and, if it is
+                // done, once that is stored.
+                let kept = why == Some(Why::Done)
+                    && job.is_some_and(|j| !j.is_service() && !j.done_is_stored(task.index));
+                if ours && place.is_none() && !kept {
+                    forgets.push(Command::Forget {
+                        task: text,
+                        attempt,
+                    });
+                }
+                continue;
+            }
+            match place {
+                Some(p) => {
+                    if let Some(j) = job {
+                        busy += j.spec.needs();
+                    }
+                    if let Some(stop) = p.stop {
+                        stops.push(Command::Stop {
+                            task: text,
+                            attempt,
+                            grace_s: stop.grace_s,
+                        });
+                    }
+                }
+                None => {
+                    tracing::info!(task = %task, %attempt, machine = %id, "unrecorded task halted");
+                    stops.push(Command::Stop {
+                        task: text,
+                        attempt,
+                        grace_s: 0.0,
+                    });
+                }
+            }
+        }
+        let whole = m
+            .kind
+            .as_ref()
+            .and_then(|k| self.types.get(k))
+            .map(|t| t.has());
+        let tasks: Vec<TaskId> = m.tasks.iter().cloned().collect();
+        if let Some(whole) = whole
+            && ours
+            && self.may_start(now)
+        {
+            let mut free = whole - busy;
+            for t in tasks {
+                let size = self.chunk_size;
+                let Some(job) = self.jobs.get_mut(&t.job) else {
+                    continue;
+                };
+                let (needs, open) = (job.spec.needs(), job.is_open());
+                let Some(p) = job.places.get(&t.index) else {
+                    continue;
+                };
+                // Written ahead: only what is stored may be sent.
+                let stored =
+                    job.is_stored(size, t.index, p.change) || !weak::holds(Decision::WriteAhead);
+                if !p.unsent() || !stored || !open || p.session != session || !needs.fits(&free) {
+                    continue;
+                }
+                free -= needs;
+                if let Some(p) = job.places.get_mut(&t.index) {
+                    p.phase = Phase::Sent(tally);
+                    if p.cold.is_some() {
+                        p.cold = Some(now);
+                    }
+                    starts.push(Command::Start {
+                        task: t.to_string(),
+                        attempt: p.attempt,
+                    });
+                }
+            }
+        }
+        stops.extend(forgets);
+        stops.extend(starts);
+        stops
+    }
+
+    /// Sends pending stops straight to their workers. One that arrives late
+    /// is harmless: attempts are never reused for another placement.
+    pub fn send_direct(&mut self, io: &mut Io) {
+        for (id, tasks) in std::mem::take(&mut self.direct) {
+            let Some(m) = self.machines.get(&id) else {
+                continue;
+            };
+            let Some(addr) = m.addr else { continue };
+            let commands: Vec<Command> = tasks
+                .iter()
+                .filter_map(|t| {
+                    let p = self.jobs.get(&t.job)?.places.get(&t.index)?;
+                    let grace_s = p.stop?.grace_s;
+                    Some(Command::Stop {
+                        task: t.to_string(),
+                        attempt: p.attempt,
+                        grace_s,
+                    })
+                })
+                .collect();
+            if !commands.is_empty() {
+                io.direct(addr, self.token, m.session, commands);
+            }
+        }
+    }
+
+    /// Puts a task on a machine; it is sent once recorded.
+    pub fn put(&mut self, now: Time, task: &TaskId, id: &MachineId, attempt: Attempt) {
+        let size = self.chunk_size;
+        let Some(m) = self.machines.get_mut(id) else {
+            return;
+        };
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
+        let spec = job.spec.clone();
+        let warm = m.cache.remaining(&spec.image, now).is_some();
+        let rate = m
+            .kind
+            .as_ref()
+            .and_then(|k| self.types.get(k))
+            .map(|t| t.fetch_gb_per_s);
+        let fetch = self.estimates.of(&spec.image, spec.image_gb, rate);
+        m.cache.used(&spec.image, spec.image_gb, now, fetch);
+        if spec.priority >= crate::wire::users::Priority::High {
+            m.last_high = Some(now);
+        }
+        m.idle = None;
+        m.take(task.clone(), spec.needs());
+        job.waiting.remove(task.index);
+        job.attempt = job.attempt.max(attempt);
+        let change = job.touch(size, task.index);
+        job.places.insert(
+            task.index,
+            Placement {
+                machine: id.clone(),
+                session: m.session,
+                attempt,
+                change,
+                phase: Phase::Unsent,
+                placed: now,
+                running: None,
+                cold: (!warm).then_some(now),
+                stop: None,
+            },
+        );
+        self.dirty
+            .note((task.job.clone(), size.of(task.index)), now, true);
+    }
+}
--- a/src/core/election.rs
+++ b/crates/pebblefold/src/core/election.rs
@@ -2,8 +2,8 @@
 //! token.
 
 use super::budget::Backoff;
+use super::io::{Io, Waits};
 use super::ledger::{self, LeaderValue};
-use super::node::{Io, Pending};
 use super::{Reply, Target};
 use crate::types::{Label, Span, Time, Token, Version};
 use crate::wire;
@@ -48,6 +48,40 @@
     pub leader: Option<(Label, Token)>,
     /// When the last answered read was sent.
     pub contact: Option<Time>,
+    /// Calls under way.
+    pub waits: Waits<Awaits>,
+}
+
+/// What the election waits for.
+#[derive(Clone, Debug)]
+pub enum Awaits {
+    /// The leader's key.
+    ReadLeader {
+        /// When it was asked for.
+        sent: Time,
+    },
+    /// A follower's watch.
+    WatchLeader {
+        /// When it was asked for.
+        sent: Time,
+    },
+    /// A new lease.
+    NewLease,
+    /// The claim of the leader's key.
+    Claim {
+        /// The lease.
+        lease: u64,
+    },
+    /// The leader's key, after a claim whose answer was lost.
+    ClaimRead {
+        /// The lease.
+        lease: u64,
+    },
+    /// A renewal.
+    Renew {
+        /// The lease.
+        lease: u64,
+    },
 }
 
 /// What an answer leads to.
@@ -77,6 +111,7 @@
             renewing: false,
             leader: None,
             contact: None,
+            waits: Waits::default(),
         }
     }
 
@@ -94,9 +129,10 @@
         if self.calling || now < self.not_before {
             return;
         }
-        let mut call = |io: &mut Io, method, path: String, body, timeout, pending| {
+        let mut call = |io: &mut Io, method, path: String, body, timeout, awaits| {
             self.calling = true;
-            io.call(Target::State, method, path, body, timeout, pending);
+            let id = io.call(Target::State, method, path, body, timeout);
+            self.waits.add(id, awaits);
         };
         match self.standing {
             Standing::Unknown => call(
@@ -105,7 +141,7 @@
                 format!("/keys/{}", ledger::LEADER),
                 Vec::new(),
                 Span::secs(2.0),
-                Pending::ReadLeader { sent: now },
+                Awaits::ReadLeader { sent: now },
             ),
             Standing::Following(_) => {
                 let path = format!(
@@ -121,7 +157,7 @@
                     path,
                     Vec::new(),
                     timeout,
-                    Pending::WatchLeader { sent: now },
+                    Awaits::WatchLeader { sent: now },
                 );
             }
             Standing::Vacant(version) => {
@@ -134,7 +170,7 @@
                     "/leases".into(),
                     wire::encode(&request),
                     Span::secs(2.0),
-                    Pending::NewLease,
+                    Awaits::NewLease,
                 );
                 self.standing = Standing::Leasing(version);
             }
@@ -142,6 +178,32 @@
         }
     }
 
+    /// Takes a reply to one of its calls; `lease` is that of the leader in
+    /// office, if any.
+    pub fn on_reply(
+        &mut self,
+        io: &mut Io,
+        what: Awaits,
+        lease: Option<u64>,
+        reply: Reply,
+    ) -> Outcome {
+        match what {
+            Awaits::ReadLeader { sent } => self.on_read(io, sent, reply),
+            Awaits::WatchLeader { sent } => {
+                self.on_watch(io, sent, reply);
+                Outcome::None
+            }
+            Awaits::NewLease => {
+                self.on_lease(io, reply);
+                Outcome::None
+            }
+            Awaits::Claim { lease } => self.on_claim(io, lease, reply),
+            Awaits::ClaimRead { lease } => self.on_claim_read(io, lease, reply),
+            Awaits::Renew { lease: of } if Some(of) == lease => self.on_renew(io.now.time, &reply),
+            Awaits::Renew { .. } => Outcome::None,
+        }
+    }
+
     /// Renews the leader's lease, if due.
     pub fn renew(&mut self, io: &mut Io, lease: u64) {
         let now = io.now.time;
@@ -149,14 +211,14 @@
             return;
         }
         self.renewing = true;
-        io.call(
+        let id = io.call(
             Target::State,
             "POST",
             format!("/leases/{lease}/touch"),
             Vec::new(),
             self.ttl.scaled(0.4).max(Span::millis(500)),
-            Pending::Renew { lease },
         );
+        self.waits.add(id, Awaits::Renew { lease });
     }
 
     /// A renewal was answered, or not.
@@ -299,14 +361,14 @@
         };
         self.standing = Standing::Claiming(lease);
         self.calling = true;
-        io.call(
+        let id = io.call(
             Target::State,
             "POST",
             "/commit".into(),
             wire::encode(&txn),
             Span::secs(2.0),
-            Pending::Claim { lease },
         );
+        self.waits.add(id, Awaits::Claim { lease });
     }
 
     /// The claim was answered, or not.
@@ -326,14 +388,14 @@
             Reply::Lost => {
                 // It may have gone through, or may yet: the nonce tells.
                 self.calling = true;
-                io.call(
+                let id = io.call(
                     Target::State,
                     "GET",
                     format!("/keys/{}", ledger::LEADER),
                     Vec::new(),
                     Span::secs(2.0),
-                    Pending::ClaimRead { lease },
                 );
+                self.waits.add(id, Awaits::ClaimRead { lease });
                 Outcome::None
             }
             _ => {
@@ -377,7 +439,6 @@
             format!("/leases/{lease}"),
             Vec::new(),
             Span::secs(2.0),
-            Pending::Ignore,
         );
     }
 }
--- /dev/null
+++ b/crates/pebblefold/src/core/fleet.rs
@@ -0,0 +1,488 @@
+//! Machines and their workers' reports, as the leader sees them.
+
+use super::RequestId;
+use super::io::Io;
+use super::leader::{Fate, Leader};
+use super::ledger::Job;
+use super::presence::{Phase, Placement, Verdict};
+use super::tables::Cache;
+use crate::types::{Amounts, JobId, Kind, MachineId, Session, Span, Tally, TaskId, Time, Zone};
+use crate::wire::cloud::MachineStage;
+use crate::wire::workers::{Report, ReportedTask, TaskState, Why};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddrV4;
+
+/// How far a machine's return has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Leaving {
+    /// It stays.
+    No,
+    /// It gets no new work; it goes when empty.
+    Drain,
+    /// Its release is due or asked for, whatever is on it.
+    Release,
+}
+
+/// A machine.
+#[derive(Debug)]
+pub struct Machine {
+    /// Where direct commands go.
+    pub addr: Option<SocketAddrV4>,
+    /// Its type, once known.
+    pub kind: Option<Kind>,
+    /// Its zone, once known.
+    pub zone: Option<Zone>,
+    /// Whether it is a spot machine.
+    pub spot: bool,
+    /// Newest message: its session.
+    pub session: Session,
+    /// Newest message: its number.
+    pub tally: Tally,
+    /// When it last reported.
+    pub reported: Option<Time>,
+    /// When we last answered a report with 200.
+    pub answered: Option<Time>,
+    /// Whether its newest report carried our token.
+    pub ours: bool,
+    /// When the first report did.
+    pub ours_since: Option<Time>,
+    /// Unrecorded tasks on it, and what they take.
+    pub strays: Amounts,
+    /// When the cloud takes it, if noticed.
+    pub taken_at: Option<Time>,
+    /// Its state in the cloud's list, and its age there.
+    pub listed: Option<(MachineStage, Span)>,
+    /// When a list last had it.
+    pub listed_at: Option<Time>,
+    /// When we first heard of it.
+    pub known: Time,
+    /// Whether its tasks were written off.
+    pub lost: bool,
+    /// Whether it is being returned.
+    pub leaving: Leaving,
+    /// Its images.
+    pub cache: Cache,
+    /// When high-priority work was last placed here.
+    pub last_high: Option<Time>,
+    /// Since when it has nothing to do.
+    pub idle: Option<Time>,
+    /// Jobs that failed here, and when.
+    pub faults: BTreeMap<JobId, Time>,
+    /// Tasks placed here.
+    pub tasks: BTreeSet<TaskId>,
+    /// What they take together.
+    pub used: Amounts,
+}
+
+impl Machine {
+    /// One just heard of.
+    pub fn new(now: Time) -> Machine {
+        Machine {
+            addr: None,
+            kind: None,
+            zone: None,
+            spot: false,
+            session: Session(0),
+            tally: Tally(0),
+            reported: None,
+            answered: None,
+            ours: false,
+            ours_since: None,
+            strays: Amounts::default(),
+            taken_at: None,
+            listed: None,
+            listed_at: None,
+            known: now,
+            lost: false,
+            leaving: Leaving::No,
+            cache: Cache::default(),
+            last_high: None,
+            idle: None,
+            faults: BTreeMap::new(),
+            tasks: BTreeSet::new(),
+            used: Amounts::default(),
+        }
+    }
+
+    /// Notes a task placed here.
+    pub fn take(&mut self, task: TaskId, needs: Amounts) {
+        if self.tasks.insert(task) {
+            self.used += needs;
+        }
+    }
+
+    /// Notes that a task is not here any more.
+    pub fn release(&mut self, task: &TaskId, needs: Amounts) {
+        if self.tasks.remove(task) {
+            self.used -= needs;
+        }
+        if self.tasks.is_empty() {
+            // What rounding leaves must not add up.
+            self.used = Amounts::default();
+        }
+    }
+
+    /// Whether new work may go here.
+    pub fn usable(&self, now: Time, silence: Span) -> bool {
+        self.ours
+            && !self.lost
+            && self.leaving == Leaving::No
+            && self.taken_at.is_none()
+            && self.reported.is_some_and(|t| now.since(t) < silence)
+    }
+}
+
+/// Notes on a job that only scheduling needs.
+#[derive(Clone, Debug, Default)]
+pub struct JobNotes {
+    /// Failures in a row.
+    pub failures: u32,
+    /// Not to be placed before this time.
+    pub not_before: Time,
+    /// Machines on which it failed.
+    pub failed_on: BTreeSet<MachineId>,
+    /// Since when it has tasks waiting.
+    pub waiting_since: Option<Time>,
+    /// Why it waits, for operators.
+    pub why: &'static str,
+    /// Whether it counts within its team's guarantee.
+    pub entitled: bool,
+    /// Why its tasks were last stopped, for operators.
+    pub last_stop: Option<&'static str>,
+}
+
+/// A report whose answer waits a moment for a commit.
+#[derive(Debug)]
+pub struct Held {
+    request: RequestId,
+    until: Time,
+    /// Cycles run when it was held; `None`: held until there is work.
+    cycles: Option<u64>,
+}
+
+/// Time between looks for held reports that are due.
+const HELD_LOOK: Span = Span::millis(20);
+/// How long an answer may wait for a commit that concerns its machine.
+const HOLD: Span = Span::millis(250);
+/// Longest hold of an idle machine's report; workers drop answers after 4 s.
+const LONGEST_HOLD: Span = Span::millis(2000);
+
+impl Leader {
+    /// How long a machine may be silent and still get work.
+    pub fn silence(&self) -> Span {
+        self.settings.workers.report.scaled(2.5) + Span::secs(1.0)
+    }
+
+    /// Handles a worker's report; `may_hold`: its answer may wait for work.
+    pub fn on_report(
+        &mut self,
+        io: &mut Io,
+        request: RequestId,
+        report: Report,
+        may_hold: bool,
+    ) -> Fate {
+        let now = io.now.time;
+        if report.token > self.token {
+            io.answer_status(request, 421);
+            return Fate::Deposed(report.token);
+        }
+        if !self.may_answer(now) {
+            io.answer_later(request, 503, 1);
+            return Fate::Stay;
+        }
+        if self.rental.is_released(&report.machine) {
+            // Held back by the network; the machine is gone.
+            io.answer_later(request, 503, 1);
+            return Fate::Stay;
+        }
+        let machine = self
+            .machines
+            .entry(report.machine.clone())
+            .or_insert_with(|| Machine::new(now));
+        if (report.session, report.tally) <= (machine.session, machine.tally) {
+            // Held back by the network; its sender no longer waits.
+            io.answer_later(request, 503, 1);
+            return Fate::Stay;
+        }
+        if report.session > machine.session {
+            machine.cache.give_up(|_| false);
+            machine.lost = false;
+        }
+        machine.session = report.session;
+        machine.tally = report.tally;
+        machine.reported = Some(now);
+        machine.ours = report.token == self.token;
+        if machine.ours {
+            machine.ours_since.get_or_insert(now);
+        }
+        machine.addr = report.addr.parse().ok();
+        machine.kind = Some(report.kind.clone());
+        machine.zone = Some(report.zone.clone());
+        machine.spot = report.spot;
+        machine.taken_at = report.notice_s.map(|s| now + Span::secs(s));
+        if let Some(held) = self.held.remove(&report.machine) {
+            io.answer_later(held.request, 503, 1);
+        }
+        let freed = self.take_in(now, &report);
+        self.note_listed(&report);
+        if report.notice_s.is_some() {
+            self.drain_noticed(io, &report.machine);
+        }
+        let waits = self
+            .jobs
+            .values()
+            .any(|j| j.is_open() && !j.waiting.is_empty());
+        let id = &report.machine;
+        if may_hold && self.idles(now, id, &report) {
+            // A long poll: an idle machine's next work reaches it at once
+            // instead of with its next report.
+            let hold = self.settings.workers.report.scaled(0.6);
+            self.held.insert(
+                id.clone(),
+                Held {
+                    request,
+                    until: now + hold.min(LONGEST_HOLD),
+                    cycles: None,
+                },
+            );
+        } else if freed && waits && self.may_start(now) {
+            // Placing and committing takes a moment; the answer that carries
+            // the starts need not wait for the next report.
+            self.cycle_soon(now);
+            self.held.insert(
+                report.machine.clone(),
+                Held {
+                    request,
+                    until: now + HOLD,
+                    cycles: Some(self.cycles),
+                },
+            );
+        } else {
+            self.answer_report(io, request, &report.machine);
+        }
+        Fate::Stay
+    }
+
+    /// Answers held reports whose moment has come. Only machines for which a
+    /// start was stored are looked at closely, and after a cycle those that
+    /// wait for one.
+    pub fn answer_held(&mut self, io: &mut Io) {
+        let now = io.now.time;
+        let mut due: Vec<MachineId> = Vec::new();
+        let stored = std::mem::take(&mut self.stored);
+        due.extend(stored.into_iter().filter(|id| {
+            let (waits, ready) = self.unsent(id);
+            self.held
+                .get(id)
+                .is_some_and(|h| ready || h.cycles.is_some_and(|c| self.cycles > c && !waits))
+        }));
+        if now >= self.held_due || self.held_cycle < self.cycles {
+            let after_cycle = self.held_cycle < self.cycles;
+            self.held_due = now + HELD_LOOK;
+            self.held_cycle = self.cycles;
+            due.extend(
+                self.held
+                    .iter()
+                    .filter(|(id, h)| {
+                        let placed = after_cycle && h.cycles.is_some_and(|c| self.cycles > c);
+                        now >= h.until || (placed && !self.unsent(id).0)
+                    })
+                    .map(|(id, _)| id.clone()),
+            );
+        }
+        for id in due {
+            if let Some(h) = self.held.remove(&id) {
+                self.answer_report(io, h.request, &id);
+            }
+        }
+    }
+
+    /// Gives up held reports, when leadership ends.
+    pub fn drop_held(&mut self, io: &mut Io) {
+        for (_, h) in std::mem::take(&mut self.held) {
+            io.answer_later(h.request, 503, 1);
+        }
+    }
+
+    /// Whether a machine that has just reported has nothing to do.
+    pub(super) fn idles(&self, now: Time, id: &MachineId, report: &Report) -> bool {
+        report.tasks.is_empty()
+            && self.may_start(now)
+            && self
+                .machines
+                .get(id)
+                .is_some_and(|m| m.tasks.is_empty() && m.usable(now, self.silence()))
+    }
+
+    /// Whether starts for a machine still wait to be stored, and whether all
+    /// there are can be sent.
+    pub(super) fn unsent(&self, id: &MachineId) -> (bool, bool) {
+        let (mut waits, mut ready) = (false, false);
+        let tasks = self.machines.get(id).map(|m| &m.tasks);
+        for t in tasks.into_iter().flatten() {
+            let Some(job) = self.jobs.get(&t.job) else {
+                continue;
+            };
+            if let Some(p) = job.places.get(&t.index).filter(|p| p.unsent()) {
+                let stored = job.is_stored(self.chunk_size, t.index, p.change);
+                waits |= !stored;
+                ready |= stored;
+            }
+        }
+        (waits, ready && !waits)
+    }
+
+    /// Compares a report with the placements; true if it freed room.
+    pub(super) fn take_in(&mut self, now: Time, report: &Report) -> bool {
+        let id = &report.machine;
+        let mut listed: BTreeMap<TaskId, &ReportedTask> = BTreeMap::new();
+        let mut strays = Amounts::default();
+        for t in &report.tasks {
+            let Some(task) = TaskId::parse(&t.task) else {
+                continue;
+            };
+            let job = self.jobs.get(&task.job);
+            let place = job.and_then(|j| j.places.get(&task.index));
+            if place.is_some_and(|p| {
+                &p.machine == id && p.attempt == t.attempt && p.session == report.session
+            }) {
+                listed.insert(task, t);
+                continue;
+            }
+            if t.state != TaskState::Exited {
+                if let Some(j) = job {
+                    strays += j.spec.needs();
+                }
+            } else if t.why == Some(Why::Done) {
+                self.task_done(now, &task);
+            }
+        }
+        let Some(machine) = self.machines.get_mut(id) else {
+            return false;
+        };
+        machine.strays = strays;
+        let placed: Vec<TaskId> = machine.tasks.iter().cloned().collect();
+        let mut freed = false;
+        for task in placed {
+            let seen = listed.get(&task).copied();
+            let Some(job) = self.jobs.get_mut(&task.job) else {
+                continue;
+            };
+            let open = job.is_open();
+            let Some(p) = job.places.get_mut(&task.index) else {
+                continue;
+            };
+            match p.judge(report.session, report.tally, report.token, self.token, seen) {
+                Verdict::Absent => {
+                    freed = true;
+                    self.gone(now, &task, "its machine no longer has it");
+                }
+                // What is not wanted any more is not sent again; it never
+                // arrived, so it is nowhere.
+                Verdict::Undelivered if p.stop.is_some() || !open => {
+                    self.gone(now, &task, "never arrived");
+                }
+                Verdict::Undelivered => p.phase = Phase::Unsent,
+                Verdict::Present => {
+                    if let Some(t) = seen {
+                        freed |= self.seen(now, &task, t);
+                    }
+                }
+            }
+        }
+        freed
+    }
+
+    /// A placed task was reported; true if it ended.
+    pub(super) fn seen(&mut self, now: Time, task: &TaskId, t: &ReportedTask) -> bool {
+        if t.state == TaskState::Exited {
+            self.exited(now, task, t);
+            return true;
+        }
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            return false;
+        };
+        let spec = job.spec.clone();
+        let Some(p) = job.places.get_mut(&task.index) else {
+            return false;
+        };
+        p.phase = Phase::Seen(t.state);
+        if t.state == TaskState::Running && p.running.is_none() {
+            p.running = Some(now);
+            tracing::debug!(task = %task, machine = %p.machine, since_s = now.since(p.placed).as_secs(), "runs");
+        }
+        if t.state != TaskState::Fetching {
+            let cold = p.cold.take();
+            let machine = p.machine.clone();
+            let room = self.cache_room(&machine);
+            if let Some(m) = self.machines.get_mut(&machine)
+                && m.cache.remaining(&spec.image, now) != Some(Span::ZERO)
+            {
+                m.cache.fetched(&spec.image, spec.image_gb, now, room);
+                if let Some(since) = cold {
+                    self.estimates.note(&spec.image, now.since(since));
+                }
+            }
+        }
+        false
+    }
+
+    /// Expected remaining time of a task on its machine.
+    pub fn remaining(&self, now: Time, job: &Job, p: &Placement) -> Span {
+        let run = Span::secs(job.spec.estimate_s);
+        let cold = p.cold.map_or(Span::ZERO, |_| {
+            self.estimates.of(&job.spec.image, job.spec.image_gb, None)
+        });
+        match p.running {
+            Some(t) => Span(run.0.saturating_sub(now.since(t).0)),
+            None => run + cold,
+        }
+    }
+
+    pub(super) fn cache_room(&self, id: &MachineId) -> f64 {
+        self.machines
+            .get(id)
+            .and_then(|m| m.kind.as_ref())
+            .and_then(|k| self.types.get(k))
+            .map_or(0.0, |t| t.cache_gb)
+    }
+
+    /// Keeps what a report listed beyond the placements, for its answer.
+    pub(super) fn note_listed(&mut self, report: &Report) {
+        let extra = report
+            .tasks
+            .iter()
+            .map(|t| (t.task.clone(), t.attempt, t.state, t.why))
+            .collect();
+        self.listed.insert(report.machine.clone(), extra);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::testing::{io_at, leader};
+
+    // A direct command can bring our token to a worker whose lease an older
+    // leader renewed after our last 200: its lease ends later than that 200
+    // says, and its tasks run on after they were written off.
+    #[test]
+    fn a_lease_counts_from_the_first_report_with_our_token() {
+        let mut leader = leader();
+        let mut m = Machine::new(Time(0));
+        let task = TaskId::parse("wk-1/0").unwrap();
+        m.take(task, Amounts::default());
+        m.answered = Some(Time(10_000_000));
+        m.ours_since = Some(Time(100_000_000));
+        let id = MachineId::from("host-1");
+        leader.machines.insert(id.clone(), m);
+        let mut lost_at = |secs: f64| {
+            leader.expire(&mut io_at(secs));
+            leader.machines[&id].lost
+        };
+        // The fixture's lease is 10 s.
+        assert!(!lost_at(105.0));
+        assert!(!lost_at(110.5));
+        assert!(lost_at(111.5));
+    }
+}
--- a/src/core/intake.rs
+++ b/crates/pebblefold/src/core/intake.rs
@@ -2,8 +2,8 @@
 //! conditional writes on the job's own key, and every answer that is not
 //! final rests on a fresh read.
 
+use super::io::{Io, Waits};
 use super::ledger::{self, Head, HeadStage, TxnLimits};
-use super::node::{Io, Pending};
 use super::polls::{Asked, Polls};
 use super::{Answer, Reply, RequestId, Target};
 use crate::settings::Settings;
@@ -63,6 +63,25 @@
     /// Task counts as the leader last told, for display.
     pub counts: BTreeMap<JobId, (u32, u32)>,
     polls: Polls,
+    /// Calls under way.
+    pub waits: Waits<Awaits>,
+}
+
+/// What the intake waits for.
+#[derive(Clone, Debug)]
+pub enum Awaits {
+    /// A step of a user's request.
+    User {
+        /// The request.
+        request: RequestId,
+        /// The step.
+        step: Step,
+    },
+    /// A shared read for polls.
+    Compare {
+        /// The polls.
+        asked: Vec<Asked>,
+    },
 }
 
 impl Intake {
@@ -164,7 +183,7 @@
 }
 
 impl Intake {
-    fn read(&self, io: &mut Io, request: RequestId, id: &JobId, step: Step) {
+    fn read(&mut self, io: &mut Io, request: RequestId, id: &JobId, step: Step) {
         // Polls leave a part of the rate to submissions and cancellations.
         let spare = match step {
             Step::Poll(_) => io.user_calls.burst() * POLLS_LEAVE,
@@ -174,29 +193,29 @@
         if io.user_calls.level(now) < spare || !io.user_calls.take(now, 1.0) {
             return refuse(io, request, 503, "too many requests");
         }
-        io.call(
+        let id = io.call(
             Target::State,
             "GET",
             format!("/keys/{}", ledger::head_key(id)),
             Vec::new(),
             READ_TIMEOUT,
-            Pending::User { request, step },
         );
+        self.waits.add(id, Awaits::User { request, step });
     }
 
-    fn commit(&self, io: &mut Io, request: RequestId, txn: &Txn, step: Step) {
+    fn commit(&mut self, io: &mut Io, request: RequestId, txn: &Txn, step: Step) {
         let now = io.now.time;
         if !io.user_calls.take(now, 1.0) || !io.user_writes.take(now, txn.ops.len() as f64) {
             return refuse(io, request, 503, "too many requests");
         }
-        io.call(
+        let id = io.call(
             Target::State,
             "POST",
             "/commit".into(),
             wire::encode(txn),
             COMMIT_TIMEOUT,
-            Pending::User { request, step },
         );
+        self.waits.add(id, Awaits::User { request, step });
     }
 
     /// `POST /submissions`
@@ -262,14 +281,14 @@
         if !io.user_calls.take(now, 1.0) {
             return self.on_compare(io, asked, &Reply::NotSent);
         }
-        io.call(
+        let id = io.call(
             Target::State,
             "POST",
             "/commit".into(),
             wire::encode(&txn),
             READ_TIMEOUT,
-            Pending::Compare { asked },
         );
+        self.waits.add(id, Awaits::Compare { asked });
     }
 
     /// A shared read for polls was answered, or not.
@@ -302,7 +321,14 @@
     }
 
     /// The state service answered a step, or not.
-    pub fn on_reply(&mut self, io: &mut Io, request: RequestId, step: Step, reply: Reply) {
+    pub fn on_reply(&mut self, io: &mut Io, what: Awaits, reply: Reply) {
+        match what {
+            Awaits::User { request, step } => self.on_step(io, request, step, reply),
+            Awaits::Compare { asked } => self.on_compare(io, asked, &reply),
+        }
+    }
+
+    fn on_step(&mut self, io: &mut Io, request: RequestId, step: Step, reply: Reply) {
         match step {
             Step::Accept(id, tasks) => self.on_accept(io, request, id, tasks, reply),
             Step::Cancel(id, tries) => self.on_cancel(io, request, id, tries, reply),
@@ -396,7 +422,7 @@
     }
 
     fn write_cancel(
-        &self,
+        &mut self,
         io: &mut Io,
         request: RequestId,
         id: &JobId,
@@ -435,14 +461,14 @@
         let id = JobId::from("wk-1");
         let ended = Reply::Answer(200, wire::encode(&Revision::default()));
         let cancel = Step::Cancel(id.clone(), 1);
-        intake.on_reply(&mut io, RequestId(1), cancel, ended);
+        intake.on_step(&mut io, RequestId(1), cancel, ended);
         let head = Entry {
             key: ledger::head_key(&id),
             value: ledger::head_value(HeadStage::Open, 3),
             version: Version(4),
         };
         let late = Reply::Answer(200, wire::encode(&head));
-        intake.on_reply(&mut io, RequestId(2), Step::Poll(id), late);
+        intake.on_step(&mut io, RequestId(2), Step::Poll(id), late);
         let told: Vec<Stage> = io
             .take_outputs()
             .into_iter()
--- a/src/core/leader.rs
+++ b/crates/pebblefold/src/core/leader.rs
@@ -3,9 +3,9 @@
 
 use super::budget::{Backoff, Bucket};
 use super::fleet::{Held, Machine};
+use super::io::{Io, Waits};
 use super::ledger::{self, Assembly, ChunkSize, Dirty, End, HeadStage, Job, Lane, Watched};
-use super::node::{Io, Pending};
-use super::rental::Rental;
+use super::rental::{CloudCall, Rental};
 use super::tables::Estimates;
 use super::weak::{self, Decision};
 use super::{Reply, Target};
@@ -54,6 +54,21 @@
     Done,
 }
 
+/// What a leader waits for. It goes with its leader: replies for an earlier
+/// one are void.
+#[derive(Clone, Debug)]
+pub enum Awaits {
+    /// Records or changes.
+    Read {
+        /// When they were asked for.
+        sent: Time,
+    },
+    /// The transaction of its one lane of writes.
+    Commit,
+    /// A call to the cloud.
+    Cloud(CloudCall),
+}
+
 /// The leader.
 #[derive(Debug)]
 pub struct Leader {
@@ -63,6 +78,8 @@
     pub token: Token,
     /// The lease that the token hangs on.
     pub lease: u64,
+    /// Calls under way.
+    pub waits: Waits<Awaits>,
     /// When it took office.
     pub office: Time,
     /// When the last answered read of changes was sent.
@@ -122,6 +139,7 @@
         let mut leader = Leader {
             token,
             lease,
+            waits: Waits::default(),
             office: now,
             contact: now,
             load: Load::Watched(Vec::new(), None),
@@ -241,15 +259,17 @@
         };
         self.watching = true;
         let sent = io.now.time;
-        let token = self.token;
-        io.call(
-            Target::State,
-            "GET",
-            path,
-            Vec::new(),
-            timeout,
-            Pending::Read { token, sent },
-        );
+        let id = io.call(Target::State, "GET", path, Vec::new(), timeout);
+        self.waits.add(id, Awaits::Read { sent });
+    }
+
+    /// Takes a reply to one of its calls.
+    pub fn on_reply(&mut self, io: &mut Io, what: Awaits, reply: Reply) -> Fate {
+        match what {
+            Awaits::Read { sent } => self.on_read(io, sent, reply),
+            Awaits::Commit => self.on_commit(io, reply),
+            Awaits::Cloud(call) => self.on_cloud(io, call, reply),
+        }
     }
 
     /// A read of the records or of changes was answered, or not.
--- /dev/null
+++ b/crates/pebblefold/src/core/losses.rs
@@ -0,0 +1,214 @@
+//! How tasks leave their machines: done, ended early, or proven gone.
+
+use super::fleet::*;
+use super::io::Io;
+use super::leader::Leader;
+use super::ledger::End;
+use super::weak::{self, Decision};
+use crate::types::{MachineId, Span, TaskId, Time};
+use crate::wire::cloud::MachineStage;
+use crate::wire::workers::{ReportedTask, Why};
+
+/// Failures of different jobs that make a machine suspect.
+const SUSPECT: usize = 2;
+/// How long a failure counts against a machine.
+const FAULT_LIFE: Span = Span::millis(600_000);
+/// Machines of one job's failures that are remembered.
+const MOST_FAILED_ON: usize = 4;
+
+impl Leader {
+    pub(super) fn exited(&mut self, now: Time, task: &TaskId, t: &ReportedTask) {
+        let why = t.why.unwrap_or(Why::Unknown);
+        let Some(job) = self.jobs.get(&task.job) else {
+            return;
+        };
+        let Some(place) = job.places.get(&task.index).cloned() else {
+            return;
+        };
+        if why == Why::Done && !job.is_service() {
+            self.gone(now, task, "done");
+            if self.jobs[&task.job].is_gang() {
+                // They complete together.
+                for index in 0..self.jobs[&task.job].spec.tasks {
+                    self.task_done(
+                        now,
+                        &TaskId {
+                            job: task.job.clone(),
+                            index,
+                        },
+                    );
+                }
+            } else {
+                self.task_done(now, task);
+            }
+            return;
+        }
+        if !matches!(why, Why::Stopped | Why::Done) {
+            tracing::info!(task = %task, machine = %place.machine, ?why, team = %job.spec.team, "task ended early");
+        }
+        self.gone(now, task, "ended");
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
+        match why {
+            Why::Error | Why::Unknown => {
+                job.notes.failures += 1;
+                let pause = Span::secs(f64::from(1 << job.notes.failures.min(6)) / 2.0);
+                job.notes.not_before = now + pause;
+                // A job that fails everywhere must not use up the machines:
+                // only its latest few failures count for it, and one job
+                // alone never makes a machine suspect.
+                job.notes.failed_on.insert(place.machine.clone());
+                if job.notes.failed_on.len() > MOST_FAILED_ON {
+                    job.notes.failed_on.clear();
+                }
+                if let Some(m) = self.machines.get_mut(&place.machine) {
+                    m.faults.insert(task.job.clone(), now);
+                    m.faults.retain(|_, t| now.since(*t) < FAULT_LIFE);
+                    if m.faults.len() >= SUSPECT && m.leaving == Leaving::No {
+                        tracing::info!(machine = %place.machine, "put aside: several jobs failed on it");
+                        m.leaving = Leaving::Drain;
+                    }
+                }
+            }
+            Why::NoRoom | Why::Busy => {
+                job.notes.not_before = now + Span::secs(1.0);
+            }
+            Why::Done | Why::Stopped | Why::Peers | Why::Alone => {}
+        }
+    }
+
+    /// Marks a task done, wherever it was found to be.
+    pub fn task_done(&mut self, now: Time, task: &TaskId) {
+        let size = self.chunk_size;
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
+        if job.is_service() || task.index >= job.spec.tasks || !job.done.insert(task.index) {
+            return;
+        }
+        job.waiting.remove(task.index);
+        job.notes.failures = 0;
+        let change = job.touch(size, task.index);
+        job.unsaved.insert(task.index, change);
+        self.dirty
+            .note((task.job.clone(), size.of(task.index)), now, false);
+        if job.done.len() == job.spec.tasks && job.end.is_none() {
+            job.end = Some(End::Done { written: false });
+            self.finishing.insert(task.job.clone());
+        }
+        // Another attempt of it may still be somewhere.
+        if let Some(p) = job.places.get(&task.index)
+            && p.unsent()
+        {
+            self.gone(now, task, "done elsewhere");
+        }
+    }
+
+    /// A task is proved not to be on its machine. For a gang that ends the
+    /// whole attempt.
+    pub fn gone(&mut self, now: Time, task: &TaskId, proof: &'static str) {
+        self.remove_place(now, task, proof);
+        if let Some(job) = self.jobs.get(&task.job)
+            && job.is_gang()
+            && job.is_open()
+            && proof != "done"
+        {
+            let others: Vec<u32> = job.places.keys().copied().collect();
+            self.stop_tasks(now, &task.job, &others, 0.0, "its gang lost a task");
+        }
+    }
+
+    pub(super) fn remove_place(&mut self, now: Time, task: &TaskId, proof: &'static str) {
+        let size = self.chunk_size;
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
+        let Some(p) = job.places.remove(&task.index) else {
+            return;
+        };
+        let needs = job.spec.needs();
+        if !job.done.contains(task.index) && job.is_open() {
+            job.waiting.insert(task.index);
+        }
+        job.touch(size, task.index);
+        self.dirty
+            .note((task.job.clone(), size.of(task.index)), now, false);
+        tracing::debug!(task = %task, attempt = %p.attempt, machine = %p.machine, proof, "task is gone");
+        if let Some(m) = self.machines.get_mut(&p.machine) {
+            m.release(task, needs);
+            if m.tasks.is_empty() {
+                m.idle = Some(now);
+            }
+            let (jobs, tasks) = (&self.jobs, &m.tasks);
+            let waits = |image: &_| {
+                tasks
+                    .iter()
+                    .any(|t| jobs.get(&t.job).is_some_and(|j| &j.spec.image == image))
+            };
+            m.cache.give_up(waits);
+        }
+        if self.jobs[&task.job].places.is_empty() && !self.jobs[&task.job].is_open() {
+            self.dropping.insert(task.job.clone());
+        }
+    }
+
+    /// Writes off machines whose workers must have ended their tasks.
+    pub fn expire(&mut self, io: &mut Io) {
+        let now = io.now.time;
+        let mut lease = self.settings.workers.lease.scaled(1.0005) + Span::secs(1.0);
+        let inherited = self.office + self.inherited_wait;
+        let mut dead = Vec::new();
+        for (id, m) in &mut self.machines {
+            if m.lost || m.tasks.is_empty() {
+                continue;
+            }
+            let failed = matches!(m.listed, Some((MachineStage::Failed, _)));
+            if !weak::holds(Decision::LeaseBeforeWriteOff) {
+                lease = Span::secs(3.0);
+            }
+            let (due, proof) = if let Some(since) = m.ours_since {
+                // Older leaders' answers are dropped by a worker that has
+                // seen our token, so only our own renew its lease.
+                // Before it had our token an older leader may have done so:
+                // a direct command can bring the token without a 200 of ours.
+                (
+                    m.answered.max(Some(since)).unwrap_or(now) + lease,
+                    "its lease is over",
+                )
+            } else {
+                // An older leader may have answered it until it noticed.
+                let ours = m.answered.map_or(Time(0), |t| t + lease);
+                (inherited.max(ours), "silent since before this leader")
+            };
+            if failed || now >= due {
+                let proof = if failed {
+                    "the cloud lists it as failed"
+                } else {
+                    proof
+                };
+                tracing::info!(machine = %id, proof, tasks = m.tasks.len(), "machine presumed dead");
+                m.lost = true;
+                m.ours = false;
+                m.cache.clear();
+                dead.push((id.clone(), proof));
+            }
+        }
+        for (id, proof) in dead {
+            self.write_off(now, &id, proof);
+        }
+    }
+
+    /// Everything on a machine is gone.
+    pub fn write_off(&mut self, now: Time, id: &MachineId, proof: &'static str) {
+        let tasks: Vec<TaskId> = self
+            .machines
+            .get(id)
+            .map(|m| m.tasks.iter().cloned().collect())
+            .unwrap_or_default();
+        for t in tasks {
+            // A start that was never sent to this session stays harmless.
+            self.gone(now, &t, proof);
+        }
+    }
+}
--- a/src/core/mod.rs
+++ b/crates/pebblefold/src/core/mod.rs
@@ -2,12 +2,15 @@
 //! write and answer comes out. Nothing here does I/O or reads a clock.
 
 pub mod budget;
+mod commands;
 pub mod cycle;
 pub mod election;
 pub mod fleet;
 pub mod intake;
+pub mod io;
 pub mod leader;
 pub mod ledger;
+mod losses;
 pub mod node;
 mod placing;
 pub mod polls;
--- /dev/null
+++ b/crates/pebblefold/src/core/node.rs
@@ -0,0 +1,350 @@
+//! A controller node: routes inputs to its parts.
+
+mod inspect;
+mod kinds;
+mod peers;
+mod reports;
+
+use super::election::{Election, Outcome};
+use super::intake::Intake;
+use super::io::{Io, Timed, Waits};
+use super::leader::{Fate, Leader};
+use super::ledger;
+use super::{Answer, CallId, Input, Now, Output, Reply, RequestId, Side, Target};
+use crate::http;
+use crate::policy::Policy;
+use crate::settings::Settings;
+use crate::types::{Image, Label, MachineId, Span, Time, Token};
+use crate::wire;
+use crate::wire::cloud::MachineTypes;
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+
+/// What the node itself waits for.
+#[derive(Clone, Debug)]
+enum Awaits {
+    /// The stored machine types.
+    Types,
+    /// A worker's report, passed on to the leader.
+    Relay {
+        /// The request.
+        request: RequestId,
+    },
+    /// A greeting to a peer.
+    Greet(Label),
+}
+
+#[derive(Clone, Debug)]
+struct PeerView {
+    heard: Time,
+    token: Token,
+    leads: bool,
+    state_ok: bool,
+}
+
+/// A worker whose reports are passed on, or lately were.
+#[derive(Debug, Default)]
+struct Passing {
+    seen: Time,
+    /// Since when its reports are passed on.
+    since: Option<Time>,
+    /// How often it was sent back after that.
+    turns: u32,
+}
+
+/// A controller node.
+#[derive(Debug)]
+pub struct Node {
+    settings: Rc<Settings>,
+    policy: Rc<Policy>,
+    io: Io,
+    waits: Waits<Awaits>,
+    election: Election,
+    intake: Intake,
+    leader: Option<Leader>,
+    peers: BTreeMap<Label, PeerView>,
+    /// Workers whose reports are passed on.
+    passing: BTreeMap<MachineId, Passing>,
+    /// Peers that missed what was last told.
+    missed: BTreeSet<Label>,
+    /// Images on machines, as the last leader told.
+    caches: BTreeMap<MachineId, (Time, Vec<(Image, f64)>)>,
+    types: Option<MachineTypes>,
+    types_due: Time,
+    types_calling: bool,
+    greet_due: Time,
+}
+
+/// Time between greetings.
+const GREET_EVERY: Span = Span::millis(1000);
+/// Contact with the state service older than this counts as none.
+const STATE_FRESH: Span = Span::millis(5000);
+/// How long a peer's word counts.
+const PEER_FRESH: Span = Span::millis(3500);
+/// How long a worker's reports are passed on before it is sent to the leader
+/// again, the first time.
+const PASSES_ON: Span = Span::millis(20_000);
+/// How long such a worker is remembered.
+const PASSING_KEPT: Span = Span::millis(120_000);
+/// How long a report passed on may take; workers wait 4 s.
+const RELAY_TIMEOUT: Span = Span::millis(3000);
+/// Machines whose images are remembered for a change of leader.
+const MOST_CACHES: usize = 4000;
+/// Counts told to peers at once.
+const MOST_COUNTS: usize = 300;
+
+impl Node {
+    /// A node at the start of its life.
+    pub fn new(settings: Settings, policy: Policy, seed: u64) -> Node {
+        let settings = Rc::new(settings);
+        Node {
+            io: Io::new(&settings, seed),
+            waits: Waits::default(),
+            election: Election::new(settings.label.clone(), Span::secs(policy.leader_lease_s)),
+            intake: Intake::default(),
+            leader: None,
+            peers: BTreeMap::new(),
+            passing: BTreeMap::new(),
+            missed: BTreeSet::new(),
+            caches: BTreeMap::new(),
+            types: None,
+            types_due: Time(0),
+            types_calling: false,
+            greet_due: Time(0),
+            policy: Rc::new(policy),
+            settings,
+        }
+    }
+
+    /// Takes an input; returns what to do.
+    pub fn handle(&mut self, now: Now, input: Input) -> Vec<Output> {
+        self.io.now = now;
+        match input {
+            Input::Tick => self.tick(),
+            Input::Request(id, side, request) => self.request(id, side, request),
+            Input::Reply(id, reply) => self.reply(id, reply),
+        }
+        if let Some(leader) = &mut self.leader {
+            leader.advance(&mut self.io);
+        }
+        self.io.take_outputs()
+    }
+
+    /// Whether this node leads and has loaded everything.
+    pub fn leads(&self) -> bool {
+        self.leader.as_ref().is_some_and(Leader::is_loaded)
+    }
+
+    fn tick(&mut self) {
+        let now = self.io.now.time;
+        self.election.tick(&mut self.io);
+        if let Some(leader) = &mut self.leader {
+            self.election.renew(&mut self.io, leader.lease);
+            leader.tick(&mut self.io);
+        }
+        self.intake.compare(&mut self.io);
+        if now >= self.greet_due {
+            self.greet_due = now + GREET_EVERY;
+            self.passing.retain(|_, p| now.since(p.seen) < PASSING_KEPT);
+            self.greet();
+        }
+        if !self.types_calling && now >= self.types_due {
+            self.types_calling = true;
+            let path = format!("/keys?starts={}/&most=100", ledger::TYPES);
+            let limit = Span::secs(2.0);
+            let call = self.io.call(Target::State, "GET", path, Vec::new(), limit);
+            self.waits.add(call, Awaits::Types);
+        }
+        self.io.forget_given_up();
+    }
+
+    fn request(&mut self, id: RequestId, side: Side, r: http::Request) {
+        let parts: Vec<&str> = r.path.split('/').skip(1).collect();
+        let routes = (side, r.method.as_str(), parts.as_slice());
+        let timed = match routes {
+            (Side::Api, "POST", ["submissions"]) => Some(Timed::Submit),
+            (Side::Api, "GET", ["submissions", _]) => Some(Timed::Poll),
+            (Side::Api, "POST", ["submissions", _, "cancel"]) => Some(Timed::Cancel),
+            (Side::Api, "POST", ["checkin"]) => Some(Timed::Report),
+            _ => None,
+        };
+        if timed.is_some_and(|kind| !self.io.begin(id, kind)) {
+            return self.io.answer_later(id, 503, 2);
+        }
+        match routes {
+            (Side::Api, "POST", ["submissions"]) => self.intake.submit(
+                &mut self.io,
+                id,
+                &r.body,
+                &self.settings,
+                self.types.as_ref(),
+            ),
+            (Side::Api, "GET", ["submissions", job]) => {
+                self.refresh_counts(job);
+                self.intake.poll(&mut self.io, id, job);
+            }
+            (Side::Api, "POST", ["submissions", job, "cancel"]) => {
+                self.intake.cancel(&mut self.io, id, job);
+            }
+            (Side::Api, "POST", ["checkin"]) => self.checkin(id, r.body),
+            (Side::Internal, "POST", ["checkin"]) => self.relayed(id, &r.body),
+            (Side::Api, "GET", ["ready"]) => {
+                let status = if self.is_ready() { 200 } else { 503 };
+                self.io.answer_status(id, status);
+            }
+            (Side::Internal, "POST", ["greet"]) => self.greeted(id, &r.body),
+            (Side::Internal, "GET", ["inspect"]) => {
+                let body = wire::encode(&self.inspect(&r.query));
+                self.io.answer(
+                    id,
+                    Answer {
+                        status: 200,
+                        retry_after: None,
+                        body,
+                    },
+                );
+            }
+            (Side::Api, _, ["submissions"] | ["submissions", _] | ["submissions", _, "cancel"])
+            | (Side::Api, _, ["checkin"] | ["ready"])
+            | (Side::Internal, _, ["greet"] | ["inspect"] | ["checkin"]) => {
+                self.io.answer_status(id, 405)
+            }
+            _ => self.io.answer_status(id, 404),
+        }
+    }
+
+    fn refresh_counts(&mut self, job: &str) {
+        if let Some(leader) = &self.leader {
+            let id = job.into();
+            if let Some((done, running)) = leader.counts(&id) {
+                self.intake.note_counts(vec![(id, done, running)]);
+            }
+        }
+    }
+
+    /// Hands a reply to the part that waits for it.
+    fn reply(&mut self, id: CallId, reply: Reply) {
+        if let Some(what) = self.leader.as_mut().and_then(|l| l.waits.take(id)) {
+            return self.lead(|leader, io| leader.on_reply(io, what, reply));
+        }
+        if let Some(what) = self.election.waits.take(id) {
+            let lease = self.leader.as_ref().map(|l| l.lease);
+            let outcome = self.election.on_reply(&mut self.io, what, lease, reply);
+            self.stand(outcome);
+        } else if let Some(what) = self.intake.waits.take(id) {
+            self.intake.on_reply(&mut self.io, what, reply);
+        } else {
+            match self.waits.take(id) {
+                Some(Awaits::Relay { request }) => return self.on_relay(request, reply),
+                Some(Awaits::Types) => self.on_types(&reply),
+                Some(Awaits::Greet(label)) => self.on_greet(label, &reply),
+                None => {}
+            }
+        }
+        // Standing may have changed: go on at once.
+        self.election.tick(&mut self.io);
+    }
+
+    /// Takes or loses office as the election says.
+    fn stand(&mut self, outcome: Outcome) {
+        let now = self.io.now.time;
+        match outcome {
+            Outcome::None => {}
+            Outcome::Elected(token, lease) => {
+                tracing::info!(%token, "elected");
+                let none = MachineTypes::default();
+                let mut leader = Leader::new(
+                    Rc::clone(&self.settings),
+                    Rc::clone(&self.policy),
+                    token,
+                    lease,
+                    now,
+                    self.types.as_ref().unwrap_or(&none),
+                );
+                for (id, (_, images)) in std::mem::take(&mut self.caches) {
+                    leader.inherit_cache(now, &id, &images);
+                }
+                leader.tick(&mut self.io);
+                self.leader = Some(leader);
+                self.greet_due = now;
+            }
+            Outcome::LeaseLost => self.end_leadership(Fate::StepDown("the lease ran out")),
+        }
+    }
+
+    /// Lets the leader act, and ends its office if that is its fate.
+    fn lead(&mut self, act: impl FnOnce(&mut Leader, &mut Io) -> Fate) {
+        let Some(leader) = self.leader.as_mut() else {
+            return;
+        };
+        let fate = act(leader, &mut self.io);
+        if fate != Fate::Stay {
+            self.end_leadership(fate);
+        } else {
+            leader.tick(&mut self.io);
+        }
+        if let Some(types) = self.io.learned_types.take() {
+            self.learned(types);
+        }
+    }
+
+    fn end_leadership(&mut self, fate: Fate) {
+        let Some(mut leader) = self.leader.take() else {
+            return;
+        };
+        leader.drop_held(&mut self.io);
+        let now = self.io.now.time;
+        match fate {
+            Fate::Deposed(by) => tracing::info!(token = %leader.token, %by, "deposed"),
+            Fate::StepDown(why) => tracing::info!(token = %leader.token, why, "stepped down"),
+            Fate::Stay => {}
+        }
+        self.election.drop_lease(&mut self.io, leader.lease);
+        self.election.reset(now);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::policy::DEFAULT_SCRIPT;
+    use crate::testing;
+    use crate::wire::peers::Greeting;
+
+    // While one peer was down everything was told from the beginning again
+    // every second, and the others never heard of more than the first machines.
+    #[test]
+    fn a_peer_that_is_down_does_not_keep_the_others_from_hearing() {
+        let settings = testing::settings(0);
+        let policy = Policy::from_script(DEFAULT_SCRIPT, &settings).unwrap();
+        let mut node = Node::new(settings, policy, 1);
+        let mut leader = testing::leader();
+        for n in 0..1000 {
+            let images = [(Image::from("img"), 5.0)];
+            leader.inherit_cache(Time(0), &format!("host-{n:04}").into(), &images);
+        }
+        node.leader = Some(leader);
+        let mut heard = BTreeSet::new();
+        for _ in 0..20 {
+            node.greet();
+            for out in node.io.take_outputs() {
+                let Output::Call(call) = out else { continue };
+                let Some(Awaits::Greet(label)) = node.waits.take(call.id) else {
+                    continue;
+                };
+                let reply = if label.as_str() == "node-1" {
+                    let told: Greeting = wire::decode(&call.body).unwrap();
+                    heard.extend(told.caches.into_iter().map(|(id, _)| id));
+                    let mut answer = node.greeting(Vec::new());
+                    answer.label = label.clone();
+                    (answer.token, answer.leads) = (Token(0), false);
+                    Reply::Answer(200, wire::encode(&answer))
+                } else {
+                    Reply::Lost
+                };
+                node.on_greet(label, &reply);
+            }
+        }
+        assert_eq!(heard.len(), 1000);
+    }
+}
--- /dev/null
+++ b/crates/pebblefold/src/core/node/inspect.rs
@@ -0,0 +1,37 @@
+//! What operators may see.
+
+use super::Node;
+use crate::core::election::Standing;
+
+impl Node {
+    /// `query` may have `machine=` and `job=`, what their names begin with.
+    pub(super) fn inspect(&self, query: &str) -> serde_json::Value {
+        let starts = |name: &str| {
+            let pairs = query.split('&').filter_map(|p| p.split_once('='));
+            let mut named = pairs.filter(|(n, _)| *n == name);
+            named.next().map_or("", |(_, value)| value)
+        };
+        let (machine, job) = (starts("machine"), starts("job"));
+        let now = self.io.now.time;
+        let times = self.io.quantiles();
+        let peers: Vec<_> = self
+            .peers
+            .iter()
+            .map(|(l, p)| {
+                serde_json::json!({
+                    "node": l, "heard_s_ago": now.since(p.heard).as_secs(), "token": p.token,
+                    "leads": p.leads, "state_ok": p.state_ok,
+                })
+            })
+            .collect();
+        serde_json::json!({
+            "node": self.settings.label, "zone": self.settings.zone, "ready": self.is_ready(),
+            "state_ok": self.state_ok(), "leads": self.leads(),
+            "standing": format!("{:?}", self.election.standing),
+            "leader": self.election.leader.as_ref().map(|(l, _)| l),
+            "peers": peers, "times": times,
+            "leading": self.leader.as_ref().map(|l| l.inspect(now, machine, job)),
+            "standing_by": matches!(self.election.standing, Standing::Following(_)),
+        })
+    }
+}
--- /dev/null
+++ b/crates/pebblefold/src/core/node/peers.rs
@@ -0,0 +1,140 @@
+//! What the nodes tell one another, and readiness.
+
+use super::{
+    Awaits, GREET_EVERY, MOST_CACHES, MOST_COUNTS, Node, PEER_FRESH, PeerView, STATE_FRESH,
+};
+use crate::core::leader::Fate;
+use crate::core::{Answer, Reply, RequestId, Target};
+use crate::types::{JobId, Label};
+use crate::wire;
+use crate::wire::peers::Greeting;
+
+impl Node {
+    pub(super) fn state_ok(&self) -> bool {
+        let now = self.io.now.time;
+        let leading = self
+            .leader
+            .as_ref()
+            .filter(|l| l.is_loaded())
+            .map(|l| l.contact);
+        leading
+            .max(self.election.contact)
+            .is_some_and(|t| now.since(t) < STATE_FRESH)
+    }
+
+    /// Ready while the state service answers, or while it answers no node
+    /// that can be asked: an outage that all share must not take every node
+    /// out of service.
+    pub(super) fn is_ready(&self) -> bool {
+        let now = self.io.now.time;
+        let better = self
+            .peers
+            .values()
+            .any(|p| p.state_ok && now.since(p.heard) < PEER_FRESH);
+        self.state_ok() || (self.election.contact.is_some() && !better)
+    }
+
+    pub(super) fn greeting(&self, counts: Vec<(JobId, u32, u32)>) -> Greeting {
+        let seen = self.election.leader.as_ref().map(|(_, t)| *t);
+        Greeting {
+            label: self.settings.label.clone(),
+            token: self
+                .leader
+                .as_ref()
+                .map(|l| l.token)
+                .max(seen)
+                .unwrap_or_default(),
+            leads: self.leader.is_some(),
+            state_ok: self.state_ok(),
+            counts,
+            caches: Vec::new(),
+        }
+    }
+
+    pub(super) fn greet(&mut self) {
+        let counts = self
+            .leader
+            .as_mut()
+            .map(|l| l.changed_counts(MOST_COUNTS))
+            .unwrap_or_default();
+        let mut greeting = self.greeting(counts);
+        if let Some(leader) = &mut self.leader {
+            greeting.caches = leader.changed_caches();
+        }
+        let body = wire::encode(&greeting);
+        for p in &self.settings.peers {
+            let call = self.io.call(
+                Target::Host(p.addr),
+                "POST",
+                "/greet".into(),
+                body.clone(),
+                GREET_EVERY.scaled(0.9),
+            );
+            self.waits.add(call, Awaits::Greet(p.label.clone()));
+        }
+    }
+
+    /// A peer answered a greeting, or not.
+    pub(super) fn on_greet(&mut self, label: Label, reply: &Reply) {
+        if let Reply::Answer(200, body) = reply
+            && let Some(g) = wire::decode::<Greeting>(body)
+            && g.label == label
+        {
+            self.heard(g);
+            if self.missed.remove(&label)
+                && let Some(leader) = &mut self.leader
+            {
+                leader.tell_again();
+            }
+        } else {
+            self.missed.insert(label);
+        }
+    }
+
+    pub(super) fn greeted(&mut self, id: RequestId, body: &[u8]) {
+        let Some(g) = wire::decode::<Greeting>(body) else {
+            return self.io.answer_status(id, 400);
+        };
+        self.heard(g);
+        let body = wire::encode(&self.greeting(Vec::new()));
+        self.io.answer(
+            id,
+            Answer {
+                status: 200,
+                retry_after: None,
+                body,
+            },
+        );
+    }
+
+    pub(super) fn heard(&mut self, g: Greeting) {
+        if !self.settings.peers.iter().any(|p| p.label == g.label) {
+            return;
+        }
+        self.intake.note_counts(g.counts);
+        let now = self.io.now.time;
+        if self.leader.is_none() {
+            for (id, images) in g.caches {
+                self.caches.insert(id, (now, images));
+            }
+            while self.caches.len() > MOST_CACHES
+                && let Some((old, _)) = self.caches.iter().min_by_key(|(_, (t, _))| *t)
+            {
+                let old = old.clone();
+                self.caches.remove(&old);
+            }
+        }
+        self.peers.insert(
+            g.label,
+            PeerView {
+                heard: now,
+                token: g.token,
+                leads: g.leads,
+                state_ok: g.state_ok,
+            },
+        );
+        if self.leader.as_ref().is_some_and(|l| g.token > l.token) {
+            self.end_leadership(Fate::Deposed(g.token));
+        }
+    }
+}
--- /dev/null
+++ b/crates/pebblefold/src/core/node/reports.rs
@@ -0,0 +1,116 @@
+//! Workers' reports: the leader's own, and those passed on to it.
+
+use super::{Awaits, Node, PASSES_ON, PEER_FRESH, RELAY_TIMEOUT};
+use crate::core::leader::Fate;
+use crate::core::{Answer, Reply, RequestId, Target};
+use crate::types::{Label, Span, Token};
+use crate::wire;
+use crate::wire::workers::{Report, ReportElsewhere};
+
+impl Node {
+    pub(super) fn checkin(&mut self, id: RequestId, body: Vec<u8>) {
+        let Some(report) = wire::decode::<Report>(&body) else {
+            return self.io.answer_status(id, 400);
+        };
+        if self.leader.is_some() {
+            return self.report(id, report, true);
+        }
+        let foreman = self.foreman();
+        // The answer is the leader's wherever it is heard: where the leader is
+        // out of a worker's reach, its lease need not run out.
+        if let Some((label, token)) = &foreman
+            && self.passes_on(&report, *token)
+            && let Some(peer) = self.settings.peers.iter().find(|p| p.label == *label)
+        {
+            let call = self.io.call(
+                Target::Host(peer.addr),
+                "POST",
+                "/checkin".into(),
+                body,
+                RELAY_TIMEOUT,
+            );
+            return self.waits.add(call, Awaits::Relay { request: id });
+        }
+        self.report_elsewhere(id, foreman.map(|(label, _)| label));
+    }
+
+    /// Whether a report is to be passed on. A worker that has the leader's token
+    /// already comes here only when it cannot reach the leader. It stays here
+    /// as long as it is answered, so after a while it is sent to the leader
+    /// again, rarer each time. One that has not may have found the leader not
+    /// ready yet, and is better off with it.
+    pub(super) fn passes_on(&mut self, report: &Report, token: Token) -> bool {
+        if token != report.token {
+            return false;
+        }
+        let now = self.io.now.time;
+        let p = self.passing.entry(report.machine.clone()).or_default();
+        p.seen = now;
+        let since = *p.since.get_or_insert(now);
+        let goes_on = now.since(since) < Span(PASSES_ON.0 << p.turns.min(4));
+        if !goes_on {
+            p.since = None;
+            p.turns += 1;
+        }
+        goes_on
+    }
+
+    /// A report that another node passes on.
+    pub(super) fn relayed(&mut self, id: RequestId, body: &[u8]) {
+        match wire::decode::<Report>(body) {
+            Some(report) if self.leader.is_some() => self.report(id, report, false),
+            Some(_) => self.io.answer_status(id, 421),
+            None => self.io.answer_status(id, 400),
+        }
+    }
+
+    pub(super) fn report(&mut self, id: RequestId, report: Report, may_hold: bool) {
+        if let Some(leader) = &mut self.leader {
+            let fate = leader.on_report(&mut self.io, id, report, may_hold);
+            if fate != Fate::Stay {
+                self.end_leadership(fate);
+            }
+        }
+    }
+
+    /// The leader answered a report that was passed on, or not.
+    pub(super) fn on_relay(&mut self, id: RequestId, reply: Reply) {
+        match reply {
+            Reply::Answer(200, body) => self.io.answer(
+                id,
+                Answer {
+                    status: 200,
+                    body,
+                    ..Default::default()
+                },
+            ),
+            // Another node may do better.
+            _ => self.report_elsewhere(id, None),
+        }
+    }
+
+    pub(super) fn report_elsewhere(&mut self, id: RequestId, report_to: Option<Label>) {
+        let body = wire::encode(&ReportElsewhere { report_to });
+        self.io.answer(
+            id,
+            Answer {
+                status: 421,
+                retry_after: None,
+                body,
+            },
+        );
+    }
+
+    /// The leader and its token as far as known, if it is another node.
+    pub(super) fn foreman(&self) -> Option<(Label, Token)> {
+        let now = self.io.now.time;
+        let told = self
+            .peers
+            .iter()
+            .filter(|(_, p)| p.leads && now.since(p.heard) < PEER_FRESH)
+            .map(|(l, p)| (l.clone(), p.token));
+        told.chain(self.election.leader.clone())
+            .max_by_key(|(_, t)| *t)
+            .filter(|(l, _)| *l != self.settings.label)
+    }
+}
--- a/src/core/placing.rs
+++ b/crates/pebblefold/src/core/placing.rs
@@ -3,9 +3,9 @@
 
 use super::cycle::{Cycle, Pace, TeamUse, Want};
 use super::fleet::Machine;
+use super::io::Io;
 use super::leader::Leader;
 use super::ledger::Job;
-use super::node::Io;
 use super::preempt::{self, Victim, Victims};
 use super::presence::Phase;
 use super::tables::Row;
--- a/src/core/rental.rs
+++ b/crates/pebblefold/src/core/rental.rs
@@ -3,8 +3,8 @@
 use super::budget::{Backoff, Bucket};
 use super::cycle::{Cycle, Pace, Want};
 use super::fleet::{Leaving, Machine};
-use super::leader::{Fate, Leader};
-use super::node::{Io, Pending};
+use super::io::Io;
+use super::leader::{Awaits, Fate, Leader};
 use super::tables::Row;
 use super::{Reply, Target};
 use crate::settings::{ObjectiveKind, Settings};
@@ -135,15 +135,8 @@
                 }),
             ),
         };
-        let token = self.token;
-        io.call(
-            Target::Cloud,
-            method,
-            path,
-            body,
-            Span::secs(5.0),
-            Pending::Cloud { token, call },
-        );
+        let id = io.call(Target::Cloud, method, path, body, Span::secs(5.0));
+        self.waits.add(id, Awaits::Cloud(call));
     }
 
     /// The next call; made only if the rate allows it.
--- a/src/core/writing.rs
+++ b/crates/pebblefold/src/core/writing.rs
@@ -1,9 +1,9 @@
 //! The leader's lane of writes: what changed goes out in conditional
 //! transactions, one at a time, ahead of what depends on it.
 
-use super::leader::{Fate, Leader};
+use super::io::Io;
+use super::leader::{Awaits, Fate, Leader};
 use super::ledger::{self, End, Item, TxnBuilder, TxnLimits};
-use super::node::{Io, Pending};
 use super::{Reply, Target};
 use crate::types::{Span, Time, Version};
 use crate::wire;
@@ -32,15 +32,14 @@
         }
         self.lane.calling = true;
         let body = wire::encode(txn);
-        let token = self.token;
-        io.call(
+        let id = io.call(
             Target::State,
             "POST",
             "/commit".into(),
             body,
             Span::secs(2.0),
-            Pending::Commit { token },
         );
+        self.waits.add(id, Awaits::Commit);
     }
 
     fn gather(&mut self, now: Time) -> Option<(Txn, Vec<Item>)> {
--- a/src/lib.rs
+++ b/crates/pebblefold/src/lib.rs
@@ -7,11 +7,11 @@
 pub mod cli;
 pub mod core;
 pub mod driver;
-pub mod http;
 pub mod policy;
 pub mod settings;
-pub mod types;
-pub mod wire;
+
+pub use pebblefold_wire as wire;
+pub use pebblefold_wire::{http, types};
 
 #[cfg(test)]
 mod testing;
--- a/src/policy.rs
+++ b/crates/pebblefold/src/policy.rs
@@ -6,7 +6,7 @@
 use serde::Serialize;
 
 /// The default script, as it ships in `deploy/`.
-pub const DEFAULT_SCRIPT: &str = include_str!("../deploy/policy.lua");
+pub const DEFAULT_SCRIPT: &str = include_str!("../policy.lua");
 
 /// Most memory the script may use.
 const MEMORY: usize = 4 * 1024 * 1024;
--- a/src/testing/mod.rs
+++ b/crates/pebblefold/src/testing/mod.rs
@@ -1,8 +1,8 @@
 //! Fixtures for tests.
 
 use crate::core::Now;
+use crate::core::io::Io;
 use crate::core::leader::Leader;
-use crate::core::node::Io;
 use crate::policy::{DEFAULT_SCRIPT, Policy};
 use crate::settings::Settings;
 use crate::types::{Span, Time, Token, Wall};
--- a/src/wire/mod.rs
+++ b/crates/wire/src/lib.rs
@@ -1,9 +1,13 @@
-//! Messages as they travel. Field spellings of the platform appear here only,
-//! as serde renames; everything else speaks the field's own words.
+//! Everything that travels between the processes of a pebblefold cluster: ids,
+//! amounts and times as small types, the messages, and a small HTTP/1.1.
+//! Nothing here does I/O. Field spellings of the platform appear here only, as
+//! serde renames; everything else speaks the field's own words.
 
 pub mod cloud;
+pub mod http;
 pub mod peers;
 pub mod state;
+pub mod types;
 pub mod users;
 pub mod workers;
 
--- a/test.sh
+++ b/test.sh
@@ -4,6 +4,6 @@
 set -euo pipefail
 cd "$(dirname "$0")"
 cargo fmt --check
-cargo clippy --locked --all-targets --quiet -- -D warnings
+cargo clippy --locked --workspace --all-targets --quiet -- -D warnings
 cargo build --locked --release --quiet
-cargo test --locked --quiet
+cargo test --workspace --locked --quiet
