Add pebblefold-state, a state service that survives power loss, and pebblefold-net

Change: the protocol as a state machine over a storage trait (memory, or redb in a file), one sync for all that gathers while the last is under way, answers only after it. HTTP over sockets, client and server, moves from the daemon's driver to pebblefold-net; rates and pauses to pebblefold-wire.

--- /dev/null
+++ b/crates/net/src/server.rs
@@ -0,0 +1,147 @@
+//! Requests from one connection, and a plain server for many.
+
+use pebblefold_wire::http::{self, HttpError, Request, Response};
+use std::future::Future;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::spawn_local;
+use tokio::time::{sleep, timeout};
+
+/// How long a connection may stay silent between requests.
+const IDLE: Duration = Duration::from_secs(75);
+/// How long a request may take to arrive once it has begun, and an answer to
+/// be taken.
+const ARRIVAL: Duration = Duration::from_secs(10);
+/// Pause after accepting failed, for example for lack of sockets.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// What comes next on a connection.
+#[derive(Debug)]
+pub enum Next {
+    /// A request.
+    Request(Request),
+    /// The other side is gone, or took too long.
+    Closed,
+    /// Something that is not a request.
+    Bad(HttpError),
+}
+
+/// Reads the next request; `data` holds what has arrived beyond it.
+pub async fn next_request(stream: &mut TcpStream, data: &mut Vec<u8>) -> Next {
+    loop {
+        match http::read_request(data) {
+            Ok(Some((request, used))) => {
+                data.drain(..used);
+                return Next::Request(request);
+            }
+            Ok(None) => {
+                let patience = if data.is_empty() { IDLE } else { ARRIVAL };
+                match timeout(patience, stream.read_buf(data)).await {
+                    Ok(Ok(n)) if n > 0 => {}
+                    _ => return Next::Closed,
+                }
+            }
+            Err(e) => return Next::Bad(e),
+        }
+    }
+}
+
+/// Accepts connections for ever and answers their requests with `handle`, each
+/// connection on a local task of its own. `None` from `handle` drops the
+/// connection without an answer.
+pub async fn answer_connections<H, F>(listener: TcpListener, handle: H)
+where
+    H: Fn(Request) -> F + 'static,
+    F: Future<Output = Option<Response>> + 'static,
+{
+    let handle = Rc::new(handle);
+    loop {
+        let Ok((mut stream, _)) = listener.accept().await else {
+            sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let handle = Rc::clone(&handle);
+        spawn_local(async move {
+            // A socket that refuses the option still serves.
+            let _ = stream.set_nodelay(true);
+            let mut data = Vec::new();
+            loop {
+                let response = match next_request(&mut stream, &mut data).await {
+                    Next::Request(request) => {
+                        let close = request.close;
+                        let Some(mut response) = handle(request).await else {
+                            return;
+                        };
+                        response.close |= close;
+                        response
+                    }
+                    Next::Closed => return,
+                    Next::Bad(e) => Response {
+                        status: e.status(),
+                        retry_after: None,
+                        body: Vec::new(),
+                        close: true,
+                    },
+                };
+                let bytes = http::write_response(&response);
+                match timeout(ARRIVAL, stream.write_all(&bytes)).await {
+                    Ok(Ok(())) if !response.close => {}
+                    _ => return,
+                }
+            }
+        });
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::{Client, Sent};
+    use std::cell::Cell;
+    use tokio::task::LocalSet;
+
+    // A connection that the server closed between two requests must not make a
+    // read fail, and must never send a change twice.
+    #[test]
+    fn only_reads_are_repeated_on_a_stale_connection() {
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()
+            .unwrap();
+        LocalSet::new().block_on(&runtime, async {
+            let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+            let std::net::SocketAddr::V4(addr) = listener.local_addr().unwrap() else {
+                unreachable!("bound to an IPv4 address")
+            };
+            let served = Rc::new(Cell::new(0));
+            let count = Rc::clone(&served);
+            spawn_local(answer_connections(listener, move |r| {
+                count.set(count.get() + 1);
+                // Every second request is dropped with its connection.
+                let answer = (count.get() % 2 == 1).then(|| Response {
+                    status: 200,
+                    retry_after: None,
+                    body: r.body,
+                    close: false,
+                });
+                async move { answer }
+            }));
+            let client = Client::default();
+            let ask = async |method, body: &[u8]| {
+                client
+                    .exchange(addr, method, "/", body, &Sent::default())
+                    .await
+                    .map(|r| r.body)
+                    .ok()
+            };
+            assert_eq!(ask("POST", b"one").await, Some(b"one".to_vec()));
+            assert_eq!(ask("POST", b"two").await, None);
+            assert_eq!(served.get(), 2, "a change is sent once");
+            assert_eq!(ask("POST", b"three").await, Some(b"three".to_vec()));
+            assert_eq!(ask("GET", b"").await, Some(Vec::new()));
+            assert_eq!(served.get(), 5, "a read is sent again");
+        });
+    }
+}
--- a/crates/pebblefold/src/core/election.rs
+++ b/crates/pebblefold/src/core/election.rs
@@ -1,12 +1,12 @@
 //! Who leads: the holder of a key that hangs on a lease. Its version is the
 //! token.
 
-use super::budget::Backoff;
 use super::io::{Io, Waits};
 use super::ledger::{self, LeaderValue};
 use super::{Reply, Target};
 use crate::types::{Label, Span, Time, Token, Version};
 use crate::wire;
+use crate::wire::pace::Backoff;
 use crate::wire::state::{Changes, Condition, Entry, Lease, LeaseRequest, Op, Revision, Txn};
 use rand::RngExt;
 
--- a/crates/pebblefold/src/core/io.rs
+++ b/crates/pebblefold/src/core/io.rs
@@ -1,12 +1,12 @@
 //! The core's hands: what its parts need from below to act. Each part keeps
 //! what it waits for in a [`Waits`] of its own, so nothing here knows them.
 
-use super::budget::Bucket;
 use super::{Answer, Call, CallId, Now, Output, RequestId, Target};
 use crate::settings::Settings;
 use crate::types::{Session, Span, Time, Token, Wall};
 use crate::wire;
 use crate::wire::cloud::MachineTypes;
+use crate::wire::pace::Bucket;
 use crate::wire::workers::{Command, DirectCommands};
 use hdrhistogram::Histogram;
 use rand::rngs::StdRng;
--- a/crates/pebblefold/src/core/leader.rs
+++ b/crates/pebblefold/src/core/leader.rs
@@ -1,7 +1,6 @@
 //! The leading controller: loads what is recorded, follows changes, places
 //! work every cycle and writes its decisions ahead of sending them.
 
-use super::budget::{Backoff, Bucket};
 use super::fleet::{Held, Machine};
 use super::io::{Io, Waits};
 use super::ledger::{self, Assembly, ChunkSize, Dirty, End, HeadStage, Job, Lane, Watched};
@@ -16,6 +15,7 @@
 };
 use crate::wire;
 use crate::wire::cloud::{MachineType, MachineTypes};
+use crate::wire::pace::{Backoff, Bucket};
 use crate::wire::state::{Changes, Entries, Entry};
 use crate::wire::workers::{TaskState, Why};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
--- a/crates/pebblefold/src/core/mod.rs
+++ b/crates/pebblefold/src/core/mod.rs
@@ -1,7 +1,6 @@
 //! The controller as a state machine: inputs with a time go in, what to send,
 //! write and answer comes out. Nothing here does I/O or reads a clock.
 
-pub mod budget;
 mod commands;
 pub mod cycle;
 pub mod election;
--- a/crates/pebblefold/src/core/rental.rs
+++ b/crates/pebblefold/src/core/rental.rs
@@ -1,6 +1,5 @@
 //! Renting and returning machines.
 
-use super::budget::{Backoff, Bucket};
 use super::cycle::{Cycle, Pace, Want};
 use super::fleet::{Leaving, Machine};
 use super::io::Io;
@@ -11,6 +10,7 @@
 use crate::types::{Kind, MachineId, Span, Time, Zone};
 use crate::wire;
 use crate::wire::cloud::{MachineList, MachineNames, MachineStage, MachineTypes, Rent};
+use crate::wire::pace::{Backoff, Bucket};
 use std::collections::{BTreeMap, HashMap};
 
 /// Machines of one type, zone and kind.
--- a/crates/pebblefold/src/driver.rs
+++ b/crates/pebblefold/src/driver.rs
@@ -6,29 +6,22 @@
 use crate::policy::Policy;
 use crate::settings::Settings;
 use crate::types::{Time, Wall};
+use pebblefold_net::{Client, Next, Sent, next_request};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::oneshot;
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::{sleep, timeout};
 
-/// How long a connection may stay silent between requests.
-const IDLE: Duration = Duration::from_secs(75);
-/// How long a request may take to arrive once it has begun.
+/// How long an answer may take to be taken.
 const ARRIVAL: Duration = Duration::from_secs(10);
 /// How long the core may take over an answer before the connection is dropped.
 const ANSWER: Duration = Duration::from_secs(8);
-/// How long connecting may take.
-const CONNECT: Duration = Duration::from_millis(1500);
-/// Idle connections kept per target.
-const KEPT: usize = 8;
-/// Targets for which idle connections are kept.
-const TARGETS: usize = 32;
 /// Time between ticks of the core.
 const TICK: Duration = Duration::from_millis(50);
 
@@ -36,7 +29,7 @@
     node: RefCell<Node>,
     waiting: RefCell<HashMap<RequestId, oneshot::Sender<crate::core::Answer>>>,
     next_request: Cell<u64>,
-    idle: RefCell<HashMap<SocketAddrV4, Vec<TcpStream>>>,
+    client: Client,
     started: Instant,
     state: SocketAddrV4,
     cloud: SocketAddrV4,
@@ -86,82 +79,17 @@
             Target::Host(a) => a,
         };
         let limit = Duration::from_micros(call.timeout.0);
-        let sent = Cell::new(false);
-        match timeout(limit, self.exchange(addr, &call, &sent)).await {
+        let sent = Sent::default();
+        let exchange = self
+            .client
+            .exchange(addr, call.method, &call.path, &call.body, &sent);
+        match timeout(limit, exchange).await {
             Ok(Ok(r)) => Reply::Answer(r.status, r.body),
             Ok(Err(_)) | Err(_) if !sent.get() => Reply::NotSent,
             _ => Reply::Lost,
         }
     }
 
-    /// An idle connection to a target. Targets without any are forgotten, so
-    /// that workers that are gone leave nothing behind.
-    fn pooled(&self, addr: SocketAddrV4) -> Option<TcpStream> {
-        let mut idle = self.idle.borrow_mut();
-        let kept = idle.get_mut(&addr)?;
-        let stream = kept.pop();
-        if kept.is_empty() {
-            idle.remove(&addr);
-        }
-        stream
-    }
-
-    async fn exchange(
-        &self,
-        addr: SocketAddrV4,
-        call: &Call,
-        sent: &Cell<bool>,
-    ) -> std::io::Result<Response> {
-        let request = http::write_request(call.method, &addr.to_string(), &call.path, &call.body);
-        let pooled = self.pooled(addr);
-        if let Some(stream) = pooled {
-            sent.set(true);
-            match self.exchange_on(stream, addr, &request).await {
-                Ok(r) => return Ok(r),
-                // A kept connection may have been closed by the other side in
-                // the meantime. Only a read may be sent a second time.
-                Err(e) if call.method != "GET" => return Err(e),
-                Err(_) => sent.set(false),
-            }
-        }
-        let stream = timeout(CONNECT, TcpStream::connect(addr))
-            .await
-            .map_err(|_| std::io::ErrorKind::TimedOut)??;
-        stream.set_nodelay(true)?;
-        sent.set(true);
-        self.exchange_on(stream, addr, &request).await
-    }
-
-    async fn exchange_on(
-        &self,
-        mut stream: TcpStream,
-        addr: SocketAddrV4,
-        request: &[u8],
-    ) -> std::io::Result<Response> {
-        stream.write_all(request).await?;
-        let mut data = Vec::with_capacity(1024);
-        loop {
-            let n = stream.read_buf(&mut data).await?;
-            let parsed = http::read_response(&data, n == 0)
-                .map_err(|e| std::io::Error::new(std::io::ErrorKind::InvalidData, e))?;
-            if let Some((r, used)) = parsed {
-                if !r.close && n > 0 && used == data.len() {
-                    let mut idle = self.idle.borrow_mut();
-                    if idle.len() < TARGETS || idle.contains_key(&addr) {
-                        let kept = idle.entry(addr).or_default();
-                        if kept.len() < KEPT {
-                            kept.push(stream);
-                        }
-                    }
-                }
-                return Ok(r);
-            }
-            if n == 0 {
-                return Err(std::io::ErrorKind::UnexpectedEof.into());
-            }
-        }
-    }
-
     async fn answer(self: &Rc<Self>, side: Side, request: Request) -> Option<crate::core::Answer> {
         let id = RequestId(self.next_request.get());
         self.next_request.set(id.0 + 1);
@@ -176,19 +104,10 @@
     async fn serve(self: Rc<Self>, mut stream: TcpStream, side: Side) {
         let mut data: Vec<u8> = Vec::new();
         loop {
-            let request = match http::read_request(&data) {
-                Ok(Some((request, used))) => {
-                    data.drain(..used);
-                    request
-                }
-                Ok(None) => {
-                    let patience = if data.is_empty() { IDLE } else { ARRIVAL };
-                    match timeout(patience, stream.read_buf(&mut data)).await {
-                        Ok(Ok(n)) if n > 0 => continue,
-                        _ => return,
-                    }
-                }
-                Err(e) => {
+            let request = match next_request(&mut stream, &mut data).await {
+                Next::Request(request) => request,
+                Next::Closed => return,
+                Next::Bad(e) => {
                     let refusal = Response {
                         status: e.status(),
                         retry_after: None,
@@ -274,7 +193,7 @@
             node: RefCell::new(Node::new(settings, policy, seed)),
             waiting: RefCell::default(),
             next_request: Cell::new(1),
-            idle: RefCell::default(),
+            client: Client::default(),
             started,
             state,
             cloud,
--- /dev/null
+++ b/crates/state/benches/state.rs
@@ -0,0 +1,144 @@
+//! What the state service does a second, on disk and in memory, alone and in
+//! groups; how long it takes to start and what a key costs. Run with
+//! `cargo bench -p pebblefold-state`; the figures are of the machine at hand.
+
+use hdrhistogram::Histogram;
+use pebblefold_state::{Asker, Disk, Image, Key, Limits, Memory, Service, Storage, Ticket, Value};
+use pebblefold_state::{Marks, archive};
+use pebblefold_wire::encode;
+use pebblefold_wire::http::Request;
+use pebblefold_wire::state::{Op, Txn};
+use pebblefold_wire::types::{Time, Version};
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+const LIMITS: Limits = Limits {
+    rps: 1e12,
+    write_rps: 1e12,
+    value_bytes: 8192,
+    txn_ops: 48,
+};
+
+fn request(method: &str, path: String, body: Vec<u8>) -> Request {
+    let (method, query, close) = (method.into(), String::new(), false);
+    Request {
+        method,
+        path,
+        query,
+        body,
+        close,
+    }
+}
+
+/// A commit of four values of 300 bytes, as a controller's cycle makes them.
+fn commit(n: u64) -> Request {
+    let put = |i: u64| Op::Put {
+        key: format!("r/wk-{:06}/{i}", n % 5000),
+        value: "x".repeat(300).into(),
+        lease: None,
+    };
+    let txn = Txn {
+        conditions: Vec::new(),
+        ops: (0..4).map(put).collect(),
+    };
+    request("POST", "/commit".into(), encode(&txn))
+}
+
+fn read(n: u64) -> Request {
+    request("GET", format!("/keys/r/wk-{:06}/1", n % 5000), Vec::new())
+}
+
+/// Handles groups of requests for two seconds.
+fn measure<S: Storage>(what: &str, s: &mut Service<S>, group: u64, make: fn(u64) -> Request) {
+    let mut times = Histogram::<u64>::new_with_bounds(1, 60_000_000, 3).expect("valid bounds");
+    let begin = Instant::now();
+    let mut n = 0;
+    while begin.elapsed() < Duration::from_secs(2) {
+        let now = Time(1 + begin.elapsed().as_micros() as u64);
+        let requests: Vec<Request> = (n..n + group).map(make).collect();
+        let t = Instant::now();
+        for (i, r) in requests.iter().enumerate() {
+            s.handle(now, Asker(0), Ticket(i as u64), r);
+        }
+        assert_eq!(s.flush(now).len() as u64, group);
+        times
+            .record_n(t.elapsed().as_micros().max(1) as u64, group)
+            .expect("in bounds");
+        n += group;
+    }
+    let rate = n as f64 / begin.elapsed().as_secs_f64();
+    let (p50, p99) = (times.value_at_quantile(0.5), times.value_at_quantile(0.99));
+    println!(
+        "{what:<34} groups of {group:>3}: {rate:>9.0} a second, p50 {p50:>6} us, p99 {p99:>6} us"
+    );
+}
+
+/// Memory that this process holds, in bytes.
+fn held() -> u64 {
+    let text = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let line = text.lines().find_map(|l| l.strip_prefix("VmRSS:"));
+    let kb = line.and_then(|l| l.trim().strip_suffix(" kB")?.parse::<u64>().ok());
+    kb.unwrap_or(0) * 1024
+}
+
+fn image(keys: u64) -> Image {
+    let key = |n| {
+        let value = Value(encode(&serde_json::json!({"s": "d", "n": n % 100})).into());
+        (
+            format!("job/wk-{n:09}"),
+            Key {
+                value,
+                version: Version(n + 1),
+                lease: None,
+            },
+        )
+    };
+    Image {
+        marks: Marks {
+            revision: keys,
+            ..Marks::default()
+        },
+        keys: (0..keys).map(key).collect(),
+        ..Image::default()
+    }
+}
+
+fn start_up(dir: &Path, keys: u64) {
+    let path = dir.join(format!("store-{keys}"));
+    let mut disk = Disk::at(&path);
+    disk.load().expect("a new store");
+    archive::write_image(&mut disk, &image(keys)).expect("there is room");
+    drop(disk);
+    let before = held();
+    let t = Instant::now();
+    let s = Service::open(Disk::at(&path), LIMITS, Time(1)).expect("just written");
+    let took = t.elapsed();
+    let memory = held().saturating_sub(before) / keys;
+    let file = std::fs::metadata(&path).map_or(0, |m| m.len()) / keys;
+    let t = Instant::now();
+    let saved = dir.join("snapshot");
+    archive::save(&s.image(), &saved).expect("there is room");
+    let size = std::fs::metadata(&saved).map_or(0, |m| m.len()) / keys;
+    println!(
+        "{keys:>8} keys: starts in {took:>8.1?}; a key takes {memory} bytes of memory, {file} on disk; \
+         snapshot in {:.1?}, {size} bytes a key",
+        t.elapsed()
+    );
+}
+
+fn main() {
+    let dir = std::env::temp_dir().join(format!("pebblefold-bench-{}", std::process::id()));
+    std::fs::create_dir_all(&dir).expect("a directory for the measurement");
+    let mut memory = Service::open(Memory::default(), LIMITS, Time(1)).expect("memory opens");
+    let mut disk = Service::open(Disk::at(dir.join("store")), LIMITS, Time(1)).expect("opens");
+    for group in [1, 8, 64] {
+        measure("commits of 4 puts, in memory,", &mut memory, group, commit);
+        measure("commits of 4 puts, on disk,", &mut disk, group, commit);
+    }
+    measure("reads, in memory,", &mut memory, 1, read);
+    measure("reads, on disk,", &mut disk, 1, read);
+    for keys in [10_000, 100_000, 1_000_000] {
+        start_up(&dir, keys);
+    }
+    std::fs::remove_dir_all(&dir).expect("our own directory");
+}
--- /dev/null
+++ b/crates/state/src/lib.rs
@@ -0,0 +1,24 @@
+//! A state service for one machine: the small consistent store that controller
+//! nodes keep everything in, by the users' protocol ("Controller nodes ->
+//! state service").
+//!
+//! - [`Service`] is the protocol as a state machine: requests and time go in,
+//!   answers and records to store come out. It does no I/O of its own.
+//! - [`Storage`] is what it stands on: [`Memory`], or [`Disk`], an embedded
+//!   store that survives power loss.
+//! - [`driver`] serves it on sockets.
+//! - [`archive`] saves everything to one file and restores it.
+//! - [`cut`] is a disk in memory that can be cut off at any numbered write.
+
+pub mod archive;
+pub mod cut;
+mod disk;
+pub mod driver;
+mod image;
+mod service;
+mod storage;
+
+pub use disk::Disk;
+pub use image::{Change, Image, Key, Marks, Value};
+pub use service::{Answer, Asker, Limits, Outcome, Service, Ticket};
+pub use storage::{Batch, Memory, Storage, StorageError};
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod cloud;
 pub mod http;
+pub mod pace;
 pub mod peers;
 pub mod state;
 pub mod types;
--- a/crates/wire/src/state.rs
+++ b/crates/wire/src/state.rs
@@ -17,6 +17,22 @@
     pub version: Version,
 }
 
+/// The answer about one key: as an entry, with its lease.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct KeyAnswer {
+    /// The key.
+    pub key: String,
+    /// Its value.
+    #[serde(default)]
+    pub value: Value,
+    /// Its version.
+    #[serde(rename = "touched")]
+    pub version: Version,
+    /// The lease it hangs on.
+    #[serde(rename = "permit", default, skip_serializing_if = "Option::is_none")]
+    pub lease: Option<u64>,
+}
+
 /// A page of keys.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Entries {
