--- /dev/null
+++ b/crates/rehearsal/src/report.rs
@@ -0,0 +1,347 @@
+//! The verdict of a rehearsal, as text, JSON and one HTML page with plots.
+
+use crate::checker::{Breach, JobRecord};
+use crate::stand::{Sample, Stand};
+use hdrhistogram::Histogram;
+use pebblefold::types::Time;
+use plotters::prelude::*;
+use serde::Serialize;
+use std::collections::BTreeMap;
+use std::fmt::Write;
+use std::time::Duration;
+
+/// A broken rule with the history of its job.
+#[derive(Clone, Debug, Serialize)]
+pub struct Broken {
+    /// What was broken.
+    #[serde(flatten)]
+    pub breach: Breach,
+    /// The history of the job alone, a line each.
+    pub history: Vec<String>,
+}
+
+/// How a class was served.
+#[derive(Clone, Debug, Serialize)]
+pub struct ClassReport {
+    /// Jobs submitted.
+    pub jobs: usize,
+    /// Jobs that started.
+    pub started: usize,
+    /// Seconds from submission to start: half of them, nine in ten, the longest.
+    pub start_s: [f64; 3],
+    /// Seconds from submission to the end as its user heard it, likewise.
+    pub end_s: [f64; 3],
+}
+
+/// The verdict.
+#[derive(Clone, Debug, Serialize)]
+pub struct Verdict {
+    /// The script's name.
+    pub name: String,
+    /// Whether no rule was broken.
+    pub passed: bool,
+    /// `simulated` or `loopback`.
+    pub world: &'static str,
+    /// How to play it again.
+    pub replay: String,
+    /// Seconds it covered.
+    pub length_s: f64,
+    /// Seconds it took.
+    pub took_s: f64,
+    /// Rules broken.
+    pub broken: Vec<Broken>,
+    /// Jobs accepted.
+    pub accepted: usize,
+    /// Jobs whose final answer is done.
+    pub done: usize,
+    /// Jobs whose final answer is cancelled.
+    pub cancelled: usize,
+    /// Jobs that no controller took in time.
+    pub given_up: usize,
+    /// Tasks started.
+    pub starts: u64,
+    /// Tasks killed because a worker's lease ran out.
+    pub lease_kills: u64,
+    /// GPU-agnostic seconds of task time that were lost and done again.
+    pub repeated_s: f64,
+    /// Milliseconds to acceptance: half, 95 in 100, the longest.
+    pub accept_ms: [u64; 3],
+    /// Money spent on machines.
+    pub cost: f64,
+    /// By class.
+    pub classes: BTreeMap<String, ClassReport>,
+    /// Faults that struck: the second, and what.
+    pub faults: Vec<(f64, String)>,
+    /// Faults that never did.
+    pub not_struck: Vec<String>,
+    /// Every second.
+    pub samples: Vec<Sample>,
+    /// Every job.
+    pub jobs: Vec<JobRecord>,
+}
+
+fn quantiles(mut values: Vec<f64>) -> [f64; 3] {
+    values.sort_by(f64::total_cmp);
+    let at = |q: f64| {
+        let i = (values.len() as f64 * q).ceil() as usize;
+        values.get(i.max(1) - 1).copied().unwrap_or(0.0)
+    };
+    [at(0.5), at(0.9), at(1.0)]
+}
+
+impl Verdict {
+    /// The verdict on what the stand-ins saw, in simulated time.
+    pub fn of(stand: &mut Stand, now: Time, took: Duration) -> Verdict {
+        let cost = stand.cost(now);
+        let checker = stand.checker();
+        let broken: Vec<Broken> = checker
+            .breaches()
+            .iter()
+            .map(|b| Broken {
+                breach: b.clone(),
+                history: checker.history_of(&b.job),
+            })
+            .collect();
+        let jobs = checker.records();
+        let mut classes: BTreeMap<String, ClassReport> = BTreeMap::new();
+        let names: std::collections::BTreeSet<&String> = jobs.iter().map(|j| &j.class).collect();
+        for name in names {
+            let of = || jobs.iter().filter(|j| j.class == *name);
+            let since = |t: fn(&JobRecord) -> Option<f64>| {
+                of().filter_map(|j| t(j).map(|t| t - j.submitted_s))
+                    .collect::<Vec<_>>()
+            };
+            let report = ClassReport {
+                jobs: of().count(),
+                started: of().filter(|j| j.started_s.is_some()).count(),
+                start_s: quantiles(since(|j| j.started_s)),
+                end_s: quantiles(since(|j| j.ended_s)),
+            };
+            classes.insert(name.clone(), report);
+        }
+        let mut accept = Histogram::<u64>::new_with_bounds(1, 600_000, 3).ok();
+        for ms in stand.accept_ms() {
+            if let Some(h) = &mut accept {
+                h.saturating_record((*ms).max(1));
+            }
+        }
+        let accept = |q| accept.as_ref().map_or(0, |h| h.value_at_quantile(q));
+        let (accepted, done, cancelled, given_up) = checker.counts();
+        Verdict {
+            name: stand.script().name.clone(),
+            passed: broken.is_empty(),
+            world: "simulated",
+            replay: String::new(),
+            length_s: now.0 as f64 / 1e6,
+            took_s: took.as_secs_f64(),
+            broken,
+            accepted,
+            done,
+            cancelled,
+            given_up,
+            starts: checker.starts(),
+            lease_kills: stand.fleet().lease_kills,
+            repeated_s: stand.fleet().repeated_s,
+            accept_ms: [accept(0.5), accept(0.95), accept(1.0)],
+            cost,
+            classes,
+            faults: stand.marks().to_vec(),
+            not_struck: stand.left(),
+            samples: stand.samples().to_vec(),
+            jobs,
+        }
+    }
+
+    /// The verdict as text for a terminal.
+    pub fn text(&self) -> String {
+        let mut out = String::new();
+        self.write_text(&mut out)
+            .unwrap_or_else(|_| unreachable!("text takes everything"));
+        out
+    }
+
+    fn write_text(&self, out: &mut String) -> std::fmt::Result {
+        let verdict = if self.passed { "passed" } else { "FAILED" };
+        writeln!(
+            out,
+            "{}: {verdict} ({}, {:.0} s in {:.1} s)",
+            self.name, self.world, self.length_s, self.took_s
+        )?;
+        writeln!(
+            out,
+            "  jobs: {} accepted, {} done, {} cancelled, {} never accepted; {} task starts, {} killed by a lease, {:.0} s done again, cost {:.2}",
+            self.accepted,
+            self.done,
+            self.cancelled,
+            self.given_up,
+            self.starts,
+            self.lease_kills,
+            self.repeated_s,
+            self.cost
+        )?;
+        let [a, b, c] = self.accept_ms;
+        writeln!(
+            out,
+            "  accepted within {a} ms (half), {b} ms (95 %), {c} ms (all)"
+        )?;
+        for (name, k) in &self.classes {
+            let [s50, s90, s100] = k.start_s;
+            let [e50, e90, e100] = k.end_s;
+            writeln!(
+                out,
+                "  {name}: {} jobs, {} started; start after {s50:.1}/{s90:.1}/{s100:.1} s, end after {e50:.0}/{e90:.0}/{e100:.0} s (50 %, 90 %, all)",
+                k.jobs, k.started
+            )?;
+        }
+        for (at, what) in &self.faults {
+            writeln!(out, "  {at:>8.2} s  {what}")?;
+        }
+        for what in &self.not_struck {
+            writeln!(out, "  never struck: {what}")?;
+        }
+        for b in &self.broken {
+            writeln!(
+                out,
+                "\nrule broken: {} at {:.2} s, job {}: {}",
+                b.breach.rule, b.breach.at_s, b.breach.job, b.breach.what
+            )?;
+            for line in &b.history {
+                writeln!(out, "  {line}")?;
+            }
+            writeln!(out, "  play it again: {}", self.replay)?;
+        }
+        Ok(())
+    }
+
+    /// One page with everything in it.
+    ///
+    /// # Errors
+    /// A plot could not be drawn; the text names it.
+    pub fn html(&self) -> Result<String, String> {
+        let classes: Vec<String> = self.classes.keys().cloned().collect();
+        let zones: Vec<String> = self
+            .samples
+            .last()
+            .map(|s| s.zones.keys().cloned().collect())
+            .unwrap_or_default();
+        let series = |names: &[String], value: &dyn Fn(&Sample, &str) -> f64| {
+            names
+                .iter()
+                .map(|n| {
+                    (
+                        n.clone(),
+                        self.samples.iter().map(|s| (s.at_s, value(s, n))).collect(),
+                    )
+                })
+                .collect::<Vec<(String, Vec<(f64, f64)>)>>()
+        };
+        let waiting = series(&classes, &|s, n| {
+            s.classes.get(n).map_or(0.0, |c| f64::from(c.0))
+        });
+        let running = series(&classes, &|s, n| {
+            s.classes.get(n).map_or(0.0, |c| f64::from(c.1))
+        });
+        let machines = series(&zones, &|s, n| {
+            f64::from(s.zones.get(n).copied().unwrap_or(0))
+        });
+        let starts: Vec<(String, Vec<(f64, f64)>)> = classes
+            .iter()
+            .map(|c| {
+                let of = self.jobs.iter().filter(|j| j.class == *c);
+                let mut points: Vec<(f64, f64)> = of
+                    .filter_map(|j| j.started_s.map(|t| (j.submitted_s, t - j.submitted_s)))
+                    .collect();
+                points.sort_by(|a, b| a.0.total_cmp(&b.0));
+                (c.clone(), points)
+            })
+            .collect();
+        let plots = [
+            ("Jobs waiting, by class", waiting),
+            ("Jobs running, by class", running),
+            ("Machines up, by zone", machines),
+            (
+                "Seconds from submission to start, by time of submission",
+                starts,
+            ),
+        ];
+        let mut figures = String::new();
+        for (title, series) in &plots {
+            let svg = self
+                .plot(title, series)
+                .map_err(|e| format!("{title}: {e}"))?;
+            figures.push_str(&format!("<figure>{svg}</figure>\n"));
+        }
+        let text = escape(&self.text());
+        let name = escape(&self.name);
+        let verdict = if self.passed { "passed" } else { "failed" };
+        Ok(format!(
+            "<!doctype html>\n<html lang=\"en\"><head><meta charset=\"utf-8\"><title>{name}: {verdict}</title>\n\
+             <style>body{{font:15px/1.4 system-ui,sans-serif;margin:2em auto;max-width:62em;padding:0 1em}}\
+             pre{{white-space:pre-wrap;background:#f4f4f4;padding:1em}}svg{{max-width:100%;height:auto}}\
+             figure{{margin:1.5em 0}}</style></head>\n<body><h1>{name}: {verdict}</h1>\n<pre>{text}</pre>\n{figures}\
+             <p>Dashed lines: faults. Figures of {} machines.</p></body></html>\n",
+            if self.world == "simulated" {
+                "simulated"
+            } else {
+                "stand-in"
+            }
+        ))
+    }
+
+    fn plot(
+        &self,
+        title: &str,
+        series: &[(String, Vec<(f64, f64)>)],
+    ) -> Result<String, Box<dyn std::error::Error>> {
+        let mut svg = String::new();
+        {
+            let root = SVGBackend::with_string(&mut svg, (900, 300)).into_drawing_area();
+            let most = series
+                .iter()
+                .flat_map(|(_, points)| points.iter().map(|p| p.1))
+                .fold(1.0, f64::max);
+            let end = self.length_s.max(1.0);
+            let mut chart = ChartBuilder::on(&root)
+                .caption(title, ("sans-serif", 16))
+                .margin(8)
+                .x_label_area_size(28)
+                .y_label_area_size(44)
+                .build_cartesian_2d(0.0..end, 0.0..most * 1.05)?;
+            chart
+                .configure_mesh()
+                .x_desc("seconds")
+                .disable_x_mesh()
+                .draw()?;
+            for (at, _) in &self.faults {
+                let line = vec![(*at, 0.0), (*at, most * 1.05)];
+                let style = BLACK.mix(0.35);
+                chart.draw_series(DashedLineSeries::new(line, 4, 4, style.into()))?;
+            }
+            for (i, (name, points)) in series.iter().enumerate() {
+                let color = Palette99::pick(i).to_rgba();
+                chart
+                    .draw_series(LineSeries::new(
+                        points.iter().copied(),
+                        color.stroke_width(2),
+                    ))?
+                    .label(name)
+                    .legend(move |(x, y)| {
+                        PathElement::new(vec![(x, y), (x + 14, y)], color.stroke_width(2))
+                    });
+            }
+            chart
+                .configure_series_labels()
+                .background_style(WHITE.mix(0.8))
+                .border_style(BLACK.mix(0.3))
+                .draw()?;
+            root.present()?;
+        }
+        Ok(svg)
+    }
+}
+
+fn escape(text: &str) -> String {
+    text.replace('&', "&amp;")
+        .replace('<', "&lt;")
+        .replace('>', "&gt;")
+}
--- /dev/null
+++ b/crates/rehearsal/src/simulated.rs
@@ -0,0 +1,527 @@
+//! Rehearsals in simulated time: the controllers' own state machine beside the
+//! stand-ins, with a seed that fixes everything.
+
+use crate::cloud::Addresses;
+use crate::links::{Fate, Host};
+use crate::report::Verdict;
+use crate::script::Script;
+use crate::stand::{Layout, NodeAction, Out, Returned, Stand, Store, settings};
+use pebblefold::core::node::Node;
+use pebblefold::core::{CallId, Input, Now, Output, Reply, RequestId, Side, Target};
+use pebblefold::policy::{DEFAULT_SCRIPT, Policy, PolicyError};
+use pebblefold::settings::SettingsError;
+use pebblefold::types::{Span, Time, Wall};
+use pebblefold_state::StorageError;
+use pebblefold_state::cut::CutDisk;
+use pebblefold_wire::http::Request;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Time between a controller's ticks, and between steps of the stand-ins.
+const TICK: Span = Span::millis(50);
+/// Wall clock at the beginning.
+const EPOCH_MS: u64 = 1_700_000_000_000;
+
+/// Why a rehearsal cannot begin.
+#[derive(Debug, thiserror::Error)]
+pub enum StartError {
+    /// The cluster's settings are refused.
+    #[error(transparent)]
+    Settings(#[from] SettingsError),
+    /// The policy is refused.
+    #[error(transparent)]
+    Policy(#[from] PolicyError),
+    /// The state service's store cannot be opened.
+    #[error(transparent)]
+    Storage(#[from] StorageError),
+}
+
+enum Message {
+    /// A controller's call to a stand-in or to another controller.
+    Call {
+        node: usize,
+        life: u32,
+        id: CallId,
+        request: Request,
+    },
+    /// What came of it.
+    Reply {
+        node: usize,
+        life: u32,
+        id: CallId,
+        reply: Reply,
+    },
+    /// A request of the stand-ins to a controller.
+    Request { ticket: u64, request: Request },
+    /// A controller's answer to it.
+    Answer {
+        ticket: u64,
+        answer: pebblefold::core::Answer,
+    },
+}
+
+enum Event {
+    Tick(usize, u32),
+    Stand,
+    Arrive(Host, Message),
+    Timeout(usize, u32, CallId),
+    Reset(u64),
+}
+
+enum Origin {
+    Stand { ticket: u64, from: Host },
+    Peer { node: usize, life: u32, id: CallId },
+}
+
+struct Slot {
+    node: Option<Node>,
+    life: u32,
+    born: Time,
+    paused: bool,
+    open: BTreeSet<CallId>,
+    asked: BTreeMap<RequestId, Origin>,
+    next: u64,
+    waiting: Vec<Input>,
+}
+
+/// A rehearsal in simulated time.
+pub struct Simulated {
+    stand: Stand,
+    layout: Layout,
+    now: Time,
+    rng: StdRng,
+    queue: BTreeMap<(Time, u64), Event>,
+    numbers: u64,
+    slots: Vec<Slot>,
+    /// Calls at stand-ins: who waits for them.
+    calls: BTreeMap<u64, (usize, u32, CallId)>,
+    next_call: u64,
+}
+
+impl Simulated {
+    /// A rehearsal of a script with this seed.
+    ///
+    /// # Errors
+    /// The script's cluster is refused by the controllers.
+    pub fn new(script: Script, seed: u64) -> Result<Simulated, StartError> {
+        let nodes = script.cluster.controllers.len();
+        let at = |port: u16| move |n: usize| format!("10.0.0.{}:{port}", n + 1);
+        let layout = Layout {
+            api: (0..nodes).map(at(8080)).collect(),
+            internal: (0..nodes).map(at(8081)).collect(),
+            peers: BTreeMap::new(),
+            state: vec!["10.2.0.1:2379".into(); nodes],
+            cloud: vec!["10.2.0.2:8443".into(); nodes],
+        };
+        for n in 0..nodes {
+            let s = settings(&script, &layout, n)?;
+            Policy::from_script(DEFAULT_SCRIPT, &s)?;
+        }
+        let addresses = Addresses {
+            prefix: [10, 1],
+            port: 9000,
+        };
+        let store = Store::Memory(CutDisk::default());
+        let mut world = Simulated {
+            stand: Stand::new(script, seed, store, addresses, true)?,
+            layout,
+            now: Time(0),
+            rng: StdRng::seed_from_u64(seed ^ 0x5eed),
+            queue: BTreeMap::new(),
+            numbers: 0,
+            slots: Vec::new(),
+            calls: BTreeMap::new(),
+            next_call: 1,
+        };
+        for n in 0..nodes {
+            world.slots.push(Slot {
+                node: None,
+                life: 0,
+                born: Time(0),
+                paused: false,
+                open: BTreeSet::new(),
+                asked: BTreeMap::new(),
+                next: 1,
+                waiting: Vec::new(),
+            });
+            world.act(NodeAction::Start(n));
+        }
+        world.at(Time(0), Event::Stand);
+        Ok(world)
+    }
+
+    /// The stand-ins.
+    pub fn stand(&self) -> &Stand {
+        &self.stand
+    }
+
+    /// The stand-ins, to add to them.
+    pub fn stand_mut(&mut self) -> &mut Stand {
+        &mut self.stand
+    }
+
+    fn at(&mut self, t: Time, event: Event) {
+        self.numbers += 1;
+        self.queue.insert((t.max(self.now), self.numbers), event);
+    }
+
+    fn clock(&self, n: usize) -> Now {
+        // Steady clocks drift apart by up to 0.05 %.
+        let run = self.now.since(self.slots[n].born).0;
+        Now {
+            time: Time(1_000_000 + run + run * (n as u64 % 3) / 4000),
+            wall: Wall(EPOCH_MS + self.now.0 / 1000 + n as u64 * 300),
+        }
+    }
+
+    fn send(&mut self, from: &Host, to: Host, message: Message) {
+        match self.stand.fate(self.now, from, &to) {
+            Fate::After(d) => self.at(self.now + d, Event::Arrive(to, message)),
+            Fate::Lost => {}
+            Fate::Reset => match message {
+                Message::Call { node, life, id, .. } => {
+                    let reply = Reply::Lost;
+                    let back = Message::Reply {
+                        node,
+                        life,
+                        id,
+                        reply,
+                    };
+                    self.at(self.now, Event::Arrive(Host::Node(node), back));
+                }
+                Message::Reply { node, life, id, .. } => {
+                    let reply = Reply::Lost;
+                    let back = Message::Reply {
+                        node,
+                        life,
+                        id,
+                        reply,
+                    };
+                    self.at(self.now, Event::Arrive(Host::Node(node), back));
+                }
+                Message::Request { ticket, .. } | Message::Answer { ticket, .. } => {
+                    self.at(self.now, Event::Reset(ticket));
+                }
+            },
+        }
+    }
+
+    fn feed(&mut self, n: usize, input: Input) {
+        let now = self.clock(n);
+        let slot = &mut self.slots[n];
+        if slot.paused {
+            // What arrives waits in its sockets.
+            slot.waiting.push(input);
+            return;
+        }
+        let Some(node) = &mut slot.node else { return };
+        let life = slot.life;
+        let span = tracing::info_span!("", n, t = self.now.0 as f64 / 1e6);
+        let outputs = span.in_scope(|| node.handle(now, input));
+        for o in outputs {
+            match o {
+                Output::Answer(id, answer) => match self.slots[n].asked.remove(&id) {
+                    Some(Origin::Stand { ticket, from }) => {
+                        self.send(&Host::Node(n), from, Message::Answer { ticket, answer });
+                    }
+                    Some(Origin::Peer { node, life, id }) => {
+                        let reply = Reply::Answer(answer.status, answer.body);
+                        let message = Message::Reply {
+                            node,
+                            life,
+                            id,
+                            reply,
+                        };
+                        self.send(&Host::Node(n), Host::Node(node), message);
+                    }
+                    None => {}
+                },
+                Output::Call(c) => {
+                    self.slots[n].open.insert(c.id);
+                    self.at(self.now + c.timeout, Event::Timeout(n, life, c.id));
+                    let to = match c.target {
+                        Target::State => Host::State,
+                        Target::Cloud => Host::Cloud,
+                        Target::Host(a) => match a.ip().octets() {
+                            [10, 1, high, low] => {
+                                let number = u16::from_be_bytes([high, low]);
+                                Host::Machine(format!("host-{number:06}"))
+                            }
+                            [_, _, _, last] => Host::Node(usize::from(last).saturating_sub(1)),
+                        },
+                    };
+                    let (path, query) = c.path.split_once('?').unwrap_or((&c.path, ""));
+                    let request = Request {
+                        method: c.method.into(),
+                        path: path.into(),
+                        query: query.into(),
+                        body: c.body,
+                        close: false,
+                    };
+                    let message = Message::Call {
+                        node: n,
+                        life,
+                        id: c.id,
+                        request,
+                    };
+                    self.send(&Host::Node(n), to, message);
+                }
+            }
+        }
+    }
+
+    fn arrive(&mut self, to: Host, message: Message) {
+        match (to, message) {
+            (
+                Host::Node(n),
+                Message::Call {
+                    node,
+                    life,
+                    id,
+                    request,
+                },
+            ) => {
+                if self.slots[n].node.is_none() {
+                    let reply = Reply::NotSent;
+                    let back = Message::Reply {
+                        node,
+                        life,
+                        id,
+                        reply,
+                    };
+                    return self.send(&Host::Node(n), Host::Node(node), back);
+                }
+                let from = Origin::Peer { node, life, id };
+                self.request(n, Side::Internal, request, from);
+            }
+            (Host::Node(n), Message::Request { ticket, request }) => {
+                if self.slots[n].node.is_none() {
+                    return self.stand.refused(self.now, ticket);
+                }
+                let from = if request.path == "/checkin" {
+                    self.sender(ticket)
+                } else {
+                    Host::Users
+                };
+                self.request(n, Side::Api, request, Origin::Stand { ticket, from });
+            }
+            (
+                Host::Node(_),
+                Message::Reply {
+                    node,
+                    life,
+                    id,
+                    reply,
+                },
+            ) => {
+                if self.slots[node].life == life && self.slots[node].open.remove(&id) {
+                    self.feed(node, Input::Reply(id, reply));
+                }
+            }
+            (_, Message::Answer { ticket, answer }) => {
+                self.stand.answered(
+                    self.now,
+                    ticket,
+                    answer.status,
+                    answer.retry_after,
+                    &answer.body,
+                );
+                self.drain();
+            }
+            (
+                target,
+                Message::Call {
+                    node,
+                    life,
+                    id,
+                    request,
+                },
+            ) => {
+                let call = self.next_call;
+                self.next_call += 1;
+                self.calls.insert(call, (node, life, id));
+                self.stand.call(self.now, node, &target, call, request);
+                self.drain();
+            }
+            _ => {}
+        }
+    }
+
+    fn sender(&self, ticket: u64) -> Host {
+        self.stand.sender(ticket).unwrap_or(Host::Users)
+    }
+
+    fn request(&mut self, n: usize, side: Side, request: Request, from: Origin) {
+        let slot = &mut self.slots[n];
+        let id = RequestId(slot.next);
+        slot.next += 1;
+        slot.asked.insert(id, from);
+        self.feed(n, Input::Request(id, side, request));
+    }
+
+    /// Does what the stand-ins want done.
+    fn drain(&mut self) {
+        for out in self.stand.take_out() {
+            match out {
+                Out::Send {
+                    ticket,
+                    from,
+                    node,
+                    method,
+                    path,
+                    body,
+                    ..
+                } => {
+                    let request = Request {
+                        method: method.into(),
+                        path,
+                        query: String::new(),
+                        body,
+                        close: false,
+                    };
+                    self.send(
+                        &from,
+                        Host::Node(node),
+                        Message::Request { ticket, request },
+                    );
+                }
+                Out::Return {
+                    call,
+                    from,
+                    node,
+                    returned,
+                } => {
+                    let Some((_, life, id)) = self.calls.remove(&call) else {
+                        continue;
+                    };
+                    let reply = match returned {
+                        Returned::Answer(status, body) => Reply::Answer(status, body),
+                        Returned::Silence => Reply::Lost,
+                        Returned::Refused => Reply::NotSent,
+                    };
+                    let message = Message::Reply {
+                        node,
+                        life,
+                        id,
+                        reply,
+                    };
+                    self.send(&from, Host::Node(node), message);
+                }
+                Out::Node(action) => self.act(action),
+            }
+        }
+    }
+
+    fn act(&mut self, action: NodeAction) {
+        match action {
+            NodeAction::Kill(n) => {
+                let slot = &mut self.slots[n];
+                slot.node = None;
+                slot.life += 1;
+                slot.paused = false;
+                slot.waiting.clear();
+                slot.open.clear();
+                for (_, origin) in std::mem::take(&mut slot.asked) {
+                    match origin {
+                        Origin::Stand { ticket, .. } => self.at(self.now, Event::Reset(ticket)),
+                        Origin::Peer { node, life, id } => {
+                            let reply = Reply::Lost;
+                            let back = Message::Reply {
+                                node,
+                                life,
+                                id,
+                                reply,
+                            };
+                            self.at(self.now, Event::Arrive(Host::Node(node), back));
+                        }
+                    }
+                }
+            }
+            NodeAction::Start(n) => {
+                if self.slots[n].node.is_some() {
+                    return;
+                }
+                // Both were checked before the rehearsal began.
+                let Ok(s) = settings(self.stand.script(), &self.layout, n) else {
+                    return;
+                };
+                let Ok(policy) = Policy::from_script(DEFAULT_SCRIPT, &s) else {
+                    return;
+                };
+                let seed = self.rng.random();
+                let slot = &mut self.slots[n];
+                slot.node = Some(Node::new(s, policy, seed));
+                slot.born = self.now;
+                let life = slot.life;
+                self.at(self.now, Event::Tick(n, life));
+            }
+            NodeAction::Pause(n) => self.slots[n].paused = self.slots[n].node.is_some(),
+            NodeAction::Continue(n) => {
+                self.slots[n].paused = false;
+                for input in std::mem::take(&mut self.slots[n].waiting) {
+                    self.feed(n, input);
+                }
+            }
+        }
+    }
+
+    /// Plays up to a time or, if asked, until every job is over and every fault
+    /// has struck.
+    pub fn play(&mut self, until: Time, stop_when_over: bool) {
+        while let Some((&(t, n), _)) = self.queue.first_key_value()
+            && t <= until
+            && let Some(event) = self.queue.remove(&(t, n))
+        {
+            self.now = t;
+            match event {
+                Event::Tick(n, life) => {
+                    if self.slots[n].life == life {
+                        if !self.slots[n].paused {
+                            self.feed(n, Input::Tick);
+                        }
+                        self.at(t + TICK, Event::Tick(n, life));
+                    }
+                }
+                Event::Stand => {
+                    self.stand.advance(t);
+                    self.drain();
+                    self.at(t + TICK, Event::Stand);
+                    if stop_when_over && self.stand.all_over() && self.stand.left().is_empty() {
+                        return;
+                    }
+                }
+                Event::Arrive(to, message) => self.arrive(to, message),
+                Event::Timeout(n, life, id) => {
+                    if self.slots[n].life == life && self.slots[n].open.remove(&id) {
+                        self.feed(n, Input::Reply(id, Reply::Lost));
+                    }
+                }
+                Event::Reset(ticket) => {
+                    self.stand.refused(t, ticket);
+                    self.drain();
+                }
+            }
+        }
+    }
+
+    /// Plays the whole script and gives the verdict.
+    pub fn rehearse(mut self) -> Verdict {
+        let begin = std::time::Instant::now();
+        let until = Time(0) + self.stand.script().length();
+        self.play(until, true);
+        // A little longer, for what must not come after the end.
+        let more = self.now + Span::secs(self.stand.script().cluster.workers.cancel_s + 2.0);
+        self.play(more.min(until), false);
+        self.stand.finish(self.now);
+        Verdict::of(&mut self.stand, self.now, begin.elapsed())
+    }
+}
+
+/// Rehearses a script in simulated time.
+///
+/// # Errors
+/// The script's cluster is refused by the controllers.
+pub fn rehearse(script: Script, seed: u64) -> Result<Verdict, StartError> {
+    Ok(Simulated::new(script, seed)?.rehearse())
+}
--- /dev/null
+++ b/crates/rehearsal/src/stand.rs
@@ -0,0 +1,1059 @@
+//! All stand-ins as one state machine: state service, cloud, machines and
+//! users, with the faults of a script and the checker that listens.
+
+use crate::checker::{Checker, Seen};
+use crate::cloud::{Addresses, Cloud, Happened};
+use crate::director::Director;
+use crate::fleet::Fleet;
+use crate::links::{Group, Host, Links};
+use crate::script::{LastWrite, Moment, Nodes, PowerLoss, Script, Side, What};
+use crate::users::{Planned, Users, plan};
+use crate::worker::{PATIENCE, Times};
+use pebblefold::core::ledger;
+use pebblefold::settings::{Settings, SettingsError};
+use pebblefold::types::{Label, Span, Time};
+use pebblefold::wire::decode;
+use pebblefold::wire::state::{Op, Txn};
+use pebblefold_state::cut::{CutDisk, Left};
+use pebblefold_state::{Asker, Disk, Limits, Outcome, Service, StorageError, Ticket};
+use pebblefold_wire::http::Request;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use serde::Serialize;
+use std::collections::{BTreeMap, BTreeSet};
+use std::path::PathBuf;
+
+/// Bytes of a value in the state service.
+const VALUE_BYTES: usize = 8 * 1024;
+/// Changes in one transaction.
+const TXN_OPS: usize = 48;
+/// How long a request is remembered that nobody answers.
+const SENT_KEPT: Span = Span::millis(30_000);
+/// Time between samples for the report.
+const SAMPLE_EVERY: Span = Span::millis(1000);
+
+/// Where the state service keeps its store.
+#[derive(Clone, Debug)]
+pub enum Store {
+    /// On a disk in memory, whose power can fail.
+    Memory(CutDisk),
+    /// In a file.
+    File(PathBuf),
+}
+
+impl Store {
+    fn disk(&self) -> Disk {
+        match self {
+            Store::Memory(disk) => {
+                let disk = disk.clone();
+                Disk::on(move || disk.open())
+            }
+            Store::File(path) => Disk::at(path),
+        }
+    }
+}
+
+/// What becomes of a call that a controller made.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Returned {
+    /// It is answered.
+    Answer(u16, Vec<u8>),
+    /// The connection ends without an answer.
+    Silence,
+    /// Nobody listens.
+    Refused,
+}
+
+/// What is to be done with a controller's process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NodeAction {
+    /// Kill it.
+    Kill(usize),
+    /// Start it.
+    Start(usize),
+    /// Stop it where it is.
+    Pause(usize),
+    /// Let it go on.
+    Continue(usize),
+}
+
+/// What the stand-ins want done.
+#[derive(Debug)]
+pub enum Out {
+    /// Send a request to a controller's users' interface.
+    Send {
+        /// Its ticket.
+        ticket: u64,
+        /// Who sends it.
+        from: Host,
+        /// The controller.
+        node: usize,
+        /// The method.
+        method: &'static str,
+        /// The path.
+        path: String,
+        /// The body.
+        body: Vec<u8>,
+        /// When to give it up.
+        patience: Span,
+    },
+    /// Answer a controller's call.
+    Return {
+        /// Its number.
+        call: u64,
+        /// Who answers.
+        from: Host,
+        /// The controller.
+        node: usize,
+        /// What.
+        returned: Returned,
+    },
+    /// Act on a controller.
+    Node(NodeAction),
+}
+
+#[derive(Debug)]
+enum Heal {
+    Node(NodeAction),
+    Power(String),
+    StateOut,
+    StateBack,
+    StateFull,
+    StateRefuses(Vec<usize>),
+    CloudOut,
+    CloudShort,
+    Fast(Vec<(String, f64)>),
+}
+
+/// What a moment is about.
+#[derive(Clone, Debug, Default)]
+struct About {
+    node: Option<usize>,
+    machine: Option<String>,
+    call: Option<u64>,
+}
+
+/// A start or an acceptance that a commit holds.
+#[derive(Clone, Debug)]
+struct Noted {
+    moment: Moment,
+    job: String,
+    machine: Option<String>,
+}
+
+#[derive(Debug)]
+struct StateCall {
+    node: usize,
+    leads: bool,
+    noted: Vec<Noted>,
+}
+
+/// How things stood at one second.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Sample {
+    /// The second.
+    pub at_s: f64,
+    /// Jobs waiting and running, by class.
+    pub classes: BTreeMap<String, (u32, u32)>,
+    /// Machines up, by zone.
+    pub zones: BTreeMap<String, u32>,
+}
+
+/// All stand-ins.
+pub struct Stand {
+    script: Script,
+    labels: Vec<Label>,
+    store: Store,
+    state: Option<Service<Disk>>,
+    /// The state service was told to end with its next write.
+    dying: Option<Span>,
+    state_calls: BTreeMap<u64, StateCall>,
+    cloud: Cloud,
+    fleet: Fleet,
+    users: Users,
+    checker: Checker,
+    director: Director,
+    links: Links,
+    rng: StdRng,
+    /// Who sent which ticket.
+    sent: BTreeMap<u64, (Host, Time)>,
+    next_ticket: u64,
+    /// Calls to machines that stand still: executed when they go on.
+    stalled: Vec<(u64, usize, String, Request)>,
+    heals: BTreeMap<(Time, u64), Heal>,
+    numbers: u64,
+    known_starts: BTreeSet<String>,
+    leader: Option<usize>,
+    lost_calls: BTreeSet<u64>,
+    out: Vec<Out>,
+    samples: Vec<Sample>,
+    marks: Vec<(f64, String)>,
+}
+
+impl Stand {
+    /// The stand-ins of a script. `seed` decides what is left to chance.
+    ///
+    /// # Errors
+    /// The state service's store cannot be opened.
+    pub fn new(
+        script: Script,
+        seed: u64,
+        store: Store,
+        addresses: Addresses,
+        delays: bool,
+    ) -> Result<Stand, StorageError> {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let c = &script.cluster;
+        let times = Times {
+            report: Span::secs(c.workers.report_s),
+            lease: Span::secs(c.workers.lease_s),
+            gang_wait: Span::secs(c.workers.gang_wait_s),
+            gang_peer: Span::secs(c.workers.gang_peer_s),
+        };
+        let nodes = c.controllers.len();
+        let cloud = Cloud::new(c, addresses);
+        let mut fleet = Fleet::new(times, nodes, cloud.types());
+        let mut checker = Checker::new(c);
+        let planned = plan(&script, &mut rng);
+        for p in &planned {
+            checker.expect(p.spec.clone());
+            fleet.describe(p.spec.clone(), p.run_s);
+        }
+        let mut stand = Stand {
+            labels: (0..nodes).map(label).collect(),
+            state: None,
+            dying: None,
+            state_calls: BTreeMap::new(),
+            cloud,
+            fleet,
+            users: Users::new(planned, nodes),
+            checker,
+            director: Director::new(&script.faults),
+            links: Links::new(delays),
+            rng,
+            sent: BTreeMap::new(),
+            next_ticket: 1,
+            stalled: Vec::new(),
+            heals: BTreeMap::new(),
+            numbers: 0,
+            known_starts: BTreeSet::new(),
+            leader: None,
+            lost_calls: BTreeSet::new(),
+            out: Vec::new(),
+            samples: Vec::new(),
+            marks: Vec::new(),
+            store,
+            script,
+        };
+        stand.state = Some(stand.open_state(Time(0))?);
+        Ok(stand)
+    }
+
+    fn open_state(&self, now: Time) -> Result<Service<Disk>, StorageError> {
+        let s = &self.script.cluster.state;
+        let limits = Limits {
+            rps: s.rps,
+            write_rps: s.write_rps,
+            value_bytes: VALUE_BYTES,
+            txn_ops: TXN_OPS,
+        };
+        Service::open(self.store.disk(), limits, now)
+    }
+
+    /// The script.
+    pub fn script(&self) -> &Script {
+        &self.script
+    }
+
+    /// The checker.
+    pub fn checker(&self) -> &Checker {
+        &self.checker
+    }
+
+    /// The machines.
+    pub fn fleet(&self) -> &Fleet {
+        &self.fleet
+    }
+
+    /// The state service, if it runs.
+    pub fn state(&self) -> Option<&Service<Disk>> {
+        self.state.as_ref()
+    }
+
+    /// Samples for the report.
+    pub fn samples(&self) -> &[Sample] {
+        &self.samples
+    }
+
+    /// Faults that struck: when, and what.
+    pub fn marks(&self) -> &[(f64, String)] {
+        &self.marks
+    }
+
+    /// Faults that did not strike.
+    pub fn left(&self) -> Vec<String> {
+        self.director.left()
+    }
+
+    /// Milliseconds that accepted submissions took.
+    pub fn accept_ms(&self) -> &[u64] {
+        &self.users.accept_ms
+    }
+
+    /// Money spent on machines so far.
+    pub fn cost(&mut self, now: Time) -> f64 {
+        self.cloud.cost(now)
+    }
+
+    /// A job by hand: its description is uploaded, its user submits it now.
+    pub fn add_job(&mut self, p: Planned) {
+        self.checker.expect(p.spec.clone());
+        self.fleet.describe(p.spec.clone(), p.run_s);
+        self.users.add(p);
+    }
+
+    /// Uploads a job's description for a user outside the stand-ins.
+    pub fn describe(&mut self, spec: pebblefold::wire::users::Submission, run_s: f64) {
+        self.fleet.describe(spec, run_s);
+    }
+
+    /// Whether every job has been submitted and has its final answer.
+    pub fn all_over(&self) -> bool {
+        self.users.to_come() == 0 && self.checker.all_over()
+    }
+
+    /// Ends the rehearsal: what is open counts.
+    pub fn finish(&mut self, now: Time) {
+        self.collect(now);
+        self.checker.finish(now);
+    }
+
+    fn zone_of(&self, h: &Host) -> Option<String> {
+        match h {
+            Host::Node(n) => self.script.cluster.controllers.get(*n).cloned(),
+            Host::Machine(m) => self
+                .fleet
+                .workers()
+                .get(m)
+                .map(|w| w.machine.zone.to_string()),
+            _ => None,
+        }
+    }
+
+    /// What becomes of a message that is sent now.
+    pub fn fate(&mut self, now: Time, from: &Host, to: &Host) -> crate::links::Fate {
+        let (zf, zt) = (self.zone_of(from), self.zone_of(to));
+        let zone = |h: &Host| if h == from { zf.clone() } else { zt.clone() };
+        self.links.fate(now, from, to, zone, &mut self.rng)
+    }
+
+    // ---- what controllers ask ----
+
+    /// A controller's call has reached its target.
+    pub fn call(&mut self, now: Time, node: usize, target: &Host, call: u64, r: Request) {
+        match target {
+            Host::State => self.call_state(now, node, call, &r),
+            Host::Cloud => {
+                let (status, body) = self.cloud.handle(now, &mut self.rng, &r);
+                for what in std::mem::take(&mut self.cloud.misused) {
+                    self.checker.protocol(now, what);
+                }
+                let hired = status == 200 && r.method == "POST" && r.path == "/machines";
+                self.happen(now);
+                if hired {
+                    let about = About {
+                        node: Some(node),
+                        call: Some(call),
+                        ..About::default()
+                    };
+                    self.moment(now, Moment::Hired, None, &about);
+                }
+                self.give(call, Host::Cloud, node, Returned::Answer(status, body));
+            }
+            Host::Machine(m) => self.call_machine(now, node, m, call, r),
+            Host::Node(_) | Host::Users => self.give(call, target.clone(), node, Returned::Refused),
+        }
+    }
+
+    fn give(&mut self, call: u64, from: Host, node: usize, returned: Returned) {
+        let returned = if self.lost_calls.remove(&call) {
+            Returned::Silence
+        } else {
+            returned
+        };
+        self.out.push(Out::Return {
+            call,
+            from,
+            node,
+            returned,
+        });
+    }
+
+    fn call_state(&mut self, now: Time, node: usize, call: u64, r: &Request) {
+        if self.state.is_none() {
+            return self.give(call, Host::State, node, Returned::Refused);
+        }
+        let mut noted = Vec::new();
+        let mut leads = false;
+        if r.path == "/commit"
+            && let Some(txn) = decode::<Txn>(&r.body)
+        {
+            leads = txn.conditions.iter().any(|c| c.key == ledger::LEADER);
+            if self.director.waits_for(Moment::Accepted)
+                || self.director.waits_for(Moment::StartCommitted)
+            {
+                noted = self.note(&txn);
+            }
+        }
+        if let Some(state) = &mut self.state {
+            state.handle(now, Asker(node as u32), Ticket(call), r);
+        }
+        let open = StateCall { node, leads, noted };
+        self.state_calls.insert(call, open);
+        self.flush(now);
+    }
+
+    /// What a transaction accepts and starts, as its records say.
+    fn note(&mut self, txn: &Txn) -> Vec<Noted> {
+        let mut out = Vec::new();
+        for op in &txn.ops {
+            let Op::Put { key, value, .. } = op else {
+                continue;
+            };
+            if let Some(job) = key.strip_prefix(ledger::JOBS) {
+                out.push(Noted {
+                    moment: Moment::Accepted,
+                    job: job.into(),
+                    machine: None,
+                });
+            }
+            let Some((job, _)) = key
+                .strip_prefix(ledger::RECORDS)
+                .and_then(|k| k.split_once('/'))
+            else {
+                continue;
+            };
+            for p in value["p"].as_array().into_iter().flatten() {
+                if self.known_starts.insert(format!("{job}/{}/{}", p[0], p[1])) {
+                    out.push(Noted {
+                        moment: Moment::StartCommitted,
+                        job: job.into(),
+                        machine: p[2].as_str().map(Into::into),
+                    });
+                }
+            }
+        }
+        out
+    }
+
+    /// Stores what the state service has gathered, and hands out its answers.
+    fn flush(&mut self, now: Time) {
+        let Some(state) = &mut self.state else {
+            return;
+        };
+        let answers = state.flush(now);
+        if let (Store::Memory(disk), Some(down)) = (&self.store, self.dying)
+            && disk.is_off()
+        {
+            // Its process dies with the write: nothing of this is heard.
+            return self.end_state(now, down);
+        }
+        for (ticket, outcome) in answers {
+            let Some(open) = self.state_calls.remove(&ticket.0) else {
+                continue;
+            };
+            let returned = match outcome {
+                Outcome::Answer(a) => Returned::Answer(a.status, a.body),
+                Outcome::Silence => Returned::Silence,
+            };
+            if matches!(returned, Returned::Answer(200, _)) {
+                if open.leads {
+                    self.leader = Some(open.node);
+                }
+                for n in &open.noted {
+                    let class = self.fleet.class_of(&n.job).map(String::from);
+                    let about = About {
+                        node: Some(open.node),
+                        machine: n.machine.clone(),
+                        call: Some(ticket.0),
+                    };
+                    self.moment(now, n.moment, class.as_deref(), &about);
+                }
+            }
+            if self.state.is_none() {
+                // A fault at this very moment: written, and never acknowledged.
+                self.give(ticket.0, Host::State, open.node, Returned::Silence);
+            } else {
+                self.give(ticket.0, Host::State, open.node, returned);
+            }
+        }
+    }
+
+    fn end_state(&mut self, now: Time, down: Span) {
+        self.state = None;
+        self.dying = None;
+        for (call, open) in std::mem::take(&mut self.state_calls) {
+            self.give(call, Host::State, open.node, Returned::Silence);
+        }
+        self.heal_at(now + down, Heal::StateBack);
+    }
+
+    fn call_machine(&mut self, now: Time, node: usize, machine: &str, call: u64, r: Request) {
+        if !self.fleet.workers().contains_key(machine) {
+            // A machine that is gone is silent.
+            return self.give(call, Host::Machine(machine.into()), node, Returned::Silence);
+        }
+        if !self.fleet.acts(now, machine) {
+            self.stalled.push((call, node, machine.into(), r));
+            return;
+        }
+        let answer = match (r.method.as_str(), r.path.as_str()) {
+            ("POST", "/commands") => self.fleet.commanded(now, machine, &r.body),
+            ("GET", "/inspect") => self.fleet.inspected(now, machine),
+            (method, path) => {
+                self.checker
+                    .protocol(now, format!("worker: {method} {path}"));
+                Some((400, Vec::new()))
+            }
+        };
+        let returned = answer.map_or(Returned::Silence, |(s, b)| Returned::Answer(s, b));
+        self.give(call, Host::Machine(machine.into()), node, returned);
+        self.collect(now);
+    }
+
+    // ---- what controllers answer ----
+
+    /// Who sent a request that is not answered yet.
+    pub fn sender(&self, ticket: u64) -> Option<Host> {
+        self.sent.get(&ticket).map(|(from, _)| from.clone())
+    }
+
+    /// A controller's answer to a request of the stand-ins has arrived.
+    pub fn answered(
+        &mut self,
+        now: Time,
+        ticket: u64,
+        status: u16,
+        after: Option<u32>,
+        body: &[u8],
+    ) {
+        match self.sent.remove(&ticket).map(|(from, _)| from) {
+            Some(Host::Machine(m)) => {
+                if !self.fleet.awaits(now, &m, ticket) {
+                    return;
+                }
+                let starts = if status == 200 {
+                    Fleet::starts_in(body)
+                } else {
+                    Vec::new()
+                };
+                let about = About {
+                    machine: Some(m.clone()),
+                    node: self.leader,
+                    call: None,
+                };
+                self.starts_at(now, Moment::StartArrived, &starts, &about);
+                self.fleet
+                    .answered(now, &m, Some((status, body)), &self.labels, &mut self.rng);
+                self.starts_at(now, Moment::StartDone, &starts, &about);
+            }
+            Some(_) => self
+                .users
+                .answered(now, ticket, Some((status, after, body)), &mut self.rng),
+            None => {}
+        }
+        self.collect(now);
+    }
+
+    fn starts_at(&mut self, now: Time, moment: Moment, starts: &[String], about: &About) {
+        for task in starts {
+            let class = self.fleet.class_of(task).map(String::from);
+            self.moment(now, moment, class.as_deref(), about);
+        }
+    }
+
+    /// A request of the stand-ins found nobody listening, or its connection
+    /// was reset.
+    pub fn refused(&mut self, now: Time, ticket: u64) {
+        match self.sent.remove(&ticket).map(|(from, _)| from) {
+            Some(Host::Machine(m)) => {
+                if self.fleet.awaits(now, &m, ticket) {
+                    self.fleet
+                        .answered(now, &m, None, &self.labels, &mut self.rng);
+                }
+            }
+            Some(_) => self.users.refused(now, ticket, &mut self.rng),
+            None => {}
+        }
+    }
+
+    // ---- time ----
+
+    /// Lets time pass; to be called every 20 to 100 ms.
+    pub fn advance(&mut self, now: Time) {
+        while let Some((&(at, n), _)) = self.heals.first_key_value()
+            && at <= now
+            && let Some(heal) = self.heals.remove(&(at, n))
+        {
+            self.heal(now, heal);
+        }
+        for what in self.director.due(now) {
+            self.strike(now, &what, &About::default());
+        }
+        if let Some(state) = &mut self.state {
+            state.tick(now);
+            self.flush(now);
+        }
+        self.happen(now);
+        let taken: Vec<String> = self
+            .fleet
+            .workers()
+            .iter()
+            .filter(|(_, w)| w.taken.is_some_and(|t| now >= t))
+            .map(|(m, _)| m.clone())
+            .collect();
+        for m in taken {
+            self.cloud.take(now, &m);
+        }
+        self.happen(now);
+        self.fleet.advance(now, &mut self.rng);
+        for (call, node, machine, r) in std::mem::take(&mut self.stalled) {
+            self.call_machine(now, node, &machine, call, r);
+        }
+        self.send_reports(now);
+        self.send_users(now);
+        self.collect(now);
+        self.checker.pass(now);
+        self.sample(now);
+    }
+
+    fn happen(&mut self, now: Time) {
+        for what in self.cloud.advance(now) {
+            match what {
+                Happened::Up(machine) => self.fleet.up(now, machine, &mut self.rng),
+                Happened::Gone(machine) => self.fleet.gone(now, &machine),
+            }
+        }
+    }
+
+    fn send_reports(&mut self, now: Time) {
+        let next = &mut self.next_ticket;
+        let reports = self.fleet.reports(now, &mut self.rng, || {
+            *next += 1;
+            *next
+        });
+        for s in reports {
+            let about = About {
+                machine: Some(s.machine.clone()),
+                node: Some(s.node),
+                call: None,
+            };
+            for class in &s.completes {
+                self.moment(now, Moment::DoneReported, Some(class), &about);
+            }
+            let from = Host::Machine(s.machine);
+            self.sent.insert(s.ticket, (from.clone(), now));
+            self.out.push(Out::Send {
+                ticket: s.ticket,
+                from,
+                node: s.node,
+                method: "POST",
+                path: "/checkin".into(),
+                body: s.body,
+                patience: PATIENCE,
+            });
+        }
+    }
+
+    fn send_users(&mut self, now: Time) {
+        let next = &mut self.next_ticket;
+        let requests = self.users.advance(now, &mut self.rng, || {
+            *next += 1;
+            *next
+        });
+        for r in requests {
+            self.sent.insert(r.ticket, (Host::Users, now));
+            self.out.push(Out::Send {
+                ticket: r.ticket,
+                from: Host::Users,
+                node: r.node,
+                method: r.method,
+                path: r.path,
+                body: r.body,
+                patience: r.patience,
+            });
+        }
+    }
+
+    /// Lets the checker hear what was seen.
+    fn collect(&mut self, now: Time) {
+        for seen in self.fleet.take_seen() {
+            self.checker.hear(now, seen);
+        }
+        for seen in self.users.take_seen() {
+            self.checker.hear(now, seen);
+        }
+    }
+
+    fn sample(&mut self, now: Time) {
+        let at_s = now.0 as f64 / 1e6;
+        let last = self.samples.last().map(|s| s.at_s);
+        if last.is_some_and(|l| at_s < l + SAMPLE_EVERY.as_secs()) {
+            return;
+        }
+        // Nobody waits so long for an answer.
+        self.sent.retain(|_, (_, t)| now.since(*t) < SENT_KEPT);
+        let mut zones: BTreeMap<String, u32> = BTreeMap::new();
+        for z in &self.script.cluster.zones {
+            zones.insert(z.clone(), 0);
+        }
+        for w in self.fleet.workers().values() {
+            *zones.entry(w.machine.zone.to_string()).or_default() += 1;
+        }
+        self.samples.push(Sample {
+            at_s,
+            classes: self.checker.by_class(),
+            zones,
+        });
+    }
+
+    /// What is to be done.
+    pub fn take_out(&mut self) -> Vec<Out> {
+        std::mem::take(&mut self.out)
+    }
+
+    // ---- faults ----
+
+    fn moment(&mut self, now: Time, moment: Moment, class: Option<&str>, about: &About) {
+        for what in self.director.moment(now, moment, class) {
+            self.strike(now, &what, about);
+        }
+    }
+
+    fn heal_at(&mut self, at: Time, heal: Heal) {
+        self.numbers += 1;
+        self.heals.insert((at, self.numbers), heal);
+    }
+
+    fn pick_nodes(&self, nodes: &Nodes, about: &About) -> Vec<usize> {
+        match nodes {
+            Nodes::Leader => self.leader.into_iter().collect(),
+            Nodes::All => (0..self.labels.len()).collect(),
+            Nodes::That => about.node.into_iter().collect(),
+            Nodes::Number(n) => vec![*n as usize],
+        }
+    }
+
+    /// Some of the machines, chosen by chance.
+    fn pick_machines(
+        &mut self,
+        count: usize,
+        fits: impl Fn(&crate::worker::Worker) -> bool,
+    ) -> Vec<String> {
+        let workers = self.fleet.workers().iter();
+        let mut names: Vec<String> = workers
+            .filter(|(_, w)| fits(w))
+            .map(|(m, _)| m.clone())
+            .collect();
+        let mut out = Vec::new();
+        while out.len() < count && !names.is_empty() {
+            let i = self.rng.random_range(0..names.len());
+            out.push(names.swap_remove(i));
+        }
+        out
+    }
+
+    fn group(&self, side: &Side, about: &About) -> Group {
+        match side {
+            Side::Controller(n) => Group::These(vec![Host::Node(*n as usize)]),
+            Side::Leader => Group::These(self.leader.map(Host::Node).into_iter().collect()),
+            Side::Controllers => Group::These((0..self.labels.len()).map(Host::Node).collect()),
+            Side::Zone(z) => Group::Zone(z.clone()),
+            Side::Machines => Group::Machines,
+            Side::That => Group::These(
+                about
+                    .machine
+                    .clone()
+                    .map(Host::Machine)
+                    .into_iter()
+                    .collect(),
+            ),
+            Side::State => Group::These(vec![Host::State]),
+            Side::Cloud => Group::These(vec![Host::Cloud]),
+            Side::Users => Group::These(vec![Host::Users]),
+        }
+    }
+
+    fn stop_nodes(&mut self, now: Time, nodes: Vec<usize>, for_s: f64, pause: bool) {
+        for n in nodes {
+            let (stop, go) = if pause {
+                (NodeAction::Pause(n), NodeAction::Continue(n))
+            } else {
+                (NodeAction::Kill(n), NodeAction::Start(n))
+            };
+            self.out.push(Out::Node(stop));
+            self.heal_at(now + Span::secs(for_s), Heal::Node(go));
+        }
+    }
+
+    fn strike(&mut self, now: Time, what: &What, about: &About) {
+        let text = serde_json::to_value(what).unwrap_or_default().to_string();
+        tracing::info!(at_s = now.0 as f64 / 1e6, fault = %text, "fault");
+        self.marks.push((now.0 as f64 / 1e6, what.name()));
+        self.checker.hear(now, Seen::Fault { what: text });
+        let until = |s: f64| now + Span::secs(s);
+        match what {
+            What::SitePower {
+                zone,
+                for_s,
+                machines,
+            } => {
+                let here = |n: &usize| self.script.cluster.controllers[*n] == *zone;
+                let nodes: Vec<usize> = (0..self.labels.len()).filter(here).collect();
+                self.stop_nodes(now, nodes, *for_s, false);
+                match machines {
+                    PowerLoss::Freeze => self.fleet.freeze(zone, true),
+                    PowerLoss::Die => {
+                        let there = self.cloud.machines();
+                        let names: Vec<String> = there
+                            .filter(|m| m.zone.as_str() == zone)
+                            .map(|m| m.id.to_string())
+                            .collect();
+                        for m in names {
+                            self.cloud.kill(now, &m);
+                        }
+                    }
+                }
+                self.cloud.dark.insert(zone.clone());
+                self.heal_at(until(*for_s), Heal::Power(zone.clone()));
+                self.happen(now);
+            }
+            What::Kill { nodes, for_s } => {
+                let nodes = self.pick_nodes(nodes, about);
+                self.stop_nodes(now, nodes, *for_s, false);
+            }
+            What::Pause { nodes, for_s } => {
+                let nodes = self.pick_nodes(nodes, about);
+                self.stop_nodes(now, nodes, *for_s, true);
+            }
+            What::Vanish { count, that, zone } => {
+                let mut names = self.pick_machines(*count as usize, |w| {
+                    zone.as_ref().is_none_or(|z| w.machine.zone.as_str() == z)
+                });
+                names.extend(about.machine.clone().filter(|_| *that));
+                for m in names {
+                    self.cloud.kill(now, &m);
+                }
+                self.happen(now);
+            }
+            What::Hang { count, that, for_s } => {
+                let mut names = self.pick_machines(*count as usize, |w| !w.tasks.is_empty());
+                names.extend(about.machine.clone().filter(|_| *that));
+                for m in names {
+                    if let Some(w) = self.fleet.worker(&m) {
+                        w.hung = Some(until(*for_s));
+                    }
+                }
+            }
+            What::Slow {
+                count,
+                factor,
+                for_s,
+            } => {
+                let names = self.pick_machines(*count as usize, |_| true);
+                let mut before = Vec::new();
+                for m in names {
+                    if let Some(w) = self.fleet.worker(&m) {
+                        before.push((m.clone(), w.speed));
+                        w.speed /= factor.max(1.0);
+                    }
+                }
+                self.heal_at(until(*for_s), Heal::Fast(before));
+            }
+            What::SpotTaken { share, notice_s } => {
+                let spots = self
+                    .fleet
+                    .workers()
+                    .values()
+                    .filter(|w| w.machine.spot)
+                    .count();
+                let count = (spots as f64 * share).ceil() as usize;
+                for m in self.pick_machines(count, |w| w.machine.spot && w.taken.is_none()) {
+                    let notice = notice_s * self.rng.random_range(0.5..1.5);
+                    if let Some(w) = self.fleet.worker(&m) {
+                        w.taken = Some(now + Span::secs(notice));
+                        w.touch();
+                    }
+                }
+            }
+            What::StateOut { for_s } => self.state_out(now, *for_s, Heal::StateOut),
+            What::StateFull { for_s } => match &self.store {
+                Store::Memory(disk) => {
+                    disk.set_full(true);
+                    self.heal_at(until(*for_s), Heal::StateFull);
+                }
+                // A real disk is not filled for a rehearsal: the service does
+                // what it would do.
+                Store::File(_) => self.state_out(now, *for_s, Heal::StateOut),
+            },
+            What::StateKilled { for_s, last_write } => {
+                let down = Span::secs(*for_s);
+                match (&self.store, last_write) {
+                    (Store::Memory(disk), LastWrite::Everything | LastWrite::Torn) => {
+                        let left = match last_write {
+                            LastWrite::Torn => Left::Torn(self.rng.random()),
+                            _ => Left::Everything,
+                        };
+                        disk.cut_at(disk.operations() + self.rng.random_range(1..6), left);
+                        self.dying = Some(down);
+                    }
+                    _ => self.end_state(now, down),
+                }
+            }
+            What::StateRefuses { nodes, for_s } => {
+                let nodes = self.pick_nodes(nodes, about);
+                for n in &nodes {
+                    if let Some(s) = &mut self.state {
+                        s.refuse(Asker(*n as u32), true);
+                    }
+                }
+                self.heal_at(until(*for_s), Heal::StateRefuses(nodes));
+            }
+            What::StateSlow { delay_s, for_s } => {
+                self.links.slow_state(Span::secs(*delay_s), until(*for_s));
+            }
+            What::CloudOut { for_s } => {
+                self.cloud.out = true;
+                self.heal_at(until(*for_s), Heal::CloudOut);
+            }
+            What::CloudShort { for_s } => {
+                self.cloud.short = true;
+                self.heal_at(until(*for_s), Heal::CloudShort);
+            }
+            What::CloudSlow { delay_s, for_s } => {
+                self.links.slow_cloud(Span::secs(*delay_s), until(*for_s));
+            }
+            What::Cut {
+                a,
+                b,
+                one_way,
+                mode,
+                for_s,
+            } => {
+                let (a, b) = (self.group(a, about), self.group(b, about));
+                self.links.cut(a, b, *one_way, *mode, until(*for_s));
+            }
+            What::LoseAnswer {} => self.lost_calls.extend(about.call),
+        }
+    }
+
+    fn state_out(&mut self, now: Time, for_s: f64, heal: Heal) {
+        if let Some(s) = &mut self.state {
+            s.set_out(now, true);
+        }
+        self.heal_at(now + Span::secs(for_s), heal);
+    }
+
+    fn heal(&mut self, now: Time, heal: Heal) {
+        match heal {
+            Heal::Node(action) => self.out.push(Out::Node(action)),
+            Heal::Power(zone) => {
+                self.fleet.freeze(&zone, false);
+                self.cloud.dark.remove(&zone);
+            }
+            Heal::StateOut => {
+                if let Some(s) = &mut self.state {
+                    s.set_out(now, false);
+                }
+            }
+            Heal::StateBack => {
+                if let Store::Memory(disk) = &self.store {
+                    disk.power_on();
+                }
+                match self.open_state(now) {
+                    Ok(s) => self.state = Some(s),
+                    Err(e) => {
+                        tracing::error!(error = %e, "the state service cannot start");
+                        self.heal_at(now + Span::secs(1.0), Heal::StateBack);
+                    }
+                }
+            }
+            Heal::StateFull => {
+                if let Store::Memory(disk) = &self.store {
+                    disk.set_full(false);
+                }
+            }
+            Heal::StateRefuses(nodes) => {
+                for n in nodes {
+                    if let Some(s) = &mut self.state {
+                        s.refuse(Asker(n as u32), false);
+                    }
+                }
+            }
+            Heal::CloudOut => self.cloud.out = false,
+            Heal::CloudShort => self.cloud.short = false,
+            Heal::Fast(before) => {
+                for (m, speed) in before {
+                    if let Some(w) = self.fleet.worker(&m) {
+                        w.speed = speed;
+                    }
+                }
+            }
+        }
+    }
+}
+
+/// The name of controller `n`.
+pub fn label(n: usize) -> Label {
+    format!("node-{n}").into()
+}
+
+/// Addresses of a cluster's parts.
+#[derive(Clone, Debug)]
+pub struct Layout {
+    /// Each controller's users' interface.
+    pub api: Vec<String>,
+    /// Each controller's internal interface.
+    pub internal: Vec<String>,
+    /// Where controller `.0` reaches controller `.1`, if not directly.
+    pub peers: BTreeMap<(usize, usize), String>,
+    /// Where each controller reaches the state service.
+    pub state: Vec<String>,
+    /// Where each controller reaches the cloud.
+    pub cloud: Vec<String>,
+}
+
+/// The settings file of controller `n`, as a platform would hand it over.
+pub fn settings_json(script: &Script, layout: &Layout, n: usize) -> serde_json::Value {
+    let c = &script.cluster;
+    let endpoint = |to: usize| layout.peers.get(&(n, to)).unwrap_or(&layout.internal[to]);
+    let peers: Vec<_> = (0..c.controllers.len())
+        .filter(|&i| i != n)
+        .map(|i| serde_json::json!({"label": label(i), "zone": c.controllers[i], "endpoint": endpoint(i)}))
+        .collect();
+    serde_json::json!({
+        "label": label(n), "zone": c.controllers[n],
+        "api_addr": layout.api[n], "internal_addr": layout.internal[n], "peers": peers,
+        "services": {"cloud": layout.cloud[n], "state": layout.state[n]},
+        "settings": {
+            "size": c.controllers.len(), "zones": c.zones, "teams": c.teams, "objectives": c.aims,
+            "workers": {
+                "report_s": c.workers.report_s, "lease_s": c.workers.lease_s,
+                "gang_wait_s": c.workers.gang_wait_s, "gang_peer_s": c.workers.gang_peer_s,
+                "cancel_s": c.workers.cancel_s,
+            },
+            "state": {"rps": c.state.rps, "write_rps": c.state.write_rps, "value_kb": 8.0, "txn_ops": TXN_OPS},
+            "cloud": {"rps": c.cloud.rps, "list_lag_s": c.cloud.list_lag_s},
+            "quota": {"core_share": 1.0, "ram_mb": 200.0, "max_sockets": 4000},
+            "clock_error_ms": 1000.0,
+        }
+    })
+}
+
+/// The same, checked as a controller checks it.
+///
+/// # Errors
+/// The script describes a cluster that controllers refuse.
+pub fn settings(script: &Script, layout: &Layout, n: usize) -> Result<Settings, SettingsError> {
+    Settings::parse(&settings_json(script, layout, n).to_string())
+}
--- a/crates/state/src/cut.rs
+++ b/crates/state/src/cut.rs
@@ -34,6 +34,8 @@
     cut_at: Option<(u64, Left)>,
     life: u64,
     dead: bool,
+    /// No power: nothing works until it is back.
+    off: bool,
     full: bool,
 }
 
@@ -97,6 +99,8 @@
             && self.operations >= at
         {
             self.cut(left);
+            self.off = true;
+            self.cut_at = None;
         }
         self.alive(life)
     }
@@ -115,9 +119,14 @@
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Opens the disk; what an earlier life had open is cut off.
+    /// Opens the disk; what an earlier life had open is cut off. Without power
+    /// everything fails until [`CutDisk::power_on`].
     pub fn open(&self) -> Opened {
         let mut d = self.inner();
+        if d.off {
+            let (disk, life) = (self.clone(), 0);
+            return Opened { disk, life };
+        }
         if !d.dead {
             let unsynced = !d.pending.is_empty();
             d.cut(if unsynced {
@@ -136,14 +145,24 @@
     }
 
     /// Lets the power fail at the operation of this number (writes, syncs and
-    /// changes of length count, from 1 over the disk's life).
+    /// changes of length count, from 1 over the disk's life). Until then there
+    /// is power.
     pub fn cut_at(&self, operation: u64, left: Left) {
-        self.inner().cut_at = Some((operation, left));
+        let mut d = self.inner();
+        d.off = false;
+        d.cut_at = Some((operation, left));
     }
 
-    /// Repairs the power: nothing is cut from here on.
+    /// The power is back, and nothing is cut from here on.
     pub fn power_on(&self) {
-        self.inner().cut_at = None;
+        let mut d = self.inner();
+        d.off = false;
+        d.cut_at = None;
+    }
+
+    /// Whether the power has failed.
+    pub fn is_off(&self) -> bool {
+        self.inner().off
     }
 
     /// Operations so far.
