Add pebblectl: up, rehearse, top, state, users' verbs; rehearsals on loopback

`rehearse` plays a script with real controllers (or in simulated time) and judges it; every message passes our sockets, so links cut, hold and reset.

--- /dev/null
+++ b/crates/pebblectl/src/main.rs
@@ -0,0 +1,89 @@
+//! The program that people use. What it does is in the packages below it; here
+//! stand its arguments, its settings and how answers look.
+
+mod args;
+mod ask;
+mod config;
+mod output;
+mod rehearse;
+mod state;
+mod top;
+mod up;
+
+use args::{Args, SnapshotVerb, StateVerb, Verb};
+use clap::{CommandFactory, Parser};
+use output::{Failure, Show};
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let args = Args::parse();
+    if !matches!(args.verb, Verb::Controller { .. }) {
+        pebblefold::logging::start(tracing::Level::WARN);
+    }
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
+    let done = match runtime {
+        Ok(runtime) => {
+            let local = tokio::task::LocalSet::new();
+            local.block_on(&runtime, run(args))
+        }
+        Err(e) => Err(Failure::failed(format!("cannot start: {e}"))),
+    };
+    match done {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            for line in e.lines() {
+                eprintln!("pebblectl: {line}");
+            }
+            ExitCode::from(e.status())
+        }
+    }
+}
+
+async fn run(args: Args) -> Result<(), Failure> {
+    // What needs no settings comes first: it has to work where they are broken.
+    match &args.verb {
+        Verb::Completions { shell } => {
+            let mut command = Args::command();
+            clap_complete::generate(*shell, &mut command, "pebblectl", &mut std::io::stdout());
+            return Ok(());
+        }
+        Verb::Man { dir } => return output::man_pages(Args::command(), dir),
+        Verb::Schema => {
+            let schema = pebblefold_rehearsal::script::Script::schema();
+            println!("{}", output::pretty(&schema));
+            return Ok(());
+        }
+        _ => {}
+    }
+    let config = config::Config::gather(&args)?;
+    let show = Show::new(config.output.value);
+    match args.verb {
+        Verb::Up(up) => up::up(up, &show).await,
+        Verb::Rehearse(r) => rehearse::rehearse(r, &show).await,
+        Verb::Top(t) => top::top(&config.internal()?, t, &show).await,
+        Verb::Submit { job } => {
+            let job = ask::read_job(&job)?;
+            show.job(&ask::submit(&config.api()?, &job).await?)
+        }
+        Verb::Status { id } => show.job(&ask::status(&config.api()?, &id).await?),
+        Verb::Cancel { id } => show.job(&ask::cancel(&config.api()?, &id).await?),
+        Verb::Inspect { machine, job } => {
+            show.any(&ask::inspect(&config.internal()?, &machine, &job).await?)
+        }
+        Verb::Config { .. } => show.any_table(&config.shown()),
+        Verb::State(StateVerb::Serve(s)) => state::serve(s).await,
+        Verb::State(StateVerb::Snapshot(SnapshotVerb::Save { admin, file })) => {
+            show.any(&state::save(admin, &file).await?)
+        }
+        Verb::State(StateVerb::Snapshot(SnapshotVerb::Restore { file, dir })) => {
+            show.any(&state::restore(&file, &dir)?)
+        }
+        Verb::State(StateVerb::Snapshot(SnapshotVerb::Check { file })) => {
+            show.any(&state::check(&file)?)
+        }
+        Verb::Controller { settings } => up::controller(&settings),
+        Verb::Completions { .. } | Verb::Man { .. } | Verb::Schema => Ok(()),
+    }
+}
--- /dev/null
+++ b/crates/pebblectl/src/rehearse.rs
@@ -0,0 +1,119 @@
+//! Rehearsals.
+
+use crate::args::Rehearse;
+use crate::output::{Failure, Show, pretty};
+use indicatif::{ProgressBar, ProgressStyle};
+use pebblefold_rehearsal::loopback::{Loopback, Options};
+use pebblefold_rehearsal::report::Verdict;
+use pebblefold_rehearsal::script::Script;
+use pebblefold_rehearsal::simulated;
+use std::path::{Path, PathBuf};
+
+/// Reads a script; everything that is wrong with it is told.
+pub fn load(file: &Path) -> Result<Script, Failure> {
+    Script::load(file).map_err(|errors| {
+        let lines: Vec<String> = errors.iter().map(ToString::to_string).collect();
+        Failure::Input(lines.join("\n"))
+    })
+}
+
+/// A bar on a terminal, nothing elsewhere.
+fn bar(steps: u64, what: &str) -> ProgressBar {
+    let bar = ProgressBar::new(steps);
+    let style = ProgressStyle::with_template("{prefix} [{bar:30}] {pos}/{len} {msg}");
+    if let Ok(style) = style {
+        bar.set_style(style);
+    }
+    bar.set_prefix(what.to_string());
+    bar
+}
+
+/// Plays a script and judges it.
+pub async fn rehearse(r: Rehearse, show: &Show) -> Result<(), Failure> {
+    let script = load(&r.file)?;
+    let seed = r.seed.unwrap_or(script.seed);
+    let verdicts = if r.simulated {
+        let bar = bar(r.seeds, "seeds");
+        let mut all = Vec::new();
+        for seed in seed..seed + r.seeds {
+            let mut v = simulated::rehearse(script.clone(), seed).map_err(Failure::input)?;
+            v.replay = format!(
+                "pebblectl rehearse --simulated --seed {seed} {}",
+                r.file.display()
+            );
+            bar.inc(1);
+            all.push(v);
+        }
+        bar.finish_and_clear();
+        all
+    } else {
+        vec![on_loopback(&r, script, seed).await?]
+    };
+    if show.json() {
+        println!("{}", pretty(&verdicts));
+    } else {
+        for v in &verdicts {
+            print!("{}", v.text());
+        }
+    }
+    if let (Some(path), Some(last)) = (&r.html, verdicts.last()) {
+        let page = last.html().map_err(Failure::failed)?;
+        std::fs::write(path, page)
+            .map_err(|e| Failure::Failed(format!("{}: {e}", path.display())))?;
+    }
+    let broken = verdicts.iter().filter(|v| !v.passed).count();
+    if broken > 0 {
+        return Err(Failure::Rule(format!(
+            "{broken} of {} rehearsals broke a rule",
+            verdicts.len()
+        )));
+    }
+    Ok(())
+}
+
+async fn on_loopback(r: &Rehearse, script: Script, seed: u64) -> Result<Verdict, Failure> {
+    let own = std::env::temp_dir().join(format!("pebblectl-rehearse-{}", std::process::id()));
+    let dir = r.dir.clone().unwrap_or_else(|| own.clone());
+    let length = script.length_s as u64;
+    let options = Options {
+        program: controller_program()?,
+        dir: dir.clone(),
+        port: None,
+        log_level: std::env::var("LOG_LEVEL").unwrap_or_else(|_| "info".into()),
+    };
+    let cluster = Loopback::start(script, seed, options)
+        .await
+        .map_err(Failure::failed)?;
+    let bar = bar(length, "seconds");
+    let mut verdict = cluster
+        .rehearse(|stand, t| {
+            bar.set_position(t as u64);
+            let (accepted, done, cancelled, _) = stand.checker().counts();
+            let broken = stand.checker().breaches().len();
+            bar.set_message(format!(
+                "{accepted} accepted, {done} done, {cancelled} cancelled, {broken} rules broken"
+            ));
+        })
+        .await;
+    bar.finish_and_clear();
+    verdict.replay = format!(
+        "pebblectl rehearse --seed {seed} --dir kept {}",
+        r.file.display()
+    );
+    if r.dir.is_none() {
+        std::fs::remove_dir_all(&dir)
+            .map_err(|e| Failure::Failed(format!("{}: {e}", dir.display())))?;
+    }
+    Ok(verdict)
+}
+
+/// The controllers' program: the daemon beside this one or, where there is
+/// none, this one.
+pub fn controller_program() -> Result<(PathBuf, Vec<String>), Failure> {
+    let own = std::env::current_exe().map_err(Failure::failed)?;
+    let daemon = own.with_file_name("pebblefold");
+    if daemon.exists() {
+        return Ok((daemon, vec!["--config".into()]));
+    }
+    Ok((own, vec!["controller".into()]))
+}
--- /dev/null
+++ b/crates/pebblectl/src/up.rs
@@ -0,0 +1,142 @@
+//! A cluster on this machine.
+
+use crate::args::Up;
+use crate::ask;
+use crate::output::{Failure, Show};
+use crate::rehearse::{controller_program, load};
+use pebblefold_rehearsal::checker::Rule;
+use pebblefold_rehearsal::loopback::{Loopback, Options};
+use pebblefold_rehearsal::script::Script;
+use pebblefold_wire::users::Stage;
+use std::path::Path;
+use std::time::Duration;
+use tokio::time::sleep;
+
+const CLUSTER: &str = include_str!("cluster.toml");
+/// Time between two looks at a job that is waited for.
+const LOOK: Duration = Duration::from_millis(500);
+/// How long a new cluster may take to accept its first job.
+const FIRST: Duration = Duration::from_secs(30);
+
+/// Serves as one controller.
+pub fn controller(settings: &Path) -> Result<(), Failure> {
+    pebblefold::cli::serve(settings, None).map_err(Failure::input)
+}
+
+/// Starts a cluster and keeps it until Ctrl-C, or until its job is over.
+pub async fn up(u: Up, show: &Show) -> Result<(), Failure> {
+    let script = match &u.script {
+        Some(file) => load(file)?,
+        None => Script::parse("cluster.toml", CLUSTER)
+            .map_err(|e| Failure::Failed(format!("the built-in cluster: {e:?}")))?,
+    };
+    let job = u.job.as_deref().map(ask::read_job).transpose()?;
+    let length = script.length_s;
+    let seed = script.seed;
+    let options = Options {
+        program: controller_program()?,
+        dir: u.dir.clone(),
+        port: Some(u.port),
+        log_level: std::env::var("LOG_LEVEL").unwrap_or_else(|_| "info".into()),
+    };
+    let cluster = Loopback::start(script, seed, options)
+        .await
+        .map_err(Failure::failed)?;
+    let layout = cluster.layout();
+    eprintln!(
+        "users:       {}   (pebblectl submit JOB.json)",
+        cluster.front
+    );
+    eprintln!(
+        "controllers: {}   (internal: {})",
+        layout.api.join(" "),
+        layout.internal.join(" ")
+    );
+    eprintln!(
+        "state, logs: {}   (up again goes on from there; Ctrl-C ends)",
+        u.dir.display()
+    );
+    let served = async {
+        let mut told = (0, 0, usize::MAX);
+        while cluster.elapsed() < length {
+            cluster.step().await;
+            let now = cluster.with(|s| {
+                let (accepted, done, cancelled, _) = s.checker().counts();
+                (accepted, done + cancelled, s.fleet().workers().len())
+            });
+            if now != told && u.job.is_none() {
+                eprintln!(
+                    "{:>8.1} s  {} jobs accepted, {} over, {} machines",
+                    cluster.elapsed(),
+                    now.0,
+                    now.1,
+                    now.2
+                );
+                told = now;
+            }
+        }
+    };
+    let front = cluster.front;
+    let waited = async {
+        match &job {
+            Some(job) => run(front, job).await.map(Some),
+            None => std::future::pending().await,
+        }
+    };
+    let answer = tokio::select! {
+        () = served => None,
+        _ = tokio::signal::ctrl_c() => None,
+        a = waited => Some(a),
+    };
+    cluster.stop().await;
+    let broken: Vec<String> = cluster.with(|s| {
+        let all = s.checker().breaches().iter();
+        // What is open goes on with the next `up`.
+        all.filter(|b| b.rule != Rule::Unfinished)
+            .map(|b| format!("rule broken: {} {}: {}", b.rule, b.job, b.what))
+            .collect()
+    });
+    if !broken.is_empty() {
+        return Err(Failure::Rule(broken.join("\n")));
+    }
+    match answer {
+        Some(Ok(Some(a))) => show.job(&a),
+        Some(Err(e)) => Err(e),
+        Some(Ok(None)) | None => Ok(()),
+    }
+}
+
+/// Submits a job and waits for its end.
+async fn run(
+    front: std::net::SocketAddrV4,
+    job: &serde_json::Value,
+) -> Result<pebblefold_wire::users::JobAnswer, Failure> {
+    let nodes = [front];
+    let begin = tokio::time::Instant::now();
+    let mut answer = loop {
+        match ask::submit(&nodes, job).await {
+            Ok(a) => break a,
+            // A cluster that has just started does not know its machines yet.
+            Err(Failure::Failed(e)) if e.starts_with("503") && begin.elapsed() < FIRST => {
+                sleep(LOOK).await;
+            }
+            Err(e) => return Err(e),
+        }
+    };
+    eprintln!("{}: accepted", answer.id);
+    let id = answer.id.to_string();
+    let mut stage = answer.stage;
+    while !matches!(answer.stage, Stage::Done | Stage::Cancelled) {
+        sleep(LOOK).await;
+        match ask::status(&nodes, &id).await {
+            Ok(a) => answer = a,
+            Err(Failure::Failed(e)) if e.starts_with("503") => {}
+            Err(e) => return Err(e),
+        }
+        if answer.stage != stage {
+            stage = answer.stage;
+            eprintln!("{id}: {stage:?}");
+        }
+    }
+    Ok(answer)
+}
--- a/crates/pebblefold/src/lib.rs
+++ b/crates/pebblefold/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod cli;
 pub mod core;
 pub mod driver;
+pub mod logging;
 pub mod policy;
 pub mod settings;
 
--- a/crates/rehearsal/src/cloud.rs
+++ b/crates/rehearsal/src/cloud.rs
@@ -36,6 +36,9 @@
     pub prefix: [u8; 2],
     /// The port.
     pub port: u16,
+    /// The number of the first machine: names are never given out twice, also
+    /// by a cloud that starts again.
+    pub first: u32,
 }
 
 impl Addresses {
@@ -114,7 +117,7 @@
             machines: BTreeMap::new(),
             hires: BTreeMap::new(),
             lists: VecDeque::new(),
-            next: 1,
+            next: addresses.first,
             happened: Vec::new(),
             out: false,
             short: false,
@@ -340,6 +343,11 @@
         there.map(|m| &m.listed)
     }
 
+    /// The number of the next machine.
+    pub fn next(&self) -> u32 {
+        self.next
+    }
+
     /// Money spent so far.
     pub fn cost(&mut self, now: Time) -> f64 {
         let before = self.spent;
--- a/crates/rehearsal/src/loopback.rs
+++ b/crates/rehearsal/src/loopback.rs
@@ -1,1 +1,630 @@
-//! later
+//! Rehearsals on loopback: controllers are real processes, and everything
+//! around them is this one. Every message passes our sockets, so links can hold
+//! it back, lose it or reset its connection; between controllers it passes a
+//! proxy for each pair.
+
+use crate::checker::{Ask, Seen};
+use crate::cloud::Addresses;
+use crate::links::{Fate, Host};
+use crate::report::Verdict;
+use crate::script::Script;
+use crate::stand::{Layout, NodeAction, Out, Returned, Stand, Store, settings, settings_json};
+use nix::sys::signal::{Signal, kill};
+use nix::unistd::Pid;
+use pebblefold::settings::SettingsError;
+use pebblefold::types::{Span, Time};
+use pebblefold::wire::users::{JobAnswer, Submission};
+use pebblefold::wire::{decode, encode};
+use pebblefold_net::{Client, Sent, answer_connections};
+use pebblefold_state::StorageError;
+use pebblefold_wire::http::{Request, Response};
+use std::cell::RefCell;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::fs::File;
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+use std::path::{Path, PathBuf};
+use std::process::Stdio;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::net::TcpListener;
+use tokio::process::{Child, Command};
+use tokio::sync::oneshot;
+use tokio::task::{JoinHandle, spawn_local};
+use tokio::time::{sleep, timeout};
+
+/// Time between steps of the stand-ins.
+const STEP: Duration = Duration::from_millis(20);
+/// How long a lost request is kept hanging, at most.
+const HANGS: Duration = Duration::from_secs(60);
+/// How long the front door waits for a controller.
+const FRONT: Duration = Duration::from_secs(6);
+/// How long a controller's answer to a peer may take.
+const PEER: Duration = Duration::from_secs(8);
+
+/// Why a cluster on loopback cannot start or go on.
+#[derive(Debug, thiserror::Error)]
+pub enum LoopbackError {
+    /// The cluster's settings are refused.
+    #[error(transparent)]
+    Settings(#[from] SettingsError),
+    /// The state service's store cannot be opened.
+    #[error(transparent)]
+    Storage(#[from] StorageError),
+    /// A file, socket or process.
+    #[error("{0}: {1}")]
+    Io(String, std::io::Error),
+}
+
+fn io(what: impl std::fmt::Display) -> impl FnOnce(std::io::Error) -> LoopbackError {
+    let what = what.to_string();
+    |e| LoopbackError::Io(what, e)
+}
+
+/// How a cluster is set up on loopback.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// The controllers' program and the arguments before the settings file.
+    pub program: (PathBuf, Vec<String>),
+    /// Where settings, logs and the state service's store are kept.
+    pub dir: PathBuf,
+    /// First of the ports that are used: front door, then two a controller;
+    /// `None`: any that are free.
+    pub port: Option<u16>,
+    /// `LOG_LEVEL` of the controllers.
+    pub log_level: String,
+}
+
+struct Process {
+    child: Option<Child>,
+    settings: PathBuf,
+    log: PathBuf,
+}
+
+struct Inner {
+    stand: RefCell<Stand>,
+    client: Client,
+    started: Instant,
+    layout: Layout,
+    waiting: RefCell<HashMap<u64, oneshot::Sender<Returned>>>,
+    next_call: RefCell<u64>,
+    nodes: RefCell<Vec<Process>>,
+    machines: RefCell<BTreeMap<String, JoinHandle<()>>>,
+    options: Options,
+    /// Jobs that came in by the front door.
+    uploaded: RefCell<BTreeSet<String>>,
+}
+
+/// A cluster on loopback.
+pub struct Loopback {
+    inner: Rc<Inner>,
+    /// Where users reach it.
+    pub front: SocketAddrV4,
+}
+
+async fn listen(port: Option<u16>) -> Result<(TcpListener, SocketAddrV4), LoopbackError> {
+    let wanted = SocketAddrV4::new(Ipv4Addr::LOCALHOST, port.unwrap_or(0));
+    let listener = TcpListener::bind(wanted).await.map_err(io(wanted))?;
+    match listener.local_addr().map_err(io(wanted))? {
+        SocketAddr::V4(addr) => Ok((listener, addr)),
+        SocketAddr::V6(_) => unreachable!("bound to an IPv4 address"),
+    }
+}
+
+impl Inner {
+    fn now(&self) -> Time {
+        Time(self.started.elapsed().as_micros() as u64 + 1)
+    }
+
+    /// Lets a message travel; false if it never arrives.
+    async fn travel(&self, from: &Host, to: &Host) -> Result<(), Fate> {
+        let fate = self.stand.borrow_mut().fate(self.now(), from, to);
+        match fate {
+            Fate::After(Span(0)) => Ok(()),
+            Fate::After(d) => {
+                sleep(Duration::from_micros(d.0)).await;
+                Ok(())
+            }
+            other => Err(other),
+        }
+    }
+
+    /// What the other side of a message that never arrives sees.
+    async fn nothing(fate: Fate) -> Option<Response> {
+        if fate == Fate::Lost {
+            sleep(HANGS).await;
+        }
+        None
+    }
+
+    /// A controller's call to a stand-in.
+    async fn called(self: Rc<Self>, node: usize, target: Host, r: Request) -> Option<Response> {
+        let from = Host::Node(node);
+        if let Err(fate) = self.travel(&from, &target).await {
+            return Inner::nothing(fate).await;
+        }
+        let call = {
+            let mut next = self.next_call.borrow_mut();
+            *next += 1;
+            *next
+        };
+        let (tx, rx) = oneshot::channel();
+        self.waiting.borrow_mut().insert(call, tx);
+        self.stand
+            .borrow_mut()
+            .call(self.now(), node, &target, call, r);
+        Inner::drain(&self);
+        let returned = rx.await.ok()?;
+        if let Err(fate) = self.travel(&target, &from).await {
+            return Inner::nothing(fate).await;
+        }
+        match returned {
+            Returned::Answer(status, body) => Some(Response {
+                status,
+                retry_after: None,
+                body,
+                close: false,
+            }),
+            Returned::Silence | Returned::Refused => None,
+        }
+    }
+
+    /// What one controller sends to another.
+    async fn proxied(self: Rc<Self>, from: usize, to: usize, r: Request) -> Option<Response> {
+        let (a, b) = (Host::Node(from), Host::Node(to));
+        if let Err(fate) = self.travel(&a, &b).await {
+            return Inner::nothing(fate).await;
+        }
+        let addr = self.layout.internal[to].parse().ok()?;
+        let path = full_path(&r);
+        let sent = Sent::default();
+        let asked = self.client.exchange(addr, &r.method, &path, &r.body, &sent);
+        let response = timeout(PEER, asked).await.ok()?.ok()?;
+        if let Err(fate) = self.travel(&b, &a).await {
+            return Inner::nothing(fate).await;
+        }
+        Some(response)
+    }
+
+    /// A request of the stand-ins to a controller.
+    async fn send(self: Rc<Self>, out: Out) {
+        let Out::Send {
+            ticket,
+            from,
+            node,
+            method,
+            path,
+            body,
+            patience,
+        } = out
+        else {
+            return;
+        };
+        let to = Host::Node(node);
+        match self.travel(&from, &to).await {
+            Ok(()) => {}
+            Err(Fate::Reset) => return self.stand.borrow_mut().refused(self.now(), ticket),
+            Err(_) => return,
+        }
+        let Ok(addr) = self.layout.api[node].parse() else {
+            return;
+        };
+        let sent = Sent::default();
+        let asked = self.client.exchange(addr, method, &path, &body, &sent);
+        match timeout(Duration::from_micros(patience.0), asked).await {
+            Ok(Ok(r)) => match self.travel(&to, &from).await {
+                Ok(()) => {
+                    let now = self.now();
+                    let mut stand = self.stand.borrow_mut();
+                    stand.answered(now, ticket, r.status, r.retry_after, &r.body);
+                }
+                Err(Fate::Reset) => self.stand.borrow_mut().refused(self.now(), ticket),
+                Err(_) => {}
+            },
+            Ok(Err(_)) => self.stand.borrow_mut().refused(self.now(), ticket),
+            Err(_) => {}
+        }
+        Inner::drain(&self);
+    }
+
+    /// Does what the stand-ins want done.
+    fn drain(self: &Rc<Self>) {
+        let outs = self.stand.borrow_mut().take_out();
+        for out in outs {
+            match out {
+                Out::Send { .. } => {
+                    spawn_local(Rc::clone(self).send(out));
+                }
+                Out::Return { call, returned, .. } => {
+                    if let Some(tx) = self.waiting.borrow_mut().remove(&call) {
+                        // The controller may have given the call up.
+                        let _ = tx.send(returned);
+                    }
+                }
+                Out::Node(action) => {
+                    if let Err(e) = self.act(action) {
+                        tracing::error!(error = %e, ?action, "cannot act on a controller");
+                    }
+                }
+            }
+        }
+    }
+
+    fn act(&self, action: NodeAction) -> Result<(), LoopbackError> {
+        let mut nodes = self.nodes.borrow_mut();
+        match action {
+            NodeAction::Kill(n) => {
+                if let Some(mut child) = nodes[n].child.take() {
+                    child.start_kill().map_err(io("kill"))?;
+                    // It is reaped in the background.
+                    spawn_local(async move {
+                        let _ = child.wait().await;
+                    });
+                }
+            }
+            NodeAction::Start(n) if nodes[n].child.is_none() => {
+                let log = File::options()
+                    .create(true)
+                    .append(true)
+                    .open(&nodes[n].log)
+                    .map_err(io(nodes[n].log.display()))?;
+                let (program, arguments) = &self.options.program;
+                let child = Command::new(program)
+                    .args(arguments)
+                    .arg(&nodes[n].settings)
+                    .env("LOG_LEVEL", &self.options.log_level)
+                    .stdin(Stdio::null())
+                    .stdout(Stdio::null())
+                    .stderr(log)
+                    .kill_on_drop(true)
+                    .spawn()
+                    .map_err(io(program.display()))?;
+                nodes[n].child = Some(child);
+            }
+            NodeAction::Start(_) => {}
+            NodeAction::Pause(n) | NodeAction::Continue(n) => {
+                let signal = match action {
+                    NodeAction::Pause(_) => Signal::SIGSTOP,
+                    _ => Signal::SIGCONT,
+                };
+                let id = nodes[n].child.as_ref().and_then(Child::id);
+                if let Some(id) = id {
+                    kill(Pid::from_raw(id as i32), signal)
+                        .map_err(|e| LoopbackError::Io("signal".into(), e.into()))?;
+                }
+            }
+        }
+        Ok(())
+    }
+
+    /// Opens a listener for each machine that is up, and closes those of
+    /// machines that are gone.
+    fn listen_for_machines(self: &Rc<Self>) {
+        let up: BTreeMap<String, String> = {
+            let stand = self.stand.borrow();
+            let workers = stand.fleet().workers().iter();
+            workers
+                .map(|(m, w)| (m.clone(), w.machine.addr.clone()))
+                .collect()
+        };
+        let mut machines = self.machines.borrow_mut();
+        machines.retain(|m, task| {
+            let there = up.contains_key(m);
+            if !there {
+                task.abort();
+            }
+            there
+        });
+        for (m, addr) in up {
+            if machines.contains_key(&m) {
+                continue;
+            }
+            let inner = Rc::clone(self);
+            let name = m.clone();
+            let task = spawn_local(async move {
+                let Ok(listener) = TcpListener::bind(&addr).await else {
+                    tracing::error!(machine = %name, %addr, "cannot listen");
+                    return;
+                };
+                let serve = move |r| {
+                    let inner = Rc::clone(&inner);
+                    let target = Host::Machine(name.clone());
+                    async move {
+                        // Only the leader gives commands.
+                        let node = inner.stand.borrow().leader().unwrap_or(0);
+                        inner.called(node, target, r).await
+                    }
+                };
+                answer_connections(listener, serve).await;
+            });
+            machines.insert(m, task);
+        }
+    }
+
+    /// Users outside the stand-ins: passed on to a controller that answers, and
+    /// what they submit is uploaded for the workers.
+    async fn front_door(self: Rc<Self>, r: Request) -> Option<Response> {
+        let submits = r.method == "POST" && r.path == "/submissions";
+        let spec = submits.then(|| decode::<Submission>(&r.body)).flatten();
+        if let Some(spec) = &spec
+            && spec.fault().is_none()
+        {
+            self.upload(spec);
+        }
+        let now = self.now();
+        let what = match (r.method.as_str(), r.path.ends_with("/cancel")) {
+            ("GET", _) => Ask::Poll,
+            (_, true) => Ask::Cancel,
+            _ => Ask::Submit,
+        };
+        let named = r.path.split('/').nth(2).map(String::from);
+        let job = spec.map(|s| s.id.to_string()).or(named);
+        let job = job.filter(|j| self.uploaded.borrow().contains(j));
+        if let Some(job) = &job {
+            let job = job.clone();
+            self.stand
+                .borrow_mut()
+                .overheard(now, Seen::Asked { job, what });
+        }
+        let path = full_path(&r);
+        let mut last = None;
+        for (i, addr) in self.layout.api.iter().enumerate() {
+            let node = Host::Node(i);
+            let Ok(addr) = addr.parse() else { continue };
+            if self.travel(&Host::Users, &node).await.is_err() {
+                continue;
+            }
+            let sent = Sent::default();
+            let asked = self.client.exchange(addr, &r.method, &path, &r.body, &sent);
+            match timeout(FRONT, asked).await {
+                Ok(Ok(a)) if a.status < 500 => {
+                    last = Some(a);
+                    break;
+                }
+                Ok(Ok(a)) => last = Some(a),
+                // It may have been executed: asking another node is the user's
+                // own decision, except where nothing is changed.
+                _ if sent.get() && r.method != "GET" => break,
+                _ => {}
+            }
+        }
+        let response = last.unwrap_or(Response {
+            status: 503,
+            retry_after: Some(1),
+            body: Vec::new(),
+            close: false,
+        });
+        if let Some(job) = job {
+            let stage = decode::<JobAnswer>(&response.body).map(|a| a.stage);
+            let told = Seen::Told {
+                job,
+                what,
+                asked: now,
+                status: Some(response.status),
+                stage: stage.filter(|_| response.status < 300),
+            };
+            self.stand.borrow_mut().overheard(self.now(), told);
+        }
+        Some(response)
+    }
+
+    fn upload(&self, spec: &Submission) {
+        let id = spec.id.to_string();
+        if !self.uploaded.borrow_mut().insert(id.clone()) {
+            return;
+        }
+        self.stand.borrow_mut().upload(spec.clone());
+        let dir = self.options.dir.join("jobs");
+        let kept = std::fs::create_dir_all(&dir)
+            .and_then(|()| std::fs::write(dir.join(&id), encode(spec)));
+        if let Err(e) = kept {
+            tracing::error!(job = %id, error = %e, "its description is not kept");
+        }
+    }
+}
+
+fn full_path(r: &Request) -> String {
+    if r.query.is_empty() {
+        r.path.clone()
+    } else {
+        format!("{}?{}", r.path, r.query)
+    }
+}
+
+/// The number of the first machine: after all that an earlier run rented.
+fn first_machine(dir: &Path) -> u32 {
+    let text = std::fs::read_to_string(dir.join("machines")).unwrap_or_default();
+    text.trim().parse().unwrap_or(1)
+}
+
+impl Loopback {
+    /// Starts a cluster: stand-ins in this process, controllers beside it. Has
+    /// to run within a [`tokio::task::LocalSet`].
+    ///
+    /// # Errors
+    /// Files, sockets or processes cannot be had, or the cluster is refused.
+    pub async fn start(
+        script: Script,
+        seed: u64,
+        options: Options,
+    ) -> Result<Loopback, LoopbackError> {
+        let dir = &options.dir;
+        std::fs::create_dir_all(dir).map_err(io(dir.display()))?;
+        let count = script.cluster.controllers.len();
+        let mut ports = options.port.map(|p| p..);
+        let mut next_port = || ports.as_mut().and_then(Iterator::next);
+        let (front, front_addr) = listen(next_port()).await?;
+        let mut layout = Layout {
+            api: Vec::new(),
+            internal: Vec::new(),
+            peers: BTreeMap::new(),
+            state: Vec::new(),
+            cloud: Vec::new(),
+        };
+        // Controllers' ports are found by opening them once; they are closed
+        // again before the controllers start.
+        let mut found = Vec::new();
+        for _ in 0..count {
+            for list in [&mut layout.api, &mut layout.internal] {
+                let (listener, addr) = listen(next_port()).await?;
+                list.push(addr.to_string());
+                found.push(listener);
+            }
+        }
+        drop(found);
+        let mut listeners = Vec::new();
+        for n in 0..count {
+            for (target, list) in [
+                (Host::State, &mut layout.state),
+                (Host::Cloud, &mut layout.cloud),
+            ] {
+                let (listener, addr) = listen(None).await?;
+                list.push(addr.to_string());
+                listeners.push((n, target, listener));
+            }
+            for to in (0..count).filter(|&to| to != n) {
+                let (listener, addr) = listen(None).await?;
+                layout.peers.insert((n, to), addr.to_string());
+                listeners.push((n, Host::Node(to), listener));
+            }
+        }
+        let first = first_machine(dir);
+        // Rehearsals side by side must not share machines' addresses.
+        let prefix = [127, 1 + (front_addr.port() % 250) as u8];
+        let addresses = Addresses {
+            prefix,
+            port: 9000,
+            first,
+        };
+        let store = Store::File(dir.join("state.redb"));
+        let mut nodes = Vec::new();
+        for n in 0..count {
+            settings(&script, &layout, n)?;
+            let path = dir.join(format!("node-{n}.json"));
+            let text = settings_json(&script, &layout, n).to_string();
+            std::fs::write(&path, text).map_err(io(path.display()))?;
+            nodes.push(Process {
+                child: None,
+                settings: path,
+                log: dir.join(format!("node-{n}.log")),
+            });
+        }
+        let inner = Rc::new(Inner {
+            stand: RefCell::new(Stand::new(script, seed, store, addresses, false)?),
+            client: Client::default(),
+            started: Instant::now(),
+            layout,
+            waiting: RefCell::default(),
+            next_call: RefCell::new(0),
+            nodes: RefCell::new(nodes),
+            machines: RefCell::default(),
+            options,
+            uploaded: RefCell::default(),
+        });
+        let kept = inner.options.dir.join("jobs");
+        for entry in std::fs::read_dir(kept).into_iter().flatten().flatten() {
+            let bytes = std::fs::read(entry.path()).map_err(io(entry.path().display()))?;
+            if let Some(spec) = decode::<Submission>(&bytes) {
+                inner.uploaded.borrow_mut().insert(spec.id.to_string());
+                inner.stand.borrow_mut().upload(spec);
+            }
+        }
+        for (n, target, listener) in listeners {
+            let inner = Rc::clone(&inner);
+            spawn_local(answer_connections(listener, move |r| {
+                let inner = Rc::clone(&inner);
+                let target = target.clone();
+                async move {
+                    match target {
+                        Host::Node(to) => inner.proxied(n, to, r).await,
+                        other => inner.called(n, other, r).await,
+                    }
+                }
+            }));
+        }
+        let door = Rc::clone(&inner);
+        spawn_local(answer_connections(front, move |r| {
+            Rc::clone(&door).front_door(r)
+        }));
+        for n in 0..count {
+            inner.act(NodeAction::Start(n))?;
+        }
+        Ok(Loopback {
+            inner,
+            front: front_addr,
+        })
+    }
+
+    /// Addresses of the controllers and stand-ins.
+    pub fn layout(&self) -> &Layout {
+        &self.inner.layout
+    }
+
+    /// Looks at the stand-ins.
+    pub fn with<T>(&self, look: impl FnOnce(&mut Stand) -> T) -> T {
+        look(&mut self.inner.stand.borrow_mut())
+    }
+
+    /// Seconds since the start.
+    pub fn elapsed(&self) -> f64 {
+        self.inner.started.elapsed().as_secs_f64()
+    }
+
+    /// One step of the stand-ins; to be called again and again.
+    pub async fn step(&self) {
+        let now = self.inner.now();
+        self.inner.stand.borrow_mut().advance(now);
+        self.inner.drain();
+        self.inner.listen_for_machines();
+        let next = self.with(|s| s.next_machine());
+        let path = self.inner.options.dir.join("machines");
+        if first_machine(&self.inner.options.dir) != next
+            && let Err(e) = std::fs::write(&path, next.to_string())
+        {
+            tracing::error!(error = %e, "cannot keep the number of the next machine");
+        }
+        sleep(STEP).await;
+    }
+
+    /// Ends the controllers.
+    pub async fn stop(&self) {
+        let nodes: Vec<Child> = {
+            let mut nodes = self.inner.nodes.borrow_mut();
+            nodes.iter_mut().filter_map(|n| n.child.take()).collect()
+        };
+        for mut child in nodes {
+            // A child that is already gone needs no ending.
+            let _ = child.kill().await;
+        }
+    }
+
+    /// Plays the whole script and gives the verdict.
+    pub async fn rehearse(&self, mut tell: impl FnMut(&Stand, f64)) -> Verdict {
+        let (length, cancel) = self.with(|s| {
+            let s = s.script();
+            (s.length_s, s.cluster.workers.cancel_s)
+        });
+        let mut over_at: Option<f64> = None;
+        loop {
+            self.step().await;
+            let t = self.elapsed();
+            tell(&self.inner.stand.borrow(), t);
+            let over = self.with(|s| s.all_over() && s.left().is_empty());
+            if over {
+                over_at.get_or_insert(t);
+            }
+            // A little longer, for what must not come after the end.
+            if t >= length || over_at.is_some_and(|o| t >= o + cancel + 2.0) {
+                break;
+            }
+        }
+        let now = self.inner.now();
+        let took = self.inner.started.elapsed();
+        self.stop().await;
+        self.with(|s| {
+            s.finish(now);
+            let mut verdict = Verdict::of(s, now, took);
+            verdict.world = "loopback";
+            verdict
+        })
+    }
+}
--- a/crates/rehearsal/src/script.rs
+++ b/crates/rehearsal/src/script.rs
@@ -938,41 +938,35 @@
 
 /// The line of a field, or of the nearest thing around it that is there.
 fn line_of(document: &toml_edit::Document<&str>, text: &str, path: &[Step]) -> usize {
-    let mut item = document.as_item();
+    use toml_edit::{Item, Table, TableLike};
+    enum At<'a> {
+        Item(&'a Item),
+        Table(&'a Table),
+    }
+    let mut here = At::Item(document.as_item());
     let mut span = None;
     for step in path {
-        let next = match step {
-            Step::Key(k) => {
-                let key = item.as_table_like().and_then(|t| t.get_key_value(k));
-                if let Some((key, _)) = key {
-                    span = key.span().or(span);
-                }
-                key.map(|(_, v)| v)
-            }
-            Step::Index(i) => match item {
-                toml_edit::Item::ArrayOfTables(tables) => {
-                    if let Some(t) = tables.get(*i) {
-                        span = t.span().or(span);
-                    }
-                    // A table of an array has no item of its own to go on from.
-                    match (tables.get(*i), path.last()) {
-                        (Some(t), Some(Step::Key(k))) => {
-                            if let Some((key, _)) = t.get_key_value(k) {
-                                span = key.span().or(span);
-                            }
-                        }
-                        _ => {}
-                    }
-                    None
-                }
-                other => other.get(*i),
-            },
+        let table: Option<&dyn TableLike> = match &here {
+            At::Item(item) => item.as_table_like(),
+            At::Table(table) => Some(*table),
+        };
+        let next = match (step, &here) {
+            (Step::Key(k), _) => table.and_then(|t| t.get_key_value(k)).map(|(key, item)| {
+                span = key.span().or(span.take());
+                At::Item(item)
+            }),
+            (Step::Index(i), At::Item(Item::ArrayOfTables(tables))) => tables.get(*i).map(|t| {
+                span = t.span().or(span.take());
+                At::Table(t)
+            }),
+            (Step::Index(i), At::Item(item)) => item.get(*i).map(|item| {
+                span = item.span().or(span.take());
+                At::Item(item)
+            }),
+            (Step::Index(_), At::Table(_)) => None,
         };
         match next {
-            Some(n) => {
-                span = n.span().or(span);
-                item = n;
-            }
+            Some(n) => here = n,
             None => break,
         }
     }
--- a/crates/rehearsal/src/simulated.rs
+++ b/crates/rehearsal/src/simulated.rs
@@ -121,6 +121,7 @@
         let addresses = Addresses {
             prefix: [10, 1],
             port: 9000,
+            first: 1,
         };
         let store = Store::Memory(CutDisk::default());
         let mut world = Simulated {
--- a/crates/rehearsal/src/stand.rs
+++ b/crates/rehearsal/src/stand.rs
@@ -14,6 +14,7 @@
 use pebblefold::types::{Label, Span, Time};
 use pebblefold::wire::decode;
 use pebblefold::wire::state::{Op, Txn};
+use pebblefold::wire::users::Submission;
 use pebblefold_state::cut::{CutDisk, Left};
 use pebblefold_state::{Asker, Disk, Limits, Outcome, Service, StorageError, Ticket};
 use pebblefold_wire::http::Request;
@@ -312,11 +313,29 @@
         self.users.add(p);
     }
 
-    /// Uploads a job's description for a user outside the stand-ins.
-    pub fn describe(&mut self, spec: pebblefold::wire::users::Submission, run_s: f64) {
+    /// Uploads the description of a job whose user is outside the stand-ins. Its
+    /// tasks run as long as their owner guesses.
+    pub fn upload(&mut self, spec: Submission) {
+        self.checker.expect(spec.clone());
+        let run_s = spec.estimate_s;
         self.fleet.describe(spec, run_s);
     }
 
+    /// Lets the checker hear what a user outside the stand-ins was told.
+    pub fn overheard(&mut self, now: Time, seen: Seen) {
+        self.checker.hear(now, seen);
+    }
+
+    /// The number of the cloud's next machine.
+    pub fn next_machine(&self) -> u32 {
+        self.cloud.next()
+    }
+
+    /// The controller whose commits the state service last took as leader's.
+    pub fn leader(&self) -> Option<usize> {
+        self.leader
+    }
+
     /// Whether every job has been submitted and has its final answer.
     pub fn all_over(&self) -> bool {
         self.users.to_come() == 0 && self.checker.all_over()
--- a/crates/state/src/archive.rs
+++ b/crates/state/src/archive.rs
@@ -76,7 +76,8 @@
 }
 
 impl Summary {
-    fn of(image: &Image) -> Summary {
+    /// What an image holds.
+    pub fn of(image: &Image) -> Summary {
         Summary {
             revision: image.marks.revision,
             keys: image.keys.len() as u64,
