--- a/crates/pebblectl/src/args.rs
+++ b/crates/pebblectl/src/args.rs
@@ -108,7 +108,7 @@
     /// Where it keeps its state; `up` again goes on from there.
     #[arg(long, value_name = "DIR", default_value = "target/up")]
     pub dir: PathBuf,
-    /// First port: users' front door, then two for each controller.
+    /// First port: users' front door, then two for each controller; 0: any.
     #[arg(long, default_value_t = 7600)]
     pub port: u16,
     /// Submit this job, wait for its end, and end.
--- a/crates/pebblectl/src/top.rs
+++ b/crates/pebblectl/src/top.rs
@@ -9,7 +9,6 @@
 use ratatui::widgets::{Block, Cell, Paragraph, Row, Table};
 use ratatui::{DefaultTerminal, Frame};
 use serde_json::Value;
-use std::collections::BTreeMap;
 use std::io::IsTerminal;
 use std::net::SocketAddrV4;
 use std::time::Duration;
@@ -44,14 +43,7 @@
 
 fn view(seen: &Value) -> View {
     let leading = &seen["leading"];
-    let mut zones: BTreeMap<String, [u64; 4]> = BTreeMap::new();
-    for m in list(&leading["machines"]) {
-        let z = zones.entry(text(&m["zone"])).or_default();
-        z[0] += 1;
-        z[1] += u64::from(m["usable"] == true);
-        z[2] += u64::from(m["spot"] == true);
-        z[3] += list(&m["tasks"]).count() as u64;
-    }
+    let zone = |z: &Value| ZONE_HEADS.map(|f| text(&z[f])).to_vec();
     let job = |j: &Value| {
         let of = format!("{}/{}", text(&j["done"]), text(&j["tasks"]));
         let mut row = vec![text(&j["job"]), text(&j["owner"]), text(&j["class"]), of];
@@ -83,10 +75,7 @@
             ),
             format!("answered since start (half / 95 %): {ms}"),
         ],
-        zones: zones
-            .into_iter()
-            .map(|(z, n)| std::iter::once(z).chain(n.map(|n| n.to_string())).collect())
-            .collect(),
+        zones: list(&leading["zones"]).map(zone).collect(),
         jobs: list(&leading["jobs"]).map(job).collect(),
     }
 }
--- a/crates/pebblectl/src/up.rs
+++ b/crates/pebblectl/src/up.rs
@@ -36,7 +36,7 @@
     let options = Options {
         program: controller_program()?,
         dir: u.dir.clone(),
-        port: Some(u.port),
+        port: (u.port > 0).then_some(u.port),
         log_level: std::env::var("LOG_LEVEL").unwrap_or_else(|_| "info".into()),
     };
     let cluster = Loopback::start(script, seed, options)
@@ -85,7 +85,7 @@
     };
     let answer = tokio::select! {
         () = served => None,
-        _ = tokio::signal::ctrl_c() => None,
+        () = ended() => None,
         a = waited => Some(a),
     };
     cluster.stop().await;
@@ -106,6 +106,20 @@
     }
 }
 
+/// Ctrl-C, or the request to end: the controllers must not outlive us.
+async fn ended() {
+    use tokio::signal::unix::{SignalKind, signal};
+    match signal(SignalKind::terminate()) {
+        Ok(mut terminate) => tokio::select! {
+            _ = tokio::signal::ctrl_c() => {}
+            _ = terminate.recv() => {}
+        },
+        Err(_) => {
+            let _ = tokio::signal::ctrl_c().await;
+        }
+    }
+}
+
 /// Submits a job and waits for its end.
 async fn run(
     front: std::net::SocketAddrV4,
--- a/crates/pebblefold/src/core/telling.rs
+++ b/crates/pebblefold/src/core/telling.rs
@@ -3,8 +3,9 @@
 use super::fleet::{Leaving, Machine};
 use super::leader::Leader;
 use super::presence::Phase;
-use crate::types::{Image, JobId, MachineId, Time};
+use crate::types::{Image, JobId, MachineId, Time, Zone};
 use crate::wire::workers::TaskState;
+use std::collections::BTreeMap;
 
 /// Machines, and jobs, that one answer to an operator shows.
 const MOST_SHOWN: usize = 200;
@@ -116,12 +117,31 @@
                 })
             })
             .collect();
+        // Totals over all machines, shown or not.
+        let mut zones: BTreeMap<&str, [usize; 4]> = BTreeMap::new();
+        for m in self.machines.values() {
+            let z = zones.entry(m.zone.as_ref().map_or("", Zone::as_str));
+            let z = z.or_default();
+            z[0] += 1;
+            z[1] += usize::from(m.usable(now, self.silence()));
+            z[2] += usize::from(m.spot);
+            z[3] += m.tasks.len();
+        }
+        let zones: Vec<_> = zones
+            .into_iter()
+            .map(|(zone, [machines, usable, spot, tasks])| {
+                serde_json::json!({
+                    "zone": zone, "machines": machines, "usable": usable,
+                    "spot": spot, "tasks": tasks,
+                })
+            })
+            .collect();
         serde_json::json!({
             "token": self.token, "in_office_s": now.since(self.office).as_secs(),
             "contact_s_ago": now.since(self.contact).as_secs(), "loaded": self.is_loaded(),
             "cycles": self.cycles,
             "totals": {"machines": self.machines.len(), "jobs": self.jobs.len()},
-            "machines": machines, "jobs": jobs,
+            "zones": zones, "machines": machines, "jobs": jobs,
         })
     }
 }
--- a/crates/rehearsal/tests/scripts.rs
+++ b/crates/rehearsal/tests/scripts.rs
@@ -1,19 +1,155 @@
-//! The shipped scripts, in simulated time.
+//! The shipped scripts and their schema, and what a script that is wrong is told.
 
+mod common;
+use common::sound;
 use pebblefold_rehearsal::script::Script;
 use pebblefold_rehearsal::simulated;
 use std::path::PathBuf;
 
+const SHIPPED: [&str; 3] = ["billing-night", "meter-coop", "tenant-office"];
+
+fn rehearsals() -> PathBuf {
+    PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../../rehearsals")
+}
+
 fn script(name: &str) -> Script {
-    let root = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../../rehearsals");
-    Script::load(&root.join(format!("{name}.toml"))).unwrap_or_else(|e| panic!("{name}: {e:?}"))
+    let path = rehearsals().join(format!("{name}.toml"));
+    Script::load(&path).unwrap_or_else(|e| panic!("{name}: {e:?}"))
+}
+
+fn play(name: &str, seeds: std::ops::RangeInclusive<u64>) {
+    for seed in seeds {
+        let v = simulated::rehearse(script(name), seed).unwrap();
+        sound(&v, seed);
+        assert_eq!(v.not_struck, Vec::<String>::new(), "{name}, seed {seed}");
+    }
 }
 
 #[test]
 fn billing_night_ends_every_job_once() {
-    for seed in 1..=20 {
-        let v = simulated::rehearse(script("billing-night"), seed).unwrap();
-        println!("{}", v.text());
-        assert!(v.passed, "seed {seed}");
+    play("billing-night", 1..=10);
+}
+
+#[test]
+fn billing_night_ends_every_job_once_on_other_seeds() {
+    play("billing-night", 11..=20);
+}
+
+#[test]
+fn the_co_operatives_night_ends_every_job_once() {
+    play("meter-coop", 1..=6);
+}
+
+#[test]
+fn the_offices_week_ends_every_job_once() {
+    play("tenant-office", 1..=6);
+}
+
+// The shipped schema is what the code reads: `pebblectl schema` prints it.
+#[test]
+fn the_shipped_schema_is_the_codes_and_the_scripts_follow_it() {
+    let text = std::fs::read_to_string(rehearsals().join("schema.json")).unwrap();
+    let shipped: serde_json::Value = serde_json::from_str(&text).unwrap();
+    assert_eq!(
+        shipped,
+        Script::schema(),
+        "write it anew: pebblectl schema > rehearsals/schema.json"
+    );
+    let schema = jsonschema::validator_for(&shipped).unwrap();
+    for name in SHIPPED {
+        let text = std::fs::read_to_string(rehearsals().join(format!("{name}.toml"))).unwrap();
+        let value: serde_json::Value = toml::from_str(&text).unwrap();
+        let errors: Vec<String> = schema.iter_errors(&value).map(|e| e.to_string()).collect();
+        assert!(errors.is_empty(), "{name}: {errors:?}");
+        let mut wrong = value.clone();
+        wrong["cluster"]["zone"] = "typo".into();
+        assert!(!schema.is_valid(&wrong), "{name}: an unknown field passes");
+    }
+}
+
+#[test]
+fn errors_name_file_line_and_field() {
+    let text = std::fs::read_to_string(rehearsals().join("billing-night.toml")).unwrap();
+    let told = |from: &str, to: &str| {
+        assert!(text.contains(from), "{from}");
+        let changed = text.replacen(from, to, 1);
+        match Script::parse("night.toml", &changed) {
+            Ok(_) => panic!("{to}: accepted"),
+            Err(errors) => errors
+                .iter()
+                .map(ToString::to_string)
+                .collect::<Vec<_>>()
+                .join("\n"),
+        }
+    };
+    let line_of = |what: &str| text[..text.find(what).unwrap()].matches('\n').count() + 1;
+    let faults = line_of("[[faults]]");
+    let cases = [
+        (
+            "zone = \"market\"\nfor_s",
+            "zone = \"moon\"\nfor_s",
+            format!(
+                "line {}: faults[0].zone: no zone moon; there are river, market, hill",
+                faults + 3
+            ),
+        ),
+        (
+            "team = \"archive\"",
+            "team = \"archives\"",
+            format!(
+                "line {}: jobs[1].team: no team archives",
+                line_of("team = \"archive\"")
+            ),
+        ),
+        (
+            "controllers = [\"river\"",
+            "controllers = [\"rivers\"",
+            format!(
+                "line {}: cluster.controllers[0]: no zone rivers",
+                line_of("controllers = [")
+            ),
+        ),
+        (
+            "zone = \"hill\", capacity = 14, up = 4",
+            "zone = \"hill\", capacity = 14, up = 40",
+            "cluster.machines[2].up: 40 are up, but the capacity is 14".into(),
+        ),
+        (
+            "at_s = 130",
+            "when = { moment = \"hired\", class = \"none\" }",
+            "faults[1].when.class: no jobs of class none".into(),
+        ),
+        (
+            "at_s = 130\n",
+            "",
+            "faults[1].kind: needs either at_s or when".into(),
+        ),
+        (
+            "share = 0.3",
+            "shares = 0.3",
+            "unknown field `shares`".into(),
+        ),
+        (
+            "kind = \"kill\"",
+            "kind = \"kil\"",
+            "unknown variant `kil`".into(),
+        ),
+        (
+            "length_s = 420",
+            "length_s = 420 s",
+            "line 6, column".into(),
+        ),
+    ];
+    for (from, to, wanted) in cases {
+        let error = told(from, to);
+        assert!(
+            error.contains(&wanted) && error.starts_with("night.toml"),
+            "{error}\nwanted: {wanted}"
+        );
     }
+    // Many at once, not the first alone.
+    let two = text
+        .replace("team = \"archive\"", "team = \"x\"")
+        .replace("at_s = 90", "at_s = 900");
+    assert_eq!(Script::parse("f", &two).unwrap_err().len(), 2);
 }
