--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -31,12 +31,26 @@
 
 /// A client. Requests to one target run side by side, each on a connection of
 /// its own while it lasts; nothing is pipelined.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Client {
     idle: RefCell<HashMap<SocketAddrV4, Vec<TcpStream>>>,
+    kept: usize,
+}
+
+impl Default for Client {
+    fn default() -> Self {
+        Client::keeping(KEPT)
+    }
 }
 
 impl Client {
+    /// A client that keeps so many idle connections to a target. One that asks
+    /// a target for many others keeps as many, or it runs out of local ports.
+    pub fn keeping(kept: usize) -> Client {
+        let idle = RefCell::default();
+        Client { idle, kept }
+    }
+
     /// Sends a request and reads its response. Dropping the future gives the
     /// request up; it may be executed all the same once `sent` is set.
     ///
@@ -98,7 +112,7 @@
                     let mut idle = self.idle.borrow_mut();
                     if idle.len() < TARGETS || idle.contains_key(&addr) {
                         let kept = idle.entry(addr).or_default();
-                        if kept.len() < KEPT {
+                        if kept.len() < self.kept {
                             kept.push(stream);
                         }
                     }
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -120,7 +120,7 @@
             spawn_local(answer_connections(listener, move |r| {
                 count.set(count.get() + 1);
                 // Every second request is dropped with its connection.
-                let answer = (count.get() % 2 == 1).then(|| Response {
+                let answer = (count.get() % 2 == 1).then_some(Response {
                     status: 200,
                     retry_after: None,
                     body: r.body,
--- a/crates/pebblefold/src/lib.rs
+++ b/crates/pebblefold/src/lib.rs
@@ -1,3 +1,6 @@
+#![doc = include_str!("../README.md")]
+//! # Contents
+//!
 //! pebblefold: a cluster scheduler that places work next to its images and
 //! keeps its promises when machines, networks and controllers fail.
 //!
--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -1,3 +1,6 @@
+#![doc = include_str!("../README.md")]
+//! # Contents
+//!
 //! Rehearsing failures on one machine. Stand-ins for everything around the
 //! controllers, fault scripts, and a checker that hears only what users,
 //! machines and cloud saw.
--- a/crates/rehearsal/src/loopback.rs
+++ b/crates/rehearsal/src/loopback.rs
@@ -38,6 +38,8 @@
 const HANGS: Duration = Duration::from_secs(60);
 /// How long the front door waits for a controller.
 const FRONT: Duration = Duration::from_secs(6);
+/// Idle connections to a controller: one for each machine that reports to it.
+const CONNECTIONS: usize = 4096;
 /// How long a controller's answer to a peer may take.
 const PEER: Duration = Duration::from_secs(8);
 
@@ -412,7 +414,7 @@
         if !self.uploaded.borrow_mut().insert(id.clone()) {
             return;
         }
-        self.stand.borrow_mut().upload(spec.clone());
+        self.stand.borrow_mut().upload(spec.clone(), false);
         let dir = self.options.dir.join("jobs");
         let kept = std::fs::create_dir_all(&dir)
             .and_then(|()| std::fs::write(dir.join(&id), encode(spec)));
@@ -510,7 +512,7 @@
         }
         let inner = Rc::new(Inner {
             stand: RefCell::new(Stand::new(script, seed, store, addresses, false)?),
-            client: Client::default(),
+            client: Client::keeping(CONNECTIONS),
             started: Instant::now(),
             layout,
             waiting: RefCell::default(),
@@ -525,7 +527,7 @@
             let bytes = std::fs::read(entry.path()).map_err(io(entry.path().display()))?;
             if let Some(spec) = decode::<Submission>(&bytes) {
                 inner.uploaded.borrow_mut().insert(spec.id.to_string());
-                inner.stand.borrow_mut().upload(spec);
+                inner.stand.borrow_mut().upload(spec, true);
             }
         }
         for (n, target, listener) in listeners {
--- a/crates/rehearsal/src/report.rs
+++ b/crates/rehearsal/src/report.rs
@@ -80,6 +80,16 @@
     pub jobs: Vec<JobRecord>,
 }
 
+/// Colours that can be told apart on white, also by the colour-blind.
+const COLORS: [RGBColor; 6] = [
+    RGBColor(0, 114, 178),
+    RGBColor(213, 94, 0),
+    RGBColor(0, 158, 115),
+    RGBColor(204, 121, 167),
+    RGBColor(86, 60, 140),
+    RGBColor(90, 90, 90),
+];
+
 fn quantiles(mut values: Vec<f64>) -> [f64; 3] {
     values.sort_by(f64::total_cmp);
     let at = |q: f64| {
@@ -318,7 +328,7 @@
                 chart.draw_series(DashedLineSeries::new(line, 4, 4, style.into()))?;
             }
             for (i, (name, points)) in series.iter().enumerate() {
-                let color = Palette99::pick(i).to_rgba();
+                let color = COLORS[i % COLORS.len()];
                 chart
                     .draw_series(LineSeries::new(
                         points.iter().copied(),
--- a/crates/rehearsal/src/stand.rs
+++ b/crates/rehearsal/src/stand.rs
@@ -315,8 +315,13 @@
 
     /// Uploads the description of a job whose user is outside the stand-ins. Its
     /// tasks run as long as their owner guesses.
-    pub fn upload(&mut self, spec: Submission) {
-        self.checker.expect(spec.clone());
+    /// `again`: it was uploaded in an earlier life.
+    pub fn upload(&mut self, spec: Submission, again: bool) {
+        if again {
+            self.checker.expect_again(spec.clone());
+        } else {
+            self.checker.expect(spec.clone());
+        }
         let run_s = spec.estimate_s;
         self.fleet.describe(spec, run_s);
     }
@@ -595,11 +600,9 @@
     /// was reset.
     pub fn refused(&mut self, now: Time, ticket: u64) {
         match self.sent.remove(&ticket).map(|(from, _)| from) {
-            Some(Host::Machine(m)) => {
-                if self.fleet.awaits(now, &m, ticket) {
-                    self.fleet
-                        .answered(now, &m, None, &self.labels, &mut self.rng);
-                }
+            Some(Host::Machine(m)) if self.fleet.awaits(now, &m, ticket) => {
+                self.fleet
+                    .answered(now, &m, None, &self.labels, &mut self.rng);
             }
             Some(_) => self.users.refused(now, ticket, &mut self.rng),
             None => {}
--- a/crates/rehearsal/tests/days.rs
+++ b/crates/rehearsal/tests/days.rs
@@ -188,7 +188,6 @@
 
 /// The checker would notice: with a safety decision switched off, rules break
 /// within a few days.
-
 fn caught(d: Decision, rule: &str, day: impl Fn(u64) -> Verdict) {
     weaken(Some(d));
     let breaks = |seed| {
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -1,3 +1,6 @@
+#![doc = include_str!("../README.md")]
+//! # Contents
+//!
 //! A state service for one machine: the small consistent store that controller
 //! nodes keep everything in, by the users' protocol ("Controller nodes ->
 //! state service").
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,3 +1,6 @@
+#![doc = include_str!("../README.md")]
+//! # Contents
+//!
 //! Everything that travels between the processes of a pebblefold cluster: ids,
 //! amounts and times as small types, the messages, and a small HTTP/1.1.
 //! Nothing here does I/O. Field spellings of the platform appear here only, as
--- /dev/null
+++ b/deploy/policy.lua
@@ -0,0 +1,1 @@
+../crates/pebblefold/policy.lua
