--- a/crates/pebblefold/src/cli.rs
+++ b/crates/pebblefold/src/cli.rs
@@ -57,7 +57,9 @@
 /// names the field or the address.
 pub fn serve(config: &Path, policy: Option<&Path>) -> Result<(), String> {
     let (settings, policy) = load(config, policy)?;
-    logging::start(tracing::Level::INFO);
+    let json = logging::start(tracing::Level::INFO);
+    // Many nodes' logs may be gathered in one place: each line says whose it is.
+    let _span = json.then(|| tracing::info_span!("controller", node = %settings.label).entered());
     driver::serve(settings, policy).map_err(|e| e.to_string())
 }
 
--- a/crates/pebblefold/src/logging.rs
+++ b/crates/pebblefold/src/logging.rs
@@ -3,8 +3,9 @@
 
 use tracing::Level;
 
-/// Starts logging; `usual` holds where `LOG_LEVEL` says nothing.
-pub fn start(usual: Level) {
+/// Starts logging; `usual` holds where `LOG_LEVEL` says nothing. Returns whether
+/// programs read the logs.
+pub fn start(usual: Level) -> bool {
     let level = match std::env::var("LOG_LEVEL").as_deref() {
         Ok("error") => Level::ERROR,
         Ok("warn") => Level::WARN,
@@ -20,9 +21,11 @@
         .without_time()
         .with_target(false);
     // For programs: job, machine, token and span in fields of their own.
-    if std::env::var("LOG_FORMAT").as_deref() == Ok("json") {
+    let json = std::env::var("LOG_FORMAT").as_deref() == Ok("json");
+    if json {
         logs.json().flatten_event(true).init();
     } else {
         logs.init();
     }
+    json
 }
--- a/crates/rehearsal/src/simulated.rs
+++ b/crates/rehearsal/src/simulated.rs
@@ -513,7 +513,7 @@
         let more = self.now + Span::secs(self.stand.script().cluster.workers.cancel_s + 2.0);
         self.play(more.min(until), false);
         self.stand.finish(self.now);
-        Verdict::of(&mut self.stand, self.now, begin.elapsed())
+        Verdict::of(&self.stand, self.now, begin.elapsed())
     }
 }
 
