Read and check CWL v1.2 documents; evaluate expressions within limits

Need: partner societies bring their own workflows; what is wrong with one has to be told before anything runs, by line and column, all of it.

Change: pebblefold-workflow reads YAML and JSON into nodes with places (bounded in bytes, depth and nodes), tools, workflows, packed documents and imports into typed structs, and checks links by type through scatter, when, linkMerge and pickValue. References need no engine; JavaScript runs in QuickJS with limits on memory, stack, steps and time, and reaches nothing. `pebblectl workflow check`.

--- a/crates/pebblectl/src/args.rs
+++ b/crates/pebblectl/src/args.rs
@@ -73,6 +73,9 @@
     /// The state service for one machine.
     #[command(subcommand)]
     State(StateVerb),
+    /// CWL workflows.
+    #[command(subcommand)]
+    Workflow(WorkflowVerb),
     /// Settings of this program.
     Config {
         /// `show`: every value and where it comes from.
@@ -208,3 +211,14 @@
         file: PathBuf,
     },
 }
+
+/// Verbs of workflows.
+#[derive(Subcommand, Debug)]
+pub enum WorkflowVerb {
+    /// Reads documents whole and says what is wrong with them.
+    Check {
+        /// The documents; `file.cwl#main` names a process of a packed one.
+        #[arg(required = true)]
+        files: Vec<String>,
+    },
+}
--- a/crates/pebblectl/src/main.rs
+++ b/crates/pebblectl/src/main.rs
@@ -9,8 +9,9 @@
 mod state;
 mod top;
 mod up;
+mod workflow;
 
-use args::{Args, SnapshotVerb, StateVerb, Verb};
+use args::{Args, SnapshotVerb, StateVerb, Verb, WorkflowVerb};
 use clap::{CommandFactory, Parser};
 use output::{Failure, Show};
 use std::process::ExitCode;
@@ -72,6 +73,7 @@
         Verb::Inspect { machine, job } => {
             show.any(&ask::inspect(&config.internal()?, &machine, &job).await?)
         }
+        Verb::Workflow(WorkflowVerb::Check { files }) => workflow::check(&files, &show),
         Verb::Config { .. } => show.any_table(&config.shown()),
         Verb::State(StateVerb::Serve(s)) => state::serve(s).await,
         Verb::State(StateVerb::Snapshot(SnapshotVerb::Save { admin, file })) => {
--- a/crates/rehearsal/src/simulated.rs
+++ b/crates/rehearsal/src/simulated.rs
@@ -181,25 +181,8 @@
             Fate::After(d) => self.at(self.now + d, Event::Arrive(to, message)),
             Fate::Lost => {}
             Fate::Reset => match message {
-                Message::Call { node, life, id, .. } => {
-                    let reply = Reply::Lost;
-                    let back = Message::Reply {
-                        node,
-                        life,
-                        id,
-                        reply,
-                    };
-                    self.at(self.now, Event::Arrive(Host::Node(node), back));
-                }
-                Message::Reply { node, life, id, .. } => {
-                    let reply = Reply::Lost;
-                    let back = Message::Reply {
-                        node,
-                        life,
-                        id,
-                        reply,
-                    };
-                    self.at(self.now, Event::Arrive(Host::Node(node), back));
+                Message::Call { node, life, id, .. } | Message::Reply { node, life, id, .. } => {
+                    self.lose(node, life, id);
                 }
                 Message::Request { ticket, .. } | Message::Answer { ticket, .. } => {
                     self.at(self.now, Event::Reset(ticket));
@@ -208,6 +191,18 @@
         }
     }
 
+    /// A call of a controller is lost at once.
+    fn lose(&mut self, node: usize, life: u32, id: CallId) {
+        let reply = Reply::Lost;
+        let back = Message::Reply {
+            node,
+            life,
+            id,
+            reply,
+        };
+        self.at(self.now, Event::Arrive(Host::Node(node), back));
+    }
+
     fn feed(&mut self, n: usize, input: Input) {
         let now = self.clock(n);
         let slot = &mut self.slots[n];
@@ -424,16 +419,7 @@
                 for (_, origin) in std::mem::take(&mut slot.asked) {
                     match origin {
                         Origin::Stand { ticket, .. } => self.at(self.now, Event::Reset(ticket)),
-                        Origin::Peer { node, life, id } => {
-                            let reply = Reply::Lost;
-                            let back = Message::Reply {
-                                node,
-                                life,
-                                id,
-                                reply,
-                            };
-                            self.at(self.now, Event::Arrive(Host::Node(node), back));
-                        }
+                        Origin::Peer { node, life, id } => self.lose(node, life, id),
                     }
                 }
             }
--- /dev/null
+++ b/crates/workflow/src/lib.rs
@@ -0,0 +1,18 @@
+#![doc = include_str!("../README.md")]
+//! # Contents
+//!
+//! - [`load`]: from a file to a checked [`document::Process`].
+//! - [`node`]: YAML and JSON in which everything knows its place, bounded.
+//! - [`types`]: CWL's types and what may flow where.
+//! - [`expression`]: parameter references, and JavaScript within limits.
+//! - [`problem`]: what is wrong, by file, line and column.
+//!
+//! Nothing here runs a command; files are read through [`load::Files`].
+
+mod check;
+pub mod document;
+pub mod expression;
+pub mod load;
+pub mod node;
+pub mod problem;
+pub mod types;
