--- a/crates/workflow/src/check.rs
+++ b/crates/workflow/src/check.rs
@@ -236,14 +236,14 @@
         };
         for r in t.references() {
             match r {
-                [Segment::Field(first), Segment::Field(name), ..] if first == "inputs" => {
-                    if !p.inputs.iter().any(|i| i.id == *name) {
-                        let names: Vec<&str> = p.inputs.iter().map(|i| i.id.as_str()).collect();
-                        self.error(
-                            e.at,
-                            format!("{what}: no input {name}; there are {}", names.join(", ")),
-                        );
-                    }
+                [Segment::Field(first), Segment::Field(name), ..]
+                    if first == "inputs" && !p.inputs.iter().any(|i| i.id == *name) =>
+                {
+                    let names: Vec<&str> = p.inputs.iter().map(|i| i.id.as_str()).collect();
+                    self.error(
+                        e.at,
+                        format!("{what}: no input {name}; there are {}", names.join(", ")),
+                    );
                 }
                 [Segment::Field(first), ..]
                     if !["inputs", "self", "runtime", "null"].contains(&first.as_str()) =>
