Workflow engine as a state machine, determined by outcomes alone

Need: a runner that is killed at any moment, or two on one workflow, must go on without doing a step twice.

--- a/crates/workflow/src/lib.rs
+++ b/crates/workflow/src/lib.rs
@@ -5,12 +5,14 @@
 //! - [`node`]: YAML and JSON in which everything knows its place, bounded.
 //! - [`types`]: CWL's types and what may flow where.
 //! - [`expression`]: parameter references, and JavaScript within limits.
+//! - [`engine`]: a running workflow as a state machine.
 //! - [`problem`]: what is wrong, by file, line and column.
 //!
 //! Nothing here runs a command; files are read through [`load::Files`].
 
 mod check;
 pub mod document;
+pub mod engine;
 pub mod expression;
 pub mod load;
 pub mod node;
