Add pebblefold-client; pebblectl's users' verbs go through it

Need: workflows, embedding programs and pebblectl all speak the users' protocol; each had its own idea of when to ask again.

--- /dev/null
+++ b/crates/client/src/seen.rs
@@ -0,0 +1,46 @@
+//! What was answered before.
+
+use pebblefold_wire::types::JobId;
+use pebblefold_wire::users::Stage;
+use std::collections::{HashMap, VecDeque};
+
+/// Jobs that are remembered.
+const MOST: usize = 20_000;
+
+/// What a client has told of jobs: no later answer may be older. A node that
+/// lags, or one that was told late, is asked again.
+#[derive(Debug, Default)]
+pub struct Seen {
+    /// Accepted jobs and, once it is known, how they ended.
+    jobs: HashMap<JobId, Option<Stage>>,
+    order: VecDeque<JobId>,
+}
+
+impl Seen {
+    /// Whether an answer may be given after all that was; `None`: no such job.
+    pub fn allows(&self, job: &JobId, stage: Option<Stage>) -> bool {
+        match (self.jobs.get(job), stage) {
+            (None, _) => true,
+            (Some(_), None) => false,
+            (Some(None), Some(_)) => true,
+            (Some(Some(end)), Some(stage)) => stage == *end,
+        }
+    }
+
+    /// Notes an answer that was given.
+    pub fn note(&mut self, job: &JobId, stage: Stage) {
+        let end = matches!(stage, Stage::Done | Stage::Cancelled).then_some(stage);
+        match self.jobs.get_mut(job) {
+            Some(known) => *known = known.or(end),
+            None => {
+                self.jobs.insert(job.clone(), end);
+                self.order.push_back(job.clone());
+            }
+        }
+        while self.order.len() > MOST
+            && let Some(old) = self.order.pop_front()
+        {
+            self.jobs.remove(&old);
+        }
+    }
+}
--- a/crates/pebblectl/src/ask.rs
+++ b/crates/pebblectl/src/ask.rs
@@ -1,10 +1,10 @@
 //! Users' and operators' requests to a cluster.
 
 use crate::output::Failure;
-use pebblefold_net::{Client, Sent};
-use pebblefold_wire::http::Response;
-use pebblefold_wire::users::{JobAnswer, Refusal};
-use pebblefold_wire::{decode, encode};
+use pebblefold_client::{Client, ClientError, Policy};
+use pebblefold_net::{Client as Net, Sent};
+use pebblefold_wire::decode;
+use pebblefold_wire::types::{JobId, Span};
 use serde_json::Value;
 use std::net::SocketAddrV4;
 use std::path::Path;
@@ -29,75 +29,53 @@
     serde_json::from_str(&text).map_err(|e| named(e.to_string()))
 }
 
-/// Asks one node after the other until one decides. All these requests may be
-/// repeated.
-async fn ask(
-    nodes: &[SocketAddrV4],
-    method: &str,
-    path: &str,
-    body: &[u8],
-) -> Result<Response, Failure> {
-    let client = Client::default();
-    let mut told = Vec::new();
-    let mut refused = None;
-    for node in nodes {
-        let sent = Sent::default();
-        match timeout(PATIENCE, client.exchange(*node, method, path, body, &sent)).await {
-            Ok(Ok(r)) if r.status < 500 => return Ok(r),
-            Ok(Ok(r)) => refused = Some(r),
-            Ok(Err(e)) => told.push(format!("{node}: {e}")),
-            Err(_) => told.push(format!("{node}: no answer within {} s", PATIENCE.as_secs())),
-        }
-    }
-    match refused {
-        Some(r) => Ok(r),
-        None if told.is_empty() => Err(Failure::Input(
-            "the cluster has no addresses; see config show".into(),
-        )),
-        None => Err(Failure::Unreachable(told.join("\n"))),
-    }
-}
-
-fn refusal(r: &Response) -> Failure {
-    let reason = decode::<Refusal>(&r.body).map_or("refused".into(), |x| x.error);
-    let again = r
-        .retry_after
-        .map_or(String::new(), |s| format!(", try again in {s} s"));
-    Failure::Failed(format!("{} {reason}{again}", r.status))
-}
-
-fn job(r: &Response) -> Result<JobAnswer, Failure> {
-    match r.status {
-        200 | 201 => {
-            decode(&r.body).ok_or_else(|| Failure::failed("the node's answer cannot be read"))
-        }
-        404 => Err(Failure::failed("404 no such job")),
-        _ => Err(refusal(r)),
-    }
+/// A client of a cluster.
+pub fn client(nodes: Vec<SocketAddrV4>) -> Client {
+    let deadline = Span::millis(20_000);
+    Client::new(
+        nodes,
+        Policy {
+            deadline,
+            ..Policy::default()
+        },
+    )
 }
 
-/// Submits a job. Safe to repeat: the id tells the same job.
+/// The id of a job in the users' form.
 ///
 /// # Errors
-/// It is refused, or no node could be reached.
-pub async fn submit(nodes: &[SocketAddrV4], spec: &Value) -> Result<JobAnswer, Failure> {
-    job(&ask(nodes, "POST", "/submissions", &encode(spec)).await?)
+/// It has none.
+pub fn id_of(job: &Value) -> Result<JobId, Failure> {
+    match job["ref"].as_str() {
+        Some(id) => Ok(id.into()),
+        None => Err(Failure::input("the job's ref is missing; it is its id")),
+    }
 }
 
-/// A job's state.
-///
-/// # Errors
-/// It is not known, or no node could be reached.
-pub async fn status(nodes: &[SocketAddrV4], id: &str) -> Result<JobAnswer, Failure> {
-    job(&ask(nodes, "GET", &format!("/submissions/{id}"), &[]).await?)
+impl From<ClientError> for Failure {
+    fn from(e: ClientError) -> Failure {
+        match e {
+            ClientError::Refused { .. } | ClientError::NoSuchJob(_) => Failure::failed(e),
+            ClientError::BadId(_) | ClientError::NoNodes => Failure::input(e),
+            ClientError::Busy { .. } => Failure::Unreachable(e.to_string()),
+        }
+    }
 }
 
-/// Cancels a job. Safe to repeat.
-///
-/// # Errors
-/// It is not known, or no node could be reached.
-pub async fn cancel(nodes: &[SocketAddrV4], id: &str) -> Result<JobAnswer, Failure> {
-    job(&ask(nodes, "POST", &format!("/submissions/{id}/cancel"), &[]).await?)
+/// Asks one node what it knows.
+async fn ask(node: SocketAddrV4, path: &str) -> Result<Value, Failure> {
+    let sent = Sent::default();
+    let net = Net::default();
+    let told = |e: String| Failure::Unreachable(format!("{node}: {e}"));
+    match timeout(PATIENCE, net.exchange(node, "GET", path, &[], &sent)).await {
+        Ok(Ok(r)) if r.status == 200 => Ok(decode(&r.body).unwrap_or_default()),
+        Ok(Ok(r)) => Err(Failure::Failed(format!(
+            "{node}: {}; is it an internal address?",
+            r.status
+        ))),
+        Ok(Err(e)) => Err(told(e.to_string())),
+        Err(_) => Err(told(format!("no answer within {} s", PATIENCE.as_secs()))),
+    }
 }
 
 /// What the leading node knows or, if none leads, any other.
@@ -109,15 +87,9 @@
     let mut any = None;
     let mut last = None;
     for node in nodes {
-        match ask(&[*node], "GET", &path, &[]).await {
-            Ok(r) if r.status == 200 => {
-                let v: Value = decode(&r.body).unwrap_or_default();
-                if v["leads"] == true {
-                    return Ok(v);
-                }
-                any = Some(v);
-            }
-            Ok(r) => last = Some(refusal(&r)),
+        match ask(*node, &path).await {
+            Ok(v) if v["leads"] == true => return Ok(v),
+            Ok(v) => any = Some(v),
             Err(e) => last = Some(e),
         }
     }
--- a/crates/pebblectl/src/main.rs
+++ b/crates/pebblectl/src/main.rs
@@ -66,10 +66,20 @@
         Verb::Top(t) => top::top(&config.internal()?, t, &show).await,
         Verb::Submit { job } => {
             let job = ask::read_job(&job)?;
-            show.job(&ask::submit(&config.api()?, &job).await?)
+            let (id, body) = (ask::id_of(&job)?, pebblefold_wire::encode(&job));
+            let client = ask::client(config.api()?);
+            show.job(&client.submit_raw(&id, body).await?)
         }
-        Verb::Status { id } => show.job(&ask::status(&config.api()?, &id).await?),
-        Verb::Cancel { id } => show.job(&ask::cancel(&config.api()?, &id).await?),
+        Verb::Status { id } => show.job(
+            &ask::client(config.api()?)
+                .status(&id.as_str().into())
+                .await?,
+        ),
+        Verb::Cancel { id } => show.job(
+            &ask::client(config.api()?)
+                .cancel(&id.as_str().into())
+                .await?,
+        ),
         Verb::Inspect { machine, job } => {
             show.any(&ask::inspect(&config.internal()?, &machine, &job).await?)
         }
--- a/crates/pebblectl/src/up.rs
+++ b/crates/pebblectl/src/up.rs
@@ -7,16 +7,15 @@
 use pebblefold_rehearsal::checker::Rule;
 use pebblefold_rehearsal::loopback::{Loopback, Options};
 use pebblefold_rehearsal::script::Script;
-use pebblefold_wire::users::Stage;
+use pebblefold_wire::encode;
+use pebblefold_wire::users::JobAnswer;
+use std::net::SocketAddrV4;
 use std::path::Path;
 use std::time::Duration;
-use tokio::time::sleep;
 
 const CLUSTER: &str = include_str!("cluster.toml");
 /// Time between two looks at a job that is waited for.
 const LOOK: Duration = Duration::from_millis(500);
-/// How long a new cluster may take to accept its first job.
-const FIRST: Duration = Duration::from_secs(30);
 
 /// Serves as one controller.
 pub fn controller(settings: &Path) -> Result<(), Failure> {
@@ -121,36 +120,13 @@
 }
 
 /// Submits a job and waits for its end.
-async fn run(
-    front: std::net::SocketAddrV4,
-    job: &serde_json::Value,
-) -> Result<pebblefold_wire::users::JobAnswer, Failure> {
-    let nodes = [front];
-    let begin = tokio::time::Instant::now();
-    let mut answer = loop {
-        match ask::submit(&nodes, job).await {
-            Ok(a) => break a,
-            // A cluster that has just started does not know its machines yet.
-            Err(Failure::Failed(e)) if e.starts_with("503") && begin.elapsed() < FIRST => {
-                sleep(LOOK).await;
-            }
-            Err(e) => return Err(e),
-        }
-    };
+async fn run(front: SocketAddrV4, job: &serde_json::Value) -> Result<JobAnswer, Failure> {
+    let client = ask::client(vec![front]);
+    let (id, body) = (ask::id_of(job)?, encode(job));
+    // A cluster that has just started does not know its machines yet: the
+    // client asks again for a while.
+    let answer = client.submit_raw(&id, body).await?;
     eprintln!("{}: accepted", answer.id);
-    let id = answer.id.to_string();
-    let mut stage = answer.stage;
-    while !matches!(answer.stage, Stage::Done | Stage::Cancelled) {
-        sleep(LOOK).await;
-        match ask::status(&nodes, &id).await {
-            Ok(a) => answer = a,
-            Err(Failure::Failed(e)) if e.starts_with("503") => {}
-            Err(e) => return Err(e),
-        }
-        if answer.stage != stage {
-            stage = answer.stage;
-            eprintln!("{id}: {stage:?}");
-        }
-    }
-    Ok(answer)
+    let told = |a: &JobAnswer| eprintln!("{}: {:?}", a.id, a.stage);
+    Ok(client.wait(&id, LOOK, told).await?)
 }
