--- a/crates/workflow/src/document.rs
+++ b/crates/workflow/src/document.rs
@@ -47,6 +47,17 @@
     pub output_eval: Option<Expr>,
 }
 
+/// A standard stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stream {
+    /// Standard input.
+    In,
+    /// Standard output.
+    Out,
+    /// Standard error.
+    Err,
+}
+
 /// An input or output.
 #[derive(Clone, Debug)]
 pub struct Parameter {
@@ -62,6 +73,8 @@
     pub binding: Option<Binding>,
     /// For outputs of tools.
     pub output: Option<OutputBinding>,
+    /// The stream that it is, by its short form.
+    pub stream: Option<Stream>,
     /// Patterns of files that belong to it.
     pub secondary: Vec<Expr>,
     /// For outputs of workflows.
@@ -510,6 +523,7 @@
             default: None,
             binding: None,
             output: None,
+            stream: None,
             secondary: Vec::new(),
             links: Links::default(),
         };
@@ -518,14 +532,14 @@
         let written =
             n.get("items").is_some() || n.get("symbols").is_some() || n.get("fields").is_some();
         if !full || written {
-            p.kind = self.shortcut(n, &what, output && tool, &mut p.output);
+            p.kind = self.shortcut(n, &what, output && tool, &mut p.stream);
             return p;
         }
         let Some(mut f) = self.fields(n, &what) else {
             return p;
         };
         if let Some(t) = f.take("type") {
-            p.kind = self.shortcut(t, &what, output && tool, &mut p.output);
+            p.kind = self.shortcut(t, &what, output && tool, &mut p.stream);
         }
         p.default = f.take("default").map(Node::json);
         if let Some(b) = f.take("inputBinding") {
@@ -566,21 +580,18 @@
     }
 
     /// `stdout` and `stderr` as types of a tool's outputs; `stdin` of an input.
-    fn shortcut(
-        &mut self,
-        n: &Node,
-        what: &str,
-        output: bool,
-        found: &mut Option<OutputBinding>,
-    ) -> Type {
-        match n.text() {
-            Some("stdout" | "stderr") if output => {
-                *found = Some(OutputBinding::default());
-                Type::File
-            }
-            Some("stdin") if !output => Type::File,
-            _ => self.kind(n, what),
+    fn shortcut(&mut self, n: &Node, what: &str, output: bool, found: &mut Option<Stream>) -> Type {
+        let stream = match (n.text(), output) {
+            (Some("stdout"), true) => Some(Stream::Out),
+            (Some("stderr"), true) => Some(Stream::Err),
+            (Some("stdin"), false) => Some(Stream::In),
+            _ => None,
+        };
+        if stream.is_none() {
+            return self.kind(n, what);
         }
+        *found = stream;
+        Type::File
     }
 
     fn binding(&mut self, n: &Node, what: &str) -> Option<Binding> {
--- a/crates/workflow/src/engine.rs
+++ b/crates/workflow/src/engine.rs
@@ -218,7 +218,7 @@
 }
 
 /// Scripts that are evaluated before an expression.
-fn library(p: &Process) -> Vec<String> {
+pub(crate) fn library(p: &Process) -> Vec<String> {
     let lib = p.requires("InlineJavascriptRequirement");
     let lib = lib.and_then(|r| r.node.get("expressionLib"));
     match lib.map(|n| &n.value) {
--- a/crates/workflow/src/lib.rs
+++ b/crates/workflow/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`types`]: CWL's types and what may flow where.
 //! - [`expression`]: parameter references, and JavaScript within limits.
 //! - [`engine`]: a running workflow as a state machine.
+//! - [`tool`]: command lines and outputs.
 //! - [`problem`]: what is wrong, by file, line and column.
 //!
 //! Nothing here runs a command; files are read through [`load::Files`].
@@ -17,4 +18,5 @@
 pub mod load;
 pub mod node;
 pub mod problem;
+pub mod tool;
 pub mod types;
