Run CWL workflows on a cluster, by the users' protocol alone

Need: the pipelines are CWL workflows; they have to run as jobs among jobs, and a runner that is killed, or two at once, must not do a step twice.

Change: a step is a job whose id follows from the workflow's name and the step's path; its command is uploaded as users upload descriptions, and `up` carries it out as a process group with a directory of its own for each attempt, marked before it starts and when it ends. Outcomes are recorded in the state service by conditional writes, outputs beside the files before that. `--retry never` refuses a second start and stops the workflow with a clear word; a step that asks for more than its workflow's job is refused.

--- a/crates/pebblectl/src/args.rs
+++ b/crates/pebblectl/src/args.rs
@@ -221,4 +221,44 @@
         #[arg(required = true)]
         files: Vec<String>,
     },
+    /// Runs a workflow on a cluster that `up` has started, or goes on with one
+    /// that was begun: outputs on standard output.
+    Run(WorkflowRun),
+}
+
+/// Arguments of `workflow run`.
+#[derive(ClapArgs, Debug)]
+pub struct WorkflowRun {
+    /// The workflow.
+    pub file: String,
+    /// Its inputs (YAML or JSON); none without.
+    pub inputs: Option<PathBuf>,
+    /// Its name; the same name goes on with the same workflow.
+    #[arg(long)]
+    pub name: String,
+    /// What every step's job begins from, in the users' form: team, class,
+    /// priority, amounts. A step may ask for less, never for more.
+    #[arg(long, value_name = "FILE")]
+    pub job: PathBuf,
+    /// A directory that all machines share.
+    #[arg(long, value_name = "DIR", default_value = "target/flows")]
+    pub work: PathBuf,
+    /// Steps at once.
+    #[arg(long, default_value_t = 40)]
+    pub at_once: usize,
+    /// When a step may be run again: `never` once it was started, or after a
+    /// failing exit so many times (0: only after its machine was lost).
+    #[arg(long, default_value = "0", value_parser = retry)]
+    pub retry: pebblefold_workflow::runner::Retry,
+}
+
+fn retry(text: &str) -> Result<pebblefold_workflow::runner::Retry, String> {
+    use pebblefold_workflow::runner::Retry;
+    match text {
+        "never" => Ok(Retry::Never),
+        n => n
+            .parse()
+            .map(Retry::OnFailure)
+            .map_err(|_| "never, or a number".into()),
+    }
 }
--- a/crates/pebblectl/src/config.rs
+++ b/crates/pebblectl/src/config.rs
@@ -15,9 +15,11 @@
 const OUTPUT: &str = "PEBBLECTL_OUTPUT";
 /// The cluster that `up` starts unless told otherwise.
 const LOCAL: &str = "local";
-/// Ports of that cluster: users' front door, then two for each controller.
+/// Ports of that cluster: users' front door, then two for each controller, then
+/// the state service.
 const LOCAL_API: &str = "127.0.0.1:7600";
 const LOCAL_INTERNAL: [&str; 3] = ["127.0.0.1:7602", "127.0.0.1:7604", "127.0.0.1:7606"];
+const LOCAL_STATE: &str = "127.0.0.1:7607";
 
 #[derive(Debug, Default, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -38,6 +40,8 @@
     /// Internal interfaces.
     #[serde(default)]
     pub internal: Vec<SocketAddrV4>,
+    /// The state service, where workflows keep their records.
+    pub state: Option<SocketAddrV4>,
 }
 
 /// A value and where it comes from.
@@ -109,6 +113,7 @@
         let local = Cluster {
             api: addr(LOCAL_API).into_iter().collect(),
             internal: LOCAL_INTERNAL.iter().filter_map(|a| addr(a)).collect(),
+            state: addr(LOCAL_STATE),
         };
         clusters.insert(LOCAL.into(), named_by("default")(local));
         for (file, source) in [(&user, &user_name), (&given, &given_name)] {
@@ -167,6 +172,7 @@
             return Ok(Cluster {
                 api: vec![addr],
                 internal: vec![addr],
+                state: None,
             });
         }
         let known: Vec<&str> = self.clusters.keys().map(String::as_str).collect();
@@ -187,6 +193,22 @@
         Ok(self.chosen()?.internal)
     }
 
+    /// Where users reach the chosen cluster.
+    pub fn front(&self) -> Result<SocketAddrV4, Failure> {
+        let first = self.chosen()?.api.into_iter().next();
+        first.ok_or_else(|| self.missing("api"))
+    }
+
+    /// The state service of the chosen cluster.
+    pub fn state(&self) -> Result<SocketAddrV4, Failure> {
+        self.chosen()?.state.ok_or_else(|| self.missing("state"))
+    }
+
+    fn missing(&self, field: &str) -> Failure {
+        let name = &self.cluster.value;
+        Failure::Input(format!("clusters.{name}.{field}: missing; see config show"))
+    }
+
     /// Every value and where it comes from.
     pub fn shown(&self) -> Vec<Value> {
         let one = |name: &str, value: Value, source: &str| json!({"name": name, "value": value, "from": source});
@@ -200,6 +222,11 @@
                 json!(c.value.api),
                 &c.source,
             ));
+            out.push(one(
+                &format!("clusters.{name}.state"),
+                json!(c.value.state),
+                &c.source,
+            ));
             out.push(one(
                 &format!("clusters.{name}.internal"),
                 json!(c.value.internal),
--- a/crates/pebblectl/src/main.rs
+++ b/crates/pebblectl/src/main.rs
@@ -84,6 +84,10 @@
             show.any(&ask::inspect(&config.internal()?, &machine, &job).await?)
         }
         Verb::Workflow(WorkflowVerb::Check { files }) => workflow::check(&files, &show),
+        Verb::Workflow(WorkflowVerb::Run(r)) => {
+            let (front, state) = (config.front()?, config.state()?);
+            workflow::run(r, front, state).await
+        }
         Verb::Config { .. } => show.any_table(&config.shown()),
         Verb::State(StateVerb::Serve(s)) => state::serve(s).await,
         Verb::State(StateVerb::Snapshot(SnapshotVerb::Save { admin, file })) => {
--- a/crates/pebblectl/src/up.rs
+++ b/crates/pebblectl/src/up.rs
@@ -51,6 +51,10 @@
         layout.api.join(" "),
         layout.internal.join(" ")
     );
+    eprintln!(
+        "records:     {}   (pebblectl workflow run)",
+        cluster.records
+    );
     eprintln!(
         "state, logs: {}   (up again goes on from there; Ctrl-C ends)",
         u.dir.display()
--- a/crates/rehearsal/src/fleet.rs
+++ b/crates/rehearsal/src/fleet.rs
@@ -105,6 +105,25 @@
         self.jobs.insert(id, job);
     }
 
+    /// A job's tasks end now, wherever they run: something outside has done their
+    /// work.
+    pub fn complete(&mut self, job: &str) {
+        if let Some(w) = self.work.get_mut(job) {
+            w.run = 0.0;
+        }
+    }
+
+    /// Attempts that run now: machine, job, attempt.
+    pub fn running(&self) -> impl Iterator<Item = (&str, &str, u64)> {
+        self.workers.iter().flat_map(|(m, w)| {
+            let runs = w
+                .tasks
+                .iter()
+                .filter(|(_, t)| t.state == TaskState::Running);
+            runs.map(move |((task, attempt), _)| (m.as_str(), job_of(task), *attempt))
+        })
+    }
+
     /// The class of a task's job.
     pub fn class_of(&self, task: &str) -> Option<&str> {
         self.jobs.get(job_of(task)).map(|j| j.class.as_str())
--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -12,6 +12,7 @@
 
 pub mod checker;
 pub mod cloud;
+pub mod commands;
 pub mod director;
 pub mod fleet;
 pub mod links;
--- a/crates/rehearsal/src/loopback.rs
+++ b/crates/rehearsal/src/loopback.rs
@@ -5,6 +5,7 @@
 
 use crate::checker::{Ask, Seen};
 use crate::cloud::Addresses;
+use crate::commands::{Commands, Place};
 use crate::links::{Fate, Host};
 use crate::report::Verdict;
 use crate::script::Script;
@@ -13,7 +14,8 @@
 use nix::unistd::Pid;
 use pebblefold::settings::SettingsError;
 use pebblefold::types::{Span, Time};
-use pebblefold::wire::users::{JobAnswer, Submission};
+use pebblefold::wire::steps::Description;
+use pebblefold::wire::users::{JobAnswer, Submission, valid_id};
 use pebblefold::wire::{decode, encode};
 use pebblefold_net::{Client, Sent, answer_connections};
 use pebblefold_state::StorageError;
@@ -94,6 +96,8 @@
     options: Options,
     /// Jobs that came in by the front door.
     uploaded: RefCell<BTreeSet<String>>,
+    /// Commands that tasks run for real.
+    commands: RefCell<Commands>,
 }
 
 /// A cluster on loopback.
@@ -101,6 +105,8 @@
     inner: Rc<Inner>,
     /// Where users reach it.
     pub front: SocketAddrV4,
+    /// Where others than controllers reach the state service.
+    pub records: SocketAddrV4,
 }
 
 async fn listen(port: Option<u16>) -> Result<(TcpListener, SocketAddrV4), LoopbackError> {
@@ -345,6 +351,9 @@
     /// Users outside the stand-ins: passed on to a controller that answers, and
     /// what they submit is uploaded for the workers.
     async fn front_door(self: Rc<Self>, r: Request) -> Option<Response> {
+        if let Some(job) = r.path.strip_prefix("/descriptions/") {
+            return Some(self.described(job, &r));
+        }
         let submits = r.method == "POST" && r.path == "/submissions";
         let spec = submits.then(|| decode::<Submission>(&r.body)).flatten();
         if let Some(spec) = &spec
@@ -409,21 +418,90 @@
         Some(response)
     }
 
+    /// A command is uploaded, before its job is submitted.
+    fn described(&self, job: &str, r: &Request) -> Response {
+        let answer = |status| Response {
+            status,
+            retry_after: None,
+            body: Vec::new(),
+            close: false,
+        };
+        let Some(d) = decode::<Description>(&r.body).filter(|_| r.method == "POST") else {
+            return answer(400);
+        };
+        if !valid_id(job) || d.argv.is_empty() || !Path::new(&d.dir).is_absolute() {
+            return answer(422);
+        }
+        match keep(&self.options.dir.join("commands"), job, &r.body) {
+            Ok(()) => {
+                self.commands.borrow_mut().describe(job.into(), d);
+                answer(201)
+            }
+            Err(e) => {
+                tracing::error!(job, error = %e, "its command is not kept");
+                answer(503)
+            }
+        }
+    }
+
+    /// Starts and ends commands as their tasks do.
+    fn run_commands(&self) {
+        let mut commands = self.commands.borrow_mut();
+        let should: Vec<Place> = {
+            let stand = self.stand.borrow();
+            let running = stand.fleet().running();
+            running
+                .filter(|(_, job, _)| commands.knows(job))
+                .map(|(machine, job, attempt)| Place {
+                    machine: machine.into(),
+                    job: job.into(),
+                    attempt,
+                })
+                .collect()
+        };
+        for job in commands.step(&should) {
+            self.stand.borrow_mut().complete(&job);
+        }
+    }
+
     fn upload(&self, spec: &Submission) {
         let id = spec.id.to_string();
         if !self.uploaded.borrow_mut().insert(id.clone()) {
             return;
         }
-        self.stand.borrow_mut().upload(spec.clone(), false);
-        let dir = self.options.dir.join("jobs");
-        let kept = std::fs::create_dir_all(&dir)
-            .and_then(|()| std::fs::write(dir.join(&id), encode(spec)));
-        if let Err(e) = kept {
+        if self.commands.borrow().knows(&id) {
+            self.stand.borrow_mut().upload_command(spec.clone(), false);
+        } else {
+            self.stand.borrow_mut().upload(spec.clone(), false);
+        }
+        if let Err(e) = keep(&self.options.dir.join("jobs"), &id, &encode(spec)) {
             tracing::error!(job = %id, error = %e, "its description is not kept");
         }
     }
 }
 
+/// Keeps bytes under a name, whole: a file that was cut off would be read as
+/// nothing the next time.
+fn keep(dir: &Path, name: &str, bytes: &[u8]) -> std::io::Result<()> {
+    std::fs::create_dir_all(dir)?;
+    let beside = dir.join(format!(".{name}.part"));
+    std::fs::write(&beside, bytes)?;
+    std::fs::rename(beside, dir.join(name))
+}
+
+/// What was kept in a directory, by name.
+fn kept(dir: &Path) -> Result<Vec<(String, Vec<u8>)>, LoopbackError> {
+    let mut out = Vec::new();
+    for entry in std::fs::read_dir(dir).into_iter().flatten().flatten() {
+        let name = entry.file_name().to_string_lossy().into_owned();
+        if !name.starts_with('.') {
+            let bytes = std::fs::read(entry.path()).map_err(io(entry.path().display()))?;
+            out.push((name, bytes));
+        }
+    }
+    Ok(out)
+}
+
 fn full_path(r: &Request) -> String {
     if r.query.is_empty() {
         r.path.clone()
@@ -473,6 +551,7 @@
             }
         }
         drop(found);
+        let (records, records_addr) = listen(next_port()).await?;
         let mut listeners = Vec::new();
         for n in 0..count {
             for (target, list) in [
@@ -521,15 +600,30 @@
             machines: RefCell::default(),
             options,
             uploaded: RefCell::default(),
+            commands: RefCell::default(),
         });
-        let kept = inner.options.dir.join("jobs");
-        for entry in std::fs::read_dir(kept).into_iter().flatten().flatten() {
-            let bytes = std::fs::read(entry.path()).map_err(io(entry.path().display()))?;
-            if let Some(spec) = decode::<Submission>(&bytes) {
-                inner.uploaded.borrow_mut().insert(spec.id.to_string());
+        for (job, bytes) in kept(&inner.options.dir.join("commands"))? {
+            if let Some(d) = decode::<Description>(&bytes) {
+                inner.commands.borrow_mut().describe(job, d);
+            }
+        }
+        for (_, bytes) in kept(&inner.options.dir.join("jobs"))? {
+            let Some(spec) = decode::<Submission>(&bytes) else {
+                continue;
+            };
+            let id = spec.id.to_string();
+            inner.uploaded.borrow_mut().insert(id.clone());
+            if inner.commands.borrow().knows(&id) {
+                inner.stand.borrow_mut().upload_command(spec, true);
+            } else {
                 inner.stand.borrow_mut().upload(spec, true);
             }
         }
+        let outside = Rc::clone(&inner);
+        spawn_local(answer_connections(records, move |r| {
+            // As an asker of its own, after all controllers.
+            Rc::clone(&outside).called(count, Host::State, r)
+        }));
         for (n, target, listener) in listeners {
             let inner = Rc::clone(&inner);
             spawn_local(answer_connections(listener, move |r| {
@@ -553,6 +647,7 @@
         Ok(Loopback {
             inner,
             front: front_addr,
+            records: records_addr,
         })
     }
 
@@ -577,6 +672,7 @@
         self.inner.stand.borrow_mut().advance(now);
         self.inner.drain();
         self.inner.listen_for_machines();
+        self.inner.run_commands();
         let next = self.with(|s| s.next_machine());
         let path = self.inner.options.dir.join("machines");
         if first_machine(&self.inner.options.dir) != next
@@ -587,8 +683,9 @@
         sleep(STEP).await;
     }
 
-    /// Ends the controllers.
+    /// Ends the controllers and all commands.
     pub async fn stop(&self) {
+        self.inner.commands.borrow_mut().stop();
         let nodes: Vec<Child> = {
             let mut nodes = self.inner.nodes.borrow_mut();
             nodes.iter_mut().filter_map(|n| n.child.take()).collect()
--- a/crates/rehearsal/src/stand.rs
+++ b/crates/rehearsal/src/stand.rs
@@ -326,6 +326,18 @@
         self.fleet.describe(spec, run_s);
     }
 
+    /// As [`Stand::upload`], of a job whose work is done outside: its tasks run
+    /// until [`Stand::complete`].
+    pub fn upload_command(&mut self, spec: Submission, again: bool) {
+        self.upload(spec.clone(), again);
+        self.fleet.describe(spec, f64::INFINITY);
+    }
+
+    /// A job's work is done.
+    pub fn complete(&mut self, job: &str) {
+        self.fleet.complete(job);
+    }
+
     /// Lets the checker hear what a user outside the stand-ins was told.
     pub fn overheard(&mut self, now: Time, seen: Seen) {
         self.checker.hear(now, seen);
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod pace;
 pub mod peers;
 pub mod state;
+pub mod steps;
 pub mod types;
 pub mod users;
 pub mod workers;
--- a/crates/workflow/src/lib.rs
+++ b/crates/workflow/src/lib.rs
@@ -9,7 +9,11 @@
 //! - [`tool`]: command lines and outputs.
 //! - [`problem`]: what is wrong, by file, line and column.
 //!
-//! Nothing here runs a command; files are read through [`load::Files`].
+//! - [`records`]: outcomes that last, in the state service.
+//! - [`runner`]: a workflow on a cluster, by the users' protocol alone.
+//!
+//! Nothing here runs a command, and only [`runner`] and [`records`] touch sockets
+//! and files; documents are read through [`load::Files`].
 
 mod check;
 pub mod document;
@@ -18,5 +22,7 @@
 pub mod load;
 pub mod node;
 pub mod problem;
+pub mod records;
+pub mod runner;
 pub mod tool;
 pub mod types;
