Let pebblectl serve as a controller where no daemon stands beside it

Cause: `pebblectl controller` started the daemon's runtime within its own and ended at once; in a fresh clone, where only pebblectl was built, the README's first command answered 503 until it gave up. Machines with a daemon beside it never saw it.

Change: a controller begins before any runtime. The test copies pebblectl away from the daemon; it fails without the change.

--- a/crates/pebblectl/src/main.rs
+++ b/crates/pebblectl/src/main.rs
@@ -18,9 +18,12 @@
 
 fn main() -> ExitCode {
     let args = Args::parse();
-    if !matches!(args.verb, Verb::Controller { .. }) {
-        pebblefold::logging::start(tracing::Level::WARN);
+    // A controller brings a runtime and logs of its own: within ours it would
+    // end at once.
+    if let Verb::Controller { settings } = &args.verb {
+        return told(up::controller(settings));
     }
+    pebblefold::logging::start(tracing::Level::WARN);
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build();
@@ -31,6 +34,11 @@
         }
         Err(e) => Err(Failure::failed(format!("cannot start: {e}"))),
     };
+    told(done)
+}
+
+/// The exit status; a failure is told a line each.
+fn told(done: Result<(), Failure>) -> ExitCode {
     match done {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
@@ -99,7 +107,8 @@
         Verb::State(StateVerb::Snapshot(SnapshotVerb::Check { file })) => {
             show.any(&state::check(&file)?)
         }
-        Verb::Controller { settings } => up::controller(&settings),
-        Verb::Completions { .. } | Verb::Man { .. } | Verb::Schema => Ok(()),
+        Verb::Controller { .. } | Verb::Completions { .. } | Verb::Man { .. } | Verb::Schema => {
+            Ok(())
+        }
     }
 }
--- a/crates/pebblectl/tests/program.rs
+++ b/crates/pebblectl/tests/program.rs
@@ -71,6 +71,24 @@
     assert!(!up().contains("Running"), "it ran a second time");
 }
 
+// Where the daemon was not built, pebblectl itself serves as a controller: it once
+// ended at once, and a fresh clone's first command failed while every machine with
+// a daemon beside it passed.
+#[test]
+fn up_needs_no_daemon_beside_it() {
+    let dir = Dir::new("alone");
+    let alone = dir.0.join("pebblectl");
+    std::fs::copy(env!("CARGO_BIN_EXE_pebblectl"), &alone).unwrap();
+    let o = Command::new(&alone)
+        .args(["--output", "json", "up", "--port", "0", "--dir"])
+        .arg(dir.at("up"))
+        .args(["--job", "deploy/job.json"])
+        .current_dir(root())
+        .output()
+        .unwrap();
+    assert!(o.status.success(), "{}", text(&o.stderr));
+}
+
 #[test]
 fn what_is_wrong_is_named_and_exits_with_its_status() {
     let dir = Dir::new("wrong");
