Tell of controllers that end by themselves

Need: when all controllers ended at their start, `up` waited on with nothing said.

Change: the cluster on loopback looks after its controllers; one that ends without being killed is a broken rule with the place of its log, and `up` ends with status 3.

Measured: tests/program.rs with a controller that ends at once.

--- a/crates/pebblectl/src/up.rs
+++ b/crates/pebblectl/src/up.rs
@@ -4,7 +4,7 @@
 use crate::ask;
 use crate::output::{Failure, Show};
 use crate::rehearse::{controller_program, load};
-use pebblefold_rehearsal::checker::Rule;
+use pebblefold_rehearsal::checker::{Breach, Rule};
 use pebblefold_rehearsal::loopback::{Loopback, Options};
 use pebblefold_rehearsal::script::Script;
 use pebblefold_wire::encode;
@@ -63,6 +63,11 @@
         let mut told = (0, 0, usize::MAX);
         while cluster.elapsed() < length {
             cluster.step().await;
+            // A cluster whose controllers end is of no use; why is told below.
+            let ended = |b: &Breach| b.rule == Rule::Protocol;
+            if cluster.with(|s| s.checker().breaches().iter().any(ended)) {
+                return;
+            }
             let now = cluster.with(|s| {
                 let (accepted, done, cancelled, _) = s.checker().counts();
                 (accepted, done + cancelled, s.fleet().workers().len())
--- a/crates/pebblectl/tests/program.rs
+++ b/crates/pebblectl/tests/program.rs
@@ -89,6 +89,26 @@
     assert!(o.status.success(), "{}", text(&o.stderr));
 }
 
+// Controllers that ended at once once left `up` waiting, with nothing said.
+#[test]
+fn controllers_that_end_by_themselves_are_told() {
+    let dir = Dir::new("ends");
+    let beside = dir.0.join("pebblectl");
+    std::fs::copy(env!("CARGO_BIN_EXE_pebblectl"), &beside).unwrap();
+    std::fs::copy("/bin/false", dir.0.join("pebblefold")).unwrap();
+    let o = Command::new(&beside)
+        .args(["up", "--port", "0", "--dir"])
+        .arg(dir.at("up"))
+        .output()
+        .unwrap();
+    assert_eq!(o.status.code(), Some(3));
+    let told = text(&o.stderr);
+    assert!(
+        told.contains("controller 0 ended by itself") && told.contains("node-0.log"),
+        "{told}"
+    );
+}
+
 #[test]
 fn what_is_wrong_is_named_and_exits_with_its_status() {
     let dir = Dir::new("wrong");
--- a/crates/rehearsal/src/loopback.rs
+++ b/crates/rehearsal/src/loopback.rs
@@ -304,6 +304,25 @@
         Ok(())
     }
 
+    /// Notes controllers that ended without being killed by us.
+    fn look_after_nodes(&self) {
+        let mut ended = Vec::new();
+        for (n, process) in self.nodes.borrow_mut().iter_mut().enumerate() {
+            let status = process.child.as_mut().map(Child::try_wait);
+            if let Some(Ok(Some(status))) = status {
+                process.child = None;
+                let log = process.log.display();
+                ended.push(format!(
+                    "controller {n} ended by itself ({status}); its log is {log}"
+                ));
+            }
+        }
+        for what in ended {
+            tracing::error!("{what}");
+            self.stand.borrow_mut().ended(self.now(), what);
+        }
+    }
+
     /// Opens a listener for each machine that is up, and closes those of
     /// machines that are gone.
     fn listen_for_machines(self: &Rc<Self>) {
@@ -673,6 +692,7 @@
         self.inner.drain();
         self.inner.listen_for_machines();
         self.inner.run_commands();
+        self.inner.look_after_nodes();
         let next = self.with(|s| s.next_machine());
         let path = self.inner.options.dir.join("machines");
         if first_machine(&self.inner.options.dir) != next
--- a/crates/rehearsal/src/stand.rs
+++ b/crates/rehearsal/src/stand.rs
@@ -338,6 +338,11 @@
         self.fleet.complete(job);
     }
 
+    /// A controller ended by itself, which none may.
+    pub fn ended(&mut self, now: Time, what: String) {
+        self.checker.protocol(now, what);
+    }
+
     /// Lets the checker hear what a user outside the stand-ins was told.
     pub fn overheard(&mut self, now: Time, seen: Seen) {
         self.checker.hear(now, seen);
