Look only at machines with something to do; cut the stand-ins' long files

Cause: at every step, 50 times a second, the stand-ins copied the names of all machines, went through all jobs for polls that fail, listed all machines to find new listeners, and read a file to compare one number with it. That, not the controllers, made acceptance slow with many machines on loopback.

`up` writes the controllers' process ids, and refuses ports that are not there.

--- a/crates/rehearsal/src/checker.rs
+++ b/crates/rehearsal/src/checker.rs
@@ -13,6 +13,9 @@
 /// For how long every poll for a job may fail while most others are answered.
 const FORGOTTEN_AFTER: Span = Span::millis(90_000);
 
+/// Time between looks for jobs that nobody answers for.
+const LOOK: Span = Span::millis(1000);
+
 /// What a user asks.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -210,6 +213,8 @@
     polls: VecDeque<(Time, bool)>,
     cancelled: BTreeMap<String, Time>,
     late: BTreeSet<(String, String)>,
+    /// When polls that fail are next looked through.
+    look: Time,
     starts: u64,
     used: BTreeMap<String, Amounts>,
 }
@@ -232,6 +237,7 @@
             polls: VecDeque::new(),
             cancelled: BTreeMap::new(),
             late: BTreeSet::new(),
+            look: Time(0),
             starts: 0,
             used: BTreeMap::new(),
         }
@@ -561,6 +567,32 @@
 
     /// Lets time pass: looks for what is wrong by its lasting too long.
     pub fn pass(&mut self, now: Time) {
+        if now >= self.look {
+            self.look = now + LOOK;
+            self.find_forgotten(now);
+        }
+        let mut late = Vec::new();
+        for (id, at) in &self.cancelled {
+            if now.since(*at) <= self.cancel {
+                continue;
+            }
+            for m in self
+                .jobs
+                .get(id)
+                .into_iter()
+                .flat_map(|j| j.on.values().flatten())
+            {
+                late.push((id.clone(), m.clone()));
+            }
+        }
+        for (id, machine) in late {
+            if self.late.insert((id.clone(), machine.clone())) {
+                self.breach(now, Rule::RanCancelled, &id, format!("still on {machine}"));
+            }
+        }
+    }
+
+    fn find_forgotten(&mut self, now: Time) {
         while self
             .polls
             .front()
@@ -588,25 +620,6 @@
                 "every poll failed for 90 s".into(),
             );
         }
-        let mut late = Vec::new();
-        for (id, at) in &self.cancelled {
-            if now.since(*at) <= self.cancel {
-                continue;
-            }
-            for m in self
-                .jobs
-                .get(id)
-                .into_iter()
-                .flat_map(|j| j.on.values().flatten())
-            {
-                late.push((id.clone(), m.clone()));
-            }
-        }
-        for (id, machine) in late {
-            if self.late.insert((id.clone(), machine.clone())) {
-                self.breach(now, Rule::RanCancelled, &id, format!("still on {machine}"));
-            }
-        }
     }
 
     /// Whether every job has its final answer.
--- a/crates/rehearsal/src/fleet.rs
+++ b/crates/rehearsal/src/fleet.rs
@@ -48,6 +48,7 @@
     gangs: BTreeMap<(String, u64), Gang>,
     /// Machines that stand still for lack of power, by zone.
     frozen: BTreeSet<String>,
+    changes: u64,
     seen: Vec<Seen>,
     last: Time,
     /// Seconds of run time that were lost and done again.
@@ -89,6 +90,7 @@
             work: BTreeMap::new(),
             gangs: BTreeMap::new(),
             frozen: BTreeSet::new(),
+            changes: 0,
             seen: Vec::new(),
             last: Time(0),
             repeated_s: 0.0,
@@ -143,15 +145,22 @@
         let name = machine.id.to_string();
         let worker = Worker::new(machine, kind, self.times, self.nodes, now, rng);
         self.workers.insert(name, worker);
+        self.changes += 1;
     }
 
     /// A machine is gone, and everything on it.
     pub fn gone(&mut self, now: Time, machine: &str) {
         if let Some(w) = self.workers.remove(machine) {
+            self.changes += 1;
             self.lose(now, machine, w.tasks, "the machine is gone");
         }
     }
 
+    /// How often a machine came or went.
+    pub fn changes(&self) -> u64 {
+        self.changes
+    }
+
     /// The workers.
     pub fn workers(&self) -> &BTreeMap<String, Worker> {
         &self.workers
@@ -391,7 +400,9 @@
     pub fn advance(&mut self, now: Time, rng: &mut StdRng) {
         let step = now.since(self.last);
         self.last = now;
-        let names: Vec<String> = self.workers.keys().cloned().collect();
+        // Most machines have nothing to do at most steps.
+        let busy = self.workers.iter().filter(|(_, w)| w.needs_time(now));
+        let names: Vec<String> = busy.map(|(name, _)| name.clone()).collect();
         for name in &names {
             // A worker that hung past its lease kills its tasks before anything
             // else when it goes on: for the rules they are gone by then.
--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod commands;
 pub mod director;
 pub mod fleet;
+pub mod layout;
 pub mod links;
 pub mod loopback;
 pub mod report;
--- a/crates/rehearsal/src/loopback.rs
+++ b/crates/rehearsal/src/loopback.rs
@@ -6,10 +6,11 @@
 use crate::checker::{Ask, Seen};
 use crate::cloud::Addresses;
 use crate::commands::{Commands, Place};
+use crate::layout::{Layout, settings, settings_json};
 use crate::links::{Fate, Host};
 use crate::report::Verdict;
 use crate::script::Script;
-use crate::stand::{Layout, NodeAction, Out, Returned, Stand, Store, settings, settings_json};
+use crate::stand::{NodeAction, Out, Returned, Stand, Store};
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
 use pebblefold::settings::SettingsError;
@@ -20,7 +21,7 @@
 use pebblefold_net::{Client, Sent, answer_connections};
 use pebblefold_state::StorageError;
 use pebblefold_wire::http::{Request, Response};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::fs::File;
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
@@ -54,6 +55,14 @@
     /// The state service's store cannot be opened.
     #[error(transparent)]
     Storage(#[from] StorageError),
+    /// There are no such ports.
+    #[error("port {first}: {wanted} ports in a row are wanted, and the last is 65535")]
+    Ports {
+        /// The first.
+        first: u16,
+        /// How many.
+        wanted: u16,
+    },
     /// A file, socket or process.
     #[error("{0}: {1}")]
     Io(String, std::io::Error),
@@ -90,9 +99,13 @@
     started: Instant,
     layout: Layout,
     waiting: RefCell<HashMap<u64, oneshot::Sender<Returned>>>,
-    next_call: RefCell<u64>,
+    next_call: Cell<u64>,
     nodes: RefCell<Vec<Process>>,
     machines: RefCell<BTreeMap<String, JoinHandle<()>>>,
+    /// Changes of the machines that the listeners follow.
+    listened: Cell<u64>,
+    /// The number of the next machine, as it is kept.
+    kept_machine: Cell<u32>,
     options: Options,
     /// Jobs that came in by the front door.
     uploaded: RefCell<BTreeSet<String>>,
@@ -150,11 +163,8 @@
         if let Err(fate) = self.travel(&from, &target).await {
             return Inner::nothing(fate).await;
         }
-        let call = {
-            let mut next = self.next_call.borrow_mut();
-            *next += 1;
-            *next
-        };
+        let call = self.next_call.get() + 1;
+        self.next_call.set(call);
         let (tx, rx) = oneshot::channel();
         self.waiting.borrow_mut().insert(call, tx);
         self.stand
@@ -286,6 +296,10 @@
                     .kill_on_drop(true)
                     .spawn()
                     .map_err(io(program.display()))?;
+                if let Some(id) = child.id() {
+                    let name = format!("node-{n}.pid");
+                    keep(&self.options.dir, &name, id.to_string().as_bytes()).map_err(io(name))?;
+                }
                 nodes[n].child = Some(child);
             }
             NodeAction::Start(_) => {}
@@ -326,6 +340,10 @@
     /// Opens a listener for each machine that is up, and closes those of
     /// machines that are gone.
     fn listen_for_machines(self: &Rc<Self>) {
+        let changes = self.stand.borrow().fleet().changes();
+        if self.listened.replace(changes) == changes {
+            return;
+        }
         let up: BTreeMap<String, String> = {
             let stand = self.stand.borrow();
             let workers = stand.fleet().workers().iter();
@@ -549,6 +567,10 @@
         let dir = &options.dir;
         std::fs::create_dir_all(dir).map_err(io(dir.display()))?;
         let count = script.cluster.controllers.len();
+        let wanted = 2 * count as u16 + 2;
+        if let Some(p) = options.port.filter(|p| p.checked_add(wanted - 1).is_none()) {
+            return Err(LoopbackError::Ports { first: p, wanted });
+        }
         let mut ports = options.port.map(|p| p..);
         let mut next_port = || ports.as_mut().and_then(Iterator::next);
         let (front, front_addr) = listen(next_port()).await?;
@@ -614,9 +636,11 @@
             started: Instant::now(),
             layout,
             waiting: RefCell::default(),
-            next_call: RefCell::new(0),
+            next_call: Cell::new(0),
             nodes: RefCell::new(nodes),
             machines: RefCell::default(),
+            listened: Cell::new(0),
+            kept_machine: Cell::new(0),
             options,
             uploaded: RefCell::default(),
             commands: RefCell::default(),
@@ -694,9 +718,12 @@
         self.inner.run_commands();
         self.inner.look_after_nodes();
         let next = self.with(|s| s.next_machine());
-        let path = self.inner.options.dir.join("machines");
-        if first_machine(&self.inner.options.dir) != next
-            && let Err(e) = std::fs::write(&path, next.to_string())
+        if self.inner.kept_machine.replace(next) != next
+            && let Err(e) = keep(
+                &self.inner.options.dir,
+                "machines",
+                next.to_string().as_bytes(),
+            )
         {
             tracing::error!(error = %e, "cannot keep the number of the next machine");
         }
--- a/crates/rehearsal/src/simulated.rs
+++ b/crates/rehearsal/src/simulated.rs
@@ -2,10 +2,11 @@
 //! stand-ins, with a seed that fixes everything.
 
 use crate::cloud::Addresses;
+use crate::layout::{Layout, settings};
 use crate::links::{Fate, Host};
 use crate::report::Verdict;
 use crate::script::Script;
-use crate::stand::{Layout, NodeAction, Out, Returned, Stand, Store, settings};
+use crate::stand::{NodeAction, Out, Returned, Stand, Store};
 use pebblefold::core::node::Node;
 use pebblefold::core::{CallId, Input, Now, Output, Reply, RequestId, Side, Target};
 use pebblefold::policy::{DEFAULT_SCRIPT, Policy, PolicyError};
@@ -85,6 +86,18 @@
     waiting: Vec<Input>,
 }
 
+/// A request as its server reads it.
+fn request(method: &str, target: &str, body: Vec<u8>) -> Request {
+    let (path, query) = target.split_once('?').unwrap_or((target, ""));
+    Request {
+        method: method.into(),
+        path: path.into(),
+        query: query.into(),
+        body,
+        close: false,
+    }
+}
+
 /// A rehearsal in simulated time.
 pub struct Simulated {
     stand: Stand,
@@ -247,14 +260,7 @@
                             [_, _, _, last] => Host::Node(usize::from(last).saturating_sub(1)),
                         },
                     };
-                    let (path, query) = c.path.split_once('?').unwrap_or((&c.path, ""));
-                    let request = Request {
-                        method: c.method.into(),
-                        path: path.into(),
-                        query: query.into(),
-                        body: c.body,
-                        close: false,
-                    };
+                    let request = request(c.method, &c.path, c.body);
                     let message = Message::Call {
                         node: n,
                         life,
@@ -367,13 +373,7 @@
                     body,
                     ..
                 } => {
-                    let request = Request {
-                        method: method.into(),
-                        path,
-                        query: String::new(),
-                        body,
-                        close: false,
-                    };
+                    let request = request(method, &path, body);
                     self.send(
                         &from,
                         Host::Node(node),
--- a/crates/rehearsal/src/stand.rs
+++ b/crates/rehearsal/src/stand.rs
@@ -1,25 +1,27 @@
 //! All stand-ins as one state machine: state service, cloud, machines and
 //! users, with the faults of a script and the checker that listens.
 
+mod faults;
+
 use crate::checker::{Checker, Seen};
 use crate::cloud::{Addresses, Cloud, Happened};
 use crate::director::Director;
 use crate::fleet::Fleet;
-use crate::links::{Group, Host, Links};
-use crate::script::{LastWrite, Moment, Nodes, PowerLoss, Script, Side, What};
+use crate::layout::label;
+use crate::links::{Host, Links};
+use crate::script::{Moment, Script};
 use crate::users::{Planned, Users, plan};
 use crate::worker::{PATIENCE, Times};
 use pebblefold::core::ledger;
-use pebblefold::settings::{Settings, SettingsError};
 use pebblefold::types::{Label, Span, Time};
 use pebblefold::wire::decode;
 use pebblefold::wire::state::{Op, Txn};
 use pebblefold::wire::users::Submission;
-use pebblefold_state::cut::{CutDisk, Left};
+use pebblefold_state::cut::CutDisk;
 use pebblefold_state::{Asker, Disk, Limits, Outcome, Service, StorageError, Ticket};
 use pebblefold_wire::http::Request;
+use rand::SeedableRng;
 use rand::rngs::StdRng;
-use rand::{RngExt, SeedableRng};
 use serde::Serialize;
 use std::collections::{BTreeMap, BTreeSet};
 use std::path::PathBuf;
@@ -27,7 +29,7 @@
 /// Bytes of a value in the state service.
 const VALUE_BYTES: usize = 8 * 1024;
 /// Changes in one transaction.
-const TXN_OPS: usize = 48;
+pub(crate) const TXN_OPS: usize = 48;
 /// How long a request is remembered that nobody answers.
 const SENT_KEPT: Span = Span::millis(30_000);
 /// Time between samples for the report.
@@ -760,339 +762,4 @@
     pub fn take_out(&mut self) -> Vec<Out> {
         std::mem::take(&mut self.out)
     }
-
-    // ---- faults ----
-
-    fn moment(&mut self, now: Time, moment: Moment, class: Option<&str>, about: &About) {
-        for what in self.director.moment(now, moment, class) {
-            self.strike(now, &what, about);
-        }
-    }
-
-    fn heal_at(&mut self, at: Time, heal: Heal) {
-        self.numbers += 1;
-        self.heals.insert((at, self.numbers), heal);
-    }
-
-    fn pick_nodes(&self, nodes: &Nodes, about: &About) -> Vec<usize> {
-        match nodes {
-            Nodes::Leader => self.leader.into_iter().collect(),
-            Nodes::All => (0..self.labels.len()).collect(),
-            Nodes::That => about.node.into_iter().collect(),
-            Nodes::Number(n) => vec![*n as usize],
-        }
-    }
-
-    /// Some of the machines, chosen by chance.
-    fn pick_machines(
-        &mut self,
-        count: usize,
-        fits: impl Fn(&crate::worker::Worker) -> bool,
-    ) -> Vec<String> {
-        let workers = self.fleet.workers().iter();
-        let mut names: Vec<String> = workers
-            .filter(|(_, w)| fits(w))
-            .map(|(m, _)| m.clone())
-            .collect();
-        let mut out = Vec::new();
-        while out.len() < count && !names.is_empty() {
-            let i = self.rng.random_range(0..names.len());
-            out.push(names.swap_remove(i));
-        }
-        out
-    }
-
-    fn group(&self, side: &Side, about: &About) -> Group {
-        match side {
-            Side::Controller(n) => Group::These(vec![Host::Node(*n as usize)]),
-            Side::Leader => Group::These(self.leader.map(Host::Node).into_iter().collect()),
-            Side::Controllers => Group::These((0..self.labels.len()).map(Host::Node).collect()),
-            Side::Zone(z) => Group::Zone(z.clone()),
-            Side::Machines => Group::Machines,
-            Side::That => Group::These(
-                about
-                    .machine
-                    .clone()
-                    .map(Host::Machine)
-                    .into_iter()
-                    .collect(),
-            ),
-            Side::State => Group::These(vec![Host::State]),
-            Side::Cloud => Group::These(vec![Host::Cloud]),
-            Side::Users => Group::These(vec![Host::Users]),
-        }
-    }
-
-    fn stop_nodes(&mut self, now: Time, nodes: Vec<usize>, for_s: f64, pause: bool) {
-        for n in nodes {
-            let (stop, go) = if pause {
-                (NodeAction::Pause(n), NodeAction::Continue(n))
-            } else {
-                (NodeAction::Kill(n), NodeAction::Start(n))
-            };
-            self.out.push(Out::Node(stop));
-            self.heal_at(now + Span::secs(for_s), Heal::Node(go));
-        }
-    }
-
-    fn strike(&mut self, now: Time, what: &What, about: &About) {
-        let text = serde_json::to_value(what).unwrap_or_default().to_string();
-        tracing::info!(at_s = now.0 as f64 / 1e6, fault = %text, "fault");
-        self.marks.push((now.0 as f64 / 1e6, what.name()));
-        self.checker.hear(now, Seen::Fault { what: text });
-        let until = |s: f64| now + Span::secs(s);
-        match what {
-            What::SitePower {
-                zone,
-                for_s,
-                machines,
-            } => {
-                let here = |n: &usize| self.script.cluster.controllers[*n] == *zone;
-                let nodes: Vec<usize> = (0..self.labels.len()).filter(here).collect();
-                self.stop_nodes(now, nodes, *for_s, false);
-                match machines {
-                    PowerLoss::Freeze => self.fleet.freeze(zone, true),
-                    PowerLoss::Die => {
-                        let there = self.cloud.machines();
-                        let names: Vec<String> = there
-                            .filter(|m| m.zone.as_str() == zone)
-                            .map(|m| m.id.to_string())
-                            .collect();
-                        for m in names {
-                            self.cloud.kill(now, &m);
-                        }
-                    }
-                }
-                self.cloud.dark.insert(zone.clone());
-                self.heal_at(until(*for_s), Heal::Power(zone.clone()));
-                self.happen(now);
-            }
-            What::Kill { nodes, for_s } => {
-                let nodes = self.pick_nodes(nodes, about);
-                self.stop_nodes(now, nodes, *for_s, false);
-            }
-            What::Pause { nodes, for_s } => {
-                let nodes = self.pick_nodes(nodes, about);
-                self.stop_nodes(now, nodes, *for_s, true);
-            }
-            What::Vanish { count, that, zone } => {
-                let mut names = self.pick_machines(*count as usize, |w| {
-                    zone.as_ref().is_none_or(|z| w.machine.zone.as_str() == z)
-                });
-                names.extend(about.machine.clone().filter(|_| *that));
-                for m in names {
-                    self.cloud.kill(now, &m);
-                }
-                self.happen(now);
-            }
-            What::Hang { count, that, for_s } => {
-                let mut names = self.pick_machines(*count as usize, |w| !w.tasks.is_empty());
-                names.extend(about.machine.clone().filter(|_| *that));
-                for m in names {
-                    if let Some(w) = self.fleet.worker(&m) {
-                        w.hung = Some(until(*for_s));
-                    }
-                }
-            }
-            What::Slow {
-                count,
-                factor,
-                for_s,
-            } => {
-                let names = self.pick_machines(*count as usize, |_| true);
-                let mut before = Vec::new();
-                for m in names {
-                    if let Some(w) = self.fleet.worker(&m) {
-                        before.push((m.clone(), w.speed));
-                        w.speed /= factor.max(1.0);
-                    }
-                }
-                self.heal_at(until(*for_s), Heal::Fast(before));
-            }
-            What::SpotTaken { share, notice_s } => {
-                let spots = self
-                    .fleet
-                    .workers()
-                    .values()
-                    .filter(|w| w.machine.spot)
-                    .count();
-                let count = (spots as f64 * share).ceil() as usize;
-                for m in self.pick_machines(count, |w| w.machine.spot && w.taken.is_none()) {
-                    let notice = notice_s * self.rng.random_range(0.5..1.5);
-                    if let Some(w) = self.fleet.worker(&m) {
-                        w.taken = Some(now + Span::secs(notice));
-                        w.touch();
-                    }
-                }
-            }
-            What::StateOut { for_s } => self.state_out(now, *for_s, Heal::StateOut),
-            What::StateFull { for_s } => match &self.store {
-                Store::Memory(disk) => {
-                    disk.set_full(true);
-                    self.heal_at(until(*for_s), Heal::StateFull);
-                }
-                // A real disk is not filled for a rehearsal: the service does
-                // what it would do.
-                Store::File(_) => self.state_out(now, *for_s, Heal::StateOut),
-            },
-            What::StateKilled { for_s, last_write } => {
-                let down = Span::secs(*for_s);
-                match (&self.store, last_write) {
-                    (Store::Memory(disk), LastWrite::Everything | LastWrite::Torn) => {
-                        let left = match last_write {
-                            LastWrite::Torn => Left::Torn(self.rng.random()),
-                            _ => Left::Everything,
-                        };
-                        disk.cut_at(disk.operations() + self.rng.random_range(1..6), left);
-                        self.dying = Some(down);
-                    }
-                    _ => self.end_state(now, down),
-                }
-            }
-            What::StateRefuses { nodes, for_s } => {
-                let nodes = self.pick_nodes(nodes, about);
-                for n in &nodes {
-                    if let Some(s) = &mut self.state {
-                        s.refuse(Asker(*n as u32), true);
-                    }
-                }
-                self.heal_at(until(*for_s), Heal::StateRefuses(nodes));
-            }
-            What::StateSlow { delay_s, for_s } => {
-                self.links.slow_state(Span::secs(*delay_s), until(*for_s));
-            }
-            What::CloudOut { for_s } => {
-                self.cloud.out = true;
-                self.heal_at(until(*for_s), Heal::CloudOut);
-            }
-            What::CloudShort { for_s } => {
-                self.cloud.short = true;
-                self.heal_at(until(*for_s), Heal::CloudShort);
-            }
-            What::CloudSlow { delay_s, for_s } => {
-                self.links.slow_cloud(Span::secs(*delay_s), until(*for_s));
-            }
-            What::Cut {
-                a,
-                b,
-                one_way,
-                mode,
-                for_s,
-            } => {
-                let (a, b) = (self.group(a, about), self.group(b, about));
-                self.links.cut(a, b, *one_way, *mode, until(*for_s));
-            }
-            What::LoseAnswer {} => self.lost_calls.extend(about.call),
-        }
-    }
-
-    fn state_out(&mut self, now: Time, for_s: f64, heal: Heal) {
-        if let Some(s) = &mut self.state {
-            s.set_out(now, true);
-        }
-        self.heal_at(now + Span::secs(for_s), heal);
-    }
-
-    fn heal(&mut self, now: Time, heal: Heal) {
-        match heal {
-            Heal::Node(action) => self.out.push(Out::Node(action)),
-            Heal::Power(zone) => {
-                self.fleet.freeze(&zone, false);
-                self.cloud.dark.remove(&zone);
-            }
-            Heal::StateOut => {
-                if let Some(s) = &mut self.state {
-                    s.set_out(now, false);
-                }
-            }
-            Heal::StateBack => {
-                if let Store::Memory(disk) = &self.store {
-                    disk.power_on();
-                }
-                match self.open_state(now) {
-                    Ok(s) => self.state = Some(s),
-                    Err(e) => {
-                        tracing::error!(error = %e, "the state service cannot start");
-                        self.heal_at(now + Span::secs(1.0), Heal::StateBack);
-                    }
-                }
-            }
-            Heal::StateFull => {
-                if let Store::Memory(disk) = &self.store {
-                    disk.set_full(false);
-                }
-            }
-            Heal::StateRefuses(nodes) => {
-                for n in nodes {
-                    if let Some(s) = &mut self.state {
-                        s.refuse(Asker(n as u32), false);
-                    }
-                }
-            }
-            Heal::CloudOut => self.cloud.out = false,
-            Heal::CloudShort => self.cloud.short = false,
-            Heal::Fast(before) => {
-                for (m, speed) in before {
-                    if let Some(w) = self.fleet.worker(&m) {
-                        w.speed = speed;
-                    }
-                }
-            }
-        }
-    }
-}
-
-/// The name of controller `n`.
-pub fn label(n: usize) -> Label {
-    format!("node-{n}").into()
-}
-
-/// Addresses of a cluster's parts.
-#[derive(Clone, Debug)]
-pub struct Layout {
-    /// Each controller's users' interface.
-    pub api: Vec<String>,
-    /// Each controller's internal interface.
-    pub internal: Vec<String>,
-    /// Where controller `.0` reaches controller `.1`, if not directly.
-    pub peers: BTreeMap<(usize, usize), String>,
-    /// Where each controller reaches the state service.
-    pub state: Vec<String>,
-    /// Where each controller reaches the cloud.
-    pub cloud: Vec<String>,
-}
-
-/// The settings file of controller `n`, as a platform would hand it over.
-pub fn settings_json(script: &Script, layout: &Layout, n: usize) -> serde_json::Value {
-    let c = &script.cluster;
-    let endpoint = |to: usize| layout.peers.get(&(n, to)).unwrap_or(&layout.internal[to]);
-    let peers: Vec<_> = (0..c.controllers.len())
-        .filter(|&i| i != n)
-        .map(|i| serde_json::json!({"label": label(i), "zone": c.controllers[i], "endpoint": endpoint(i)}))
-        .collect();
-    serde_json::json!({
-        "label": label(n), "zone": c.controllers[n],
-        "api_addr": layout.api[n], "internal_addr": layout.internal[n], "peers": peers,
-        "services": {"cloud": layout.cloud[n], "state": layout.state[n]},
-        "settings": {
-            "size": c.controllers.len(), "zones": c.zones, "teams": c.teams, "objectives": c.aims,
-            "workers": {
-                "report_s": c.workers.report_s, "lease_s": c.workers.lease_s,
-                "gang_wait_s": c.workers.gang_wait_s, "gang_peer_s": c.workers.gang_peer_s,
-                "cancel_s": c.workers.cancel_s,
-            },
-            "state": {"rps": c.state.rps, "write_rps": c.state.write_rps, "value_kb": 8.0, "txn_ops": TXN_OPS},
-            "cloud": {"rps": c.cloud.rps, "list_lag_s": c.cloud.list_lag_s},
-            "quota": {"core_share": 1.0, "ram_mb": 200.0, "max_sockets": 4000},
-            "clock_error_ms": 1000.0,
-        }
-    })
-}
-
-/// The same, checked as a controller checks it.
-///
-/// # Errors
-/// The script describes a cluster that controllers refuse.
-pub fn settings(script: &Script, layout: &Layout, n: usize) -> Result<Settings, SettingsError> {
-    Settings::parse(&settings_json(script, layout, n).to_string())
 }
--- /dev/null
+++ b/crates/rehearsal/src/stand/faults.rs
@@ -0,0 +1,290 @@
+//! Faults: how each strikes, and how it heals.
+
+use super::{About, Heal, NodeAction, Out, Stand, Store};
+use crate::checker::Seen;
+use crate::links::{Group, Host};
+use crate::script::{LastWrite, Moment, Nodes, PowerLoss, Side, What};
+use pebblefold::types::{Span, Time};
+use pebblefold_state::Asker;
+use pebblefold_state::cut::Left;
+use rand::RngExt;
+
+impl Stand {
+    pub(super) fn moment(&mut self, now: Time, moment: Moment, class: Option<&str>, about: &About) {
+        for what in self.director.moment(now, moment, class) {
+            self.strike(now, &what, about);
+        }
+    }
+
+    pub(super) fn heal_at(&mut self, at: Time, heal: Heal) {
+        self.numbers += 1;
+        self.heals.insert((at, self.numbers), heal);
+    }
+
+    pub(super) fn pick_nodes(&self, nodes: &Nodes, about: &About) -> Vec<usize> {
+        match nodes {
+            Nodes::Leader => self.leader.into_iter().collect(),
+            Nodes::All => (0..self.labels.len()).collect(),
+            Nodes::That => about.node.into_iter().collect(),
+            Nodes::Number(n) => vec![*n as usize],
+        }
+    }
+
+    /// Some of the machines, chosen by chance.
+    pub(super) fn pick_machines(
+        &mut self,
+        count: usize,
+        fits: impl Fn(&crate::worker::Worker) -> bool,
+    ) -> Vec<String> {
+        let workers = self.fleet.workers().iter();
+        let mut names: Vec<String> = workers
+            .filter(|(_, w)| fits(w))
+            .map(|(m, _)| m.clone())
+            .collect();
+        let mut out = Vec::new();
+        while out.len() < count && !names.is_empty() {
+            let i = self.rng.random_range(0..names.len());
+            out.push(names.swap_remove(i));
+        }
+        out
+    }
+
+    pub(super) fn group(&self, side: &Side, about: &About) -> Group {
+        match side {
+            Side::Controller(n) => Group::These(vec![Host::Node(*n as usize)]),
+            Side::Leader => Group::These(self.leader.map(Host::Node).into_iter().collect()),
+            Side::Controllers => Group::These((0..self.labels.len()).map(Host::Node).collect()),
+            Side::Zone(z) => Group::Zone(z.clone()),
+            Side::Machines => Group::Machines,
+            Side::That => Group::These(
+                about
+                    .machine
+                    .clone()
+                    .map(Host::Machine)
+                    .into_iter()
+                    .collect(),
+            ),
+            Side::State => Group::These(vec![Host::State]),
+            Side::Cloud => Group::These(vec![Host::Cloud]),
+            Side::Users => Group::These(vec![Host::Users]),
+        }
+    }
+
+    pub(super) fn stop_nodes(&mut self, now: Time, nodes: Vec<usize>, for_s: f64, pause: bool) {
+        for n in nodes {
+            let (stop, go) = if pause {
+                (NodeAction::Pause(n), NodeAction::Continue(n))
+            } else {
+                (NodeAction::Kill(n), NodeAction::Start(n))
+            };
+            self.out.push(Out::Node(stop));
+            self.heal_at(now + Span::secs(for_s), Heal::Node(go));
+        }
+    }
+
+    pub(super) fn strike(&mut self, now: Time, what: &What, about: &About) {
+        let text = serde_json::to_value(what).unwrap_or_default().to_string();
+        tracing::info!(at_s = now.0 as f64 / 1e6, fault = %text, "fault");
+        self.marks.push((now.0 as f64 / 1e6, what.name()));
+        self.checker.hear(now, Seen::Fault { what: text });
+        let until = |s: f64| now + Span::secs(s);
+        match what {
+            What::SitePower {
+                zone,
+                for_s,
+                machines,
+            } => {
+                let here = |n: &usize| self.script.cluster.controllers[*n] == *zone;
+                let nodes: Vec<usize> = (0..self.labels.len()).filter(here).collect();
+                self.stop_nodes(now, nodes, *for_s, false);
+                match machines {
+                    PowerLoss::Freeze => self.fleet.freeze(zone, true),
+                    PowerLoss::Die => {
+                        let there = self.cloud.machines();
+                        let names: Vec<String> = there
+                            .filter(|m| m.zone.as_str() == zone)
+                            .map(|m| m.id.to_string())
+                            .collect();
+                        for m in names {
+                            self.cloud.kill(now, &m);
+                        }
+                    }
+                }
+                self.cloud.dark.insert(zone.clone());
+                self.heal_at(until(*for_s), Heal::Power(zone.clone()));
+                self.happen(now);
+            }
+            What::Kill { nodes, for_s } => {
+                let nodes = self.pick_nodes(nodes, about);
+                self.stop_nodes(now, nodes, *for_s, false);
+            }
+            What::Pause { nodes, for_s } => {
+                let nodes = self.pick_nodes(nodes, about);
+                self.stop_nodes(now, nodes, *for_s, true);
+            }
+            What::Vanish { count, that, zone } => {
+                let mut names = self.pick_machines(*count as usize, |w| {
+                    zone.as_ref().is_none_or(|z| w.machine.zone.as_str() == z)
+                });
+                names.extend(about.machine.clone().filter(|_| *that));
+                for m in names {
+                    self.cloud.kill(now, &m);
+                }
+                self.happen(now);
+            }
+            What::Hang { count, that, for_s } => {
+                let mut names = self.pick_machines(*count as usize, |w| !w.tasks.is_empty());
+                names.extend(about.machine.clone().filter(|_| *that));
+                for m in names {
+                    if let Some(w) = self.fleet.worker(&m) {
+                        w.hung = Some(until(*for_s));
+                    }
+                }
+            }
+            What::Slow {
+                count,
+                factor,
+                for_s,
+            } => {
+                let names = self.pick_machines(*count as usize, |_| true);
+                let mut before = Vec::new();
+                for m in names {
+                    if let Some(w) = self.fleet.worker(&m) {
+                        before.push((m.clone(), w.speed));
+                        w.speed /= factor.max(1.0);
+                    }
+                }
+                self.heal_at(until(*for_s), Heal::Fast(before));
+            }
+            What::SpotTaken { share, notice_s } => {
+                let spots = self
+                    .fleet
+                    .workers()
+                    .values()
+                    .filter(|w| w.machine.spot)
+                    .count();
+                let count = (spots as f64 * share).ceil() as usize;
+                for m in self.pick_machines(count, |w| w.machine.spot && w.taken.is_none()) {
+                    let notice = notice_s * self.rng.random_range(0.5..1.5);
+                    if let Some(w) = self.fleet.worker(&m) {
+                        w.taken = Some(now + Span::secs(notice));
+                        w.touch();
+                    }
+                }
+            }
+            What::StateOut { for_s } => self.state_out(now, *for_s, Heal::StateOut),
+            What::StateFull { for_s } => match &self.store {
+                Store::Memory(disk) => {
+                    disk.set_full(true);
+                    self.heal_at(until(*for_s), Heal::StateFull);
+                }
+                // A real disk is not filled for a rehearsal: the service does
+                // what it would do.
+                Store::File(_) => self.state_out(now, *for_s, Heal::StateOut),
+            },
+            What::StateKilled { for_s, last_write } => {
+                let down = Span::secs(*for_s);
+                match (&self.store, last_write) {
+                    (Store::Memory(disk), LastWrite::Everything | LastWrite::Torn) => {
+                        let left = match last_write {
+                            LastWrite::Torn => Left::Torn(self.rng.random()),
+                            _ => Left::Everything,
+                        };
+                        disk.cut_at(disk.operations() + self.rng.random_range(1..6), left);
+                        self.dying = Some(down);
+                    }
+                    _ => self.end_state(now, down),
+                }
+            }
+            What::StateRefuses { nodes, for_s } => {
+                let nodes = self.pick_nodes(nodes, about);
+                for n in &nodes {
+                    if let Some(s) = &mut self.state {
+                        s.refuse(Asker(*n as u32), true);
+                    }
+                }
+                self.heal_at(until(*for_s), Heal::StateRefuses(nodes));
+            }
+            What::StateSlow { delay_s, for_s } => {
+                self.links.slow_state(Span::secs(*delay_s), until(*for_s));
+            }
+            What::CloudOut { for_s } => {
+                self.cloud.out = true;
+                self.heal_at(until(*for_s), Heal::CloudOut);
+            }
+            What::CloudShort { for_s } => {
+                self.cloud.short = true;
+                self.heal_at(until(*for_s), Heal::CloudShort);
+            }
+            What::CloudSlow { delay_s, for_s } => {
+                self.links.slow_cloud(Span::secs(*delay_s), until(*for_s));
+            }
+            What::Cut {
+                a,
+                b,
+                one_way,
+                mode,
+                for_s,
+            } => {
+                let (a, b) = (self.group(a, about), self.group(b, about));
+                self.links.cut(a, b, *one_way, *mode, until(*for_s));
+            }
+            What::LoseAnswer {} => self.lost_calls.extend(about.call),
+        }
+    }
+
+    pub(super) fn state_out(&mut self, now: Time, for_s: f64, heal: Heal) {
+        if let Some(s) = &mut self.state {
+            s.set_out(now, true);
+        }
+        self.heal_at(now + Span::secs(for_s), heal);
+    }
+
+    pub(super) fn heal(&mut self, now: Time, heal: Heal) {
+        match heal {
+            Heal::Node(action) => self.out.push(Out::Node(action)),
+            Heal::Power(zone) => {
+                self.fleet.freeze(&zone, false);
+                self.cloud.dark.remove(&zone);
+            }
+            Heal::StateOut => {
+                if let Some(s) = &mut self.state {
+                    s.set_out(now, false);
+                }
+            }
+            Heal::StateBack => {
+                if let Store::Memory(disk) = &self.store {
+                    disk.power_on();
+                }
+                match self.open_state(now) {
+                    Ok(s) => self.state = Some(s),
+                    Err(e) => {
+                        tracing::error!(error = %e, "the state service cannot start");
+                        self.heal_at(now + Span::secs(1.0), Heal::StateBack);
+                    }
+                }
+            }
+            Heal::StateFull => {
+                if let Store::Memory(disk) = &self.store {
+                    disk.set_full(false);
+                }
+            }
+            Heal::StateRefuses(nodes) => {
+                for n in nodes {
+                    if let Some(s) = &mut self.state {
+                        s.refuse(Asker(n as u32), false);
+                    }
+                }
+            }
+            Heal::CloudOut => self.cloud.out = false,
+            Heal::CloudShort => self.cloud.short = false,
+            Heal::Fast(before) => {
+                for (m, speed) in before {
+                    if let Some(w) = self.fleet.worker(&m) {
+                        w.speed = speed;
+                    }
+                }
+            }
+        }
+    }
+}
--- a/crates/rehearsal/src/worker.rs
+++ b/crates/rehearsal/src/worker.rs
@@ -194,6 +194,14 @@
         self.tasks.is_empty() && self.flight.is_none() && !self.changed && now < self.next
     }
 
+    /// Whether time does anything to it: it has tasks or fetches, or its lease is
+    /// over.
+    pub fn needs_time(&self, now: Time) -> bool {
+        !self.tasks.is_empty()
+            || !self.fetching.is_empty()
+            || now.since(self.leased) > self.times.lease
+    }
+
     /// Begins a report under this ticket, if one is due.
     pub fn due(&mut self, now: Time, ticket: u64, rng: &mut StdRng) -> Option<Report> {
         if let Some((_, sent)) = self.flight {
