Tell bad input from a failure to listen again; one way to answer with a body

Cause: since the command line was cut the daemon ended with status 2 for a port that is in use as well as for settings that cannot be used; four places wrote out the same answer.

Change: ServeError tells the two apart, 2 and 1 as before; `answer_body` in the core's hands.

--- a/crates/pebblefold/src/cli.rs
+++ b/crates/pebblefold/src/cli.rs
@@ -50,17 +50,27 @@
     Ok((settings, policy))
 }
 
+/// Why a controller does not serve.
+#[derive(Debug, thiserror::Error)]
+pub enum ServeError {
+    /// Settings or policy cannot be used; the text names the field.
+    #[error("{0}")]
+    Input(String),
+    /// A listener cannot be opened.
+    #[error(transparent)]
+    Listen(#[from] std::io::Error),
+}
+
 /// Serves as the controller of a settings file until the process is killed.
 ///
 /// # Errors
-/// Settings or policy cannot be used, or a listener cannot be opened; the text
-/// names the field or the address.
-pub fn serve(config: &Path, policy: Option<&Path>) -> Result<(), String> {
-    let (settings, policy) = load(config, policy)?;
+/// See [`ServeError`].
+pub fn serve(config: &Path, policy: Option<&Path>) -> Result<(), ServeError> {
+    let (settings, policy) = load(config, policy).map_err(ServeError::Input)?;
     let json = logging::start(tracing::Level::INFO);
     // Many nodes' logs may be gathered in one place: each line says whose it is.
     let _span = json.then(|| tracing::info_span!("controller", node = %settings.label).entered());
-    driver::serve(settings, policy).map_err(|e| e.to_string())
+    Ok(driver::serve(settings, policy)?)
 }
 
 /// Runs the program.
@@ -73,7 +83,8 @@
             };
             match serve(&config, args.policy.as_deref()) {
                 Ok(()) => ExitCode::SUCCESS,
-                Err(e) => fail(BAD_INPUT, e),
+                Err(e @ ServeError::Input(_)) => fail(BAD_INPUT, e),
+                Err(e @ ServeError::Listen(_)) => fail(1, e),
             }
         }
         Some(Verb::Check { config, policy }) => match load(&config, policy.as_deref()) {
--- a/crates/pebblefold/src/core/commands.rs
+++ b/crates/pebblefold/src/core/commands.rs
@@ -1,11 +1,11 @@
 //! What workers are told: starts, stops, `clear`, and the answers that carry them.
 
+use super::RequestId;
 use super::io::Io;
 use super::leader::Leader;
 use super::ledger::End;
 use super::presence::{Phase, Placement};
 use super::weak::{self, Decision};
-use super::{Answer, RequestId};
 use crate::types::{Attempt, JobId, MachineId, Span, TaskId, Time};
 use crate::wire;
 use crate::wire::workers::{Command, ReportAnswer, TaskState, Why};
@@ -105,14 +105,7 @@
             token: self.token,
             commands,
         });
-        io.answer(
-            request,
-            Answer {
-                status: 200,
-                body,
-                ..Default::default()
-            },
-        );
+        io.answer_body(request, body);
     }
 
     pub(super) fn commands(&mut self, now: Time, id: &MachineId) -> Vec<Command> {
--- a/crates/pebblefold/src/core/io.rs
+++ b/crates/pebblefold/src/core/io.rs
@@ -180,6 +180,16 @@
         self.out.push(Output::Answer(request, answer));
     }
 
+    /// Answers 200 with a body.
+    pub fn answer_body(&mut self, request: RequestId, body: Vec<u8>) {
+        let answer = Answer {
+            status: 200,
+            retry_after: None,
+            body,
+        };
+        self.answer(request, answer);
+    }
+
     /// Answers with a bare status.
     pub fn answer_status(&mut self, request: RequestId, status: u16) {
         self.answer(
--- a/crates/pebblefold/src/core/node.rs
+++ b/crates/pebblefold/src/core/node.rs
@@ -10,7 +10,7 @@
 use super::io::{Io, Timed, Waits};
 use super::leader::{Fate, Leader};
 use super::ledger;
-use super::{Answer, CallId, Input, Now, Output, Reply, RequestId, Side, Target};
+use super::{CallId, Input, Now, Output, Reply, RequestId, Side, Target};
 use crate::http;
 use crate::policy::Policy;
 use crate::settings::Settings;
@@ -195,14 +195,7 @@
             (Side::Internal, "POST", ["greet"]) => self.greeted(id, &r.body),
             (Side::Internal, "GET", ["inspect"]) => {
                 let body = wire::encode(&self.inspect(&r.query));
-                self.io.answer(
-                    id,
-                    Answer {
-                        status: 200,
-                        retry_after: None,
-                        body,
-                    },
-                );
+                self.io.answer_body(id, body);
             }
             (Side::Api, _, ["submissions"] | ["submissions", _] | ["submissions", _, "cancel"])
             | (Side::Api, _, ["checkin"] | ["ready"])
--- a/crates/pebblefold/src/core/node/peers.rs
+++ b/crates/pebblefold/src/core/node/peers.rs
@@ -4,7 +4,7 @@
     Awaits, GREET_EVERY, MOST_CACHES, MOST_COUNTS, Node, PEER_FRESH, PeerView, STATE_FRESH,
 };
 use crate::core::leader::Fate;
-use crate::core::{Answer, Reply, RequestId, Target};
+use crate::core::{Reply, RequestId, Target};
 use crate::types::{JobId, Label};
 use crate::wire;
 use crate::wire::peers::Greeting;
@@ -97,14 +97,7 @@
         };
         self.heard(g);
         let body = wire::encode(&self.greeting(Vec::new()));
-        self.io.answer(
-            id,
-            Answer {
-                status: 200,
-                retry_after: None,
-                body,
-            },
-        );
+        self.io.answer_body(id, body);
     }
 
     pub(super) fn heard(&mut self, g: Greeting) {
--- a/crates/pebblefold/src/core/node/reports.rs
+++ b/crates/pebblefold/src/core/node/reports.rs
@@ -76,14 +76,7 @@
     /// The leader answered a report that was passed on, or not.
     pub(super) fn on_relay(&mut self, id: RequestId, reply: Reply) {
         match reply {
-            Reply::Answer(200, body) => self.io.answer(
-                id,
-                Answer {
-                    status: 200,
-                    body,
-                    ..Default::default()
-                },
-            ),
+            Reply::Answer(200, body) => self.io.answer_body(id, body),
             // Another node may do better.
             _ => self.report_elsewhere(id, None),
         }
