Refuse what cannot be meant; one table of requirements; no name used up by a slip

Change: each is refused at once with status 2 and the field, or told within 3 s (state) and 8 s (nodes). Which requirements are carried out stands in one table; `linkMerge` of one listed source is no special case any more; what nobody called is gone; the client has one way to submit.

--- a/crates/client/src/client.rs
+++ b/crates/client/src/client.rs
@@ -92,15 +92,8 @@
     /// # Errors
     /// See [`ClientError`].
     pub async fn submit(&self, job: &Submission) -> Result<JobAnswer, ClientError> {
-        self.submit_raw(&job.id, encode(job)).await
-    }
-
-    /// Submits a job that is encoded already.
-    ///
-    /// # Errors
-    /// See [`ClientError`].
-    pub async fn submit_raw(&self, id: &JobId, body: Vec<u8>) -> Result<JobAnswer, ClientError> {
-        self.call(Kind::Submit, id, "POST", "/submissions".into(), body)
+        let path = "/submissions".into();
+        self.call(Kind::Submit, &job.id, "POST", path, encode(job))
             .await
     }
 
--- a/crates/client/tests/client.rs
+++ b/crates/client/tests/client.rs
@@ -5,7 +5,7 @@
 use pebblefold_wire::encode;
 use pebblefold_wire::http::{Request, Response};
 use pebblefold_wire::types::{Span, Time};
-use pebblefold_wire::users::{JobAnswer, Stage};
+use pebblefold_wire::users::{JobAnswer, Priority, Shape, Stage, Submission};
 use std::cell::RefCell;
 use std::net::{SocketAddr, SocketAddrV4};
 use std::rc::Rc;
@@ -114,6 +114,31 @@
     assert!(seen.allows(&"wk-5".into(), None), "only so many are kept");
 }
 
+fn submission() -> Submission {
+    Submission {
+        id: "wk-1".into(),
+        class: "tiles".into(),
+        team: "maps".into(),
+        shape: Shape::Array,
+        priority: Priority::Low,
+        tasks: 1,
+        cpus: 1.0,
+        gpus: 0.0,
+        memory_gb: 1.0,
+        image: "tiles-1".into(),
+        image_gb: 1.0,
+        kinds: None,
+        zone: None,
+        one_zone: false,
+        spread: false,
+        spot: false,
+        estimate_s: 1.0,
+        checkpoint_s: 0.0,
+        save_s: 0.0,
+        deadline_s: None,
+    }
+}
+
 type Script = Rc<RefCell<Vec<Option<(u16, Option<u32>, Stage)>>>>;
 
 /// A node that answers by a script, from its end; `None` drops the connection.
@@ -180,7 +205,7 @@
         let dead = "127.0.0.1:1".parse().unwrap();
         let client = Client::new(vec![addr, dead], quick());
         let job = "wk-1".into();
-        assert_eq!(client.submit_raw(&job, Vec::new()).await.unwrap().stage, q);
+        assert_eq!(client.submit(&submission()).await.unwrap().stage, q);
         // Refused, dropped, then done; and never running or unknown again.
         assert_eq!(client.status(&job).await.unwrap().stage, Stage::Done);
         assert_eq!(client.status(&job).await.unwrap().stage, Stage::Done);
@@ -209,7 +234,7 @@
             client.status(&job).await,
             Err(ClientError::NoSuchJob("wk-1".into()))
         );
-        let refused = client.submit_raw(&job, Vec::new()).await.unwrap_err();
+        let refused = client.submit(&submission()).await.unwrap_err();
         assert!(
             matches!(refused, ClientError::Refused { status: 422, .. }) && !refused.may_repeat()
         );
--- a/crates/pebblectl/src/args.rs
+++ b/crates/pebblectl/src/args.rs
@@ -131,7 +131,8 @@
     #[arg(long)]
     pub seed: Option<u64>,
     /// In simulated time: so many seeds from there on.
-    #[arg(long, default_value_t = 1, value_name = "N", requires = "simulated")]
+    #[arg(long, default_value_t = 1, value_name = "N", requires = "simulated",
+          value_parser = clap::value_parser!(u64).range(1..))]
     pub seeds: u64,
     /// Write the report of the last seed as one HTML page.
     #[arg(long, value_name = "FILE")]
@@ -244,8 +245,8 @@
     #[arg(long, value_name = "DIR", default_value = "target/flows")]
     pub work: PathBuf,
     /// Steps at once.
-    #[arg(long, default_value_t = 40)]
-    pub at_once: usize,
+    #[arg(long, default_value_t = 40, value_parser = clap::value_parser!(u16).range(1..))]
+    pub at_once: u16,
     /// When a step may be run again: `never` once it was started, or after a
     /// failing exit so many times (0: only after its machine was lost).
     #[arg(long, default_value = "0", value_parser = retry)]
--- a/crates/pebblectl/src/ask.rs
+++ b/crates/pebblectl/src/ask.rs
@@ -3,22 +3,27 @@
 use crate::output::Failure;
 use pebblefold_client::{Client, ClientError, Policy};
 use pebblefold_net::{Client as Net, Sent};
+use pebblefold_rehearsal::loopback::LoopbackError;
 use pebblefold_wire::decode;
-use pebblefold_wire::types::{JobId, Span};
+use pebblefold_wire::types::Span;
+use pebblefold_wire::users::Submission;
 use serde_json::Value;
 use std::net::SocketAddrV4;
 use std::path::Path;
 use std::time::Duration;
 use tokio::time::timeout;
 
+/// How long a person waits for an answer.
+pub const PERSON: Span = Span::millis(8000);
 /// How long one node may take.
 const PATIENCE: Duration = Duration::from_secs(6);
 
 /// Reads a job in the users' form.
 ///
 /// # Errors
-/// The file cannot be read, or is not JSON; the text names line and column.
-pub fn read_job(path: &Path) -> Result<Value, Failure> {
+/// The file cannot be read, or is no job; the text names line and column, or the
+/// field.
+pub fn read_job(path: &Path) -> Result<Submission, Failure> {
     let text = if path == Path::new("-") {
         std::io::read_to_string(std::io::stdin())
     } else {
@@ -26,12 +31,19 @@
     };
     let named = |e: String| Failure::Input(format!("{}: {e}", path.display()));
     let text = text.map_err(|e| named(e.to_string()))?;
-    serde_json::from_str(&text).map_err(|e| named(e.to_string()))
+    let wanted = "a job in the users' form is wanted, as deploy/job.json";
+    let job: Submission =
+        serde_json::from_str(&text).map_err(|e| named(format!("{e}; {wanted}")))?;
+    match job.fault() {
+        None => Ok(job),
+        Some(field) => Err(named(format!(
+            "{field}: its value cannot be used; {wanted}"
+        ))),
+    }
 }
 
-/// A client of a cluster.
-pub fn client(nodes: Vec<SocketAddrV4>) -> Client {
-    let deadline = Span::millis(20_000);
+/// A client of a cluster, whose calls end after `deadline`.
+pub fn client(nodes: Vec<SocketAddrV4>, deadline: Span) -> Client {
     Client::new(
         nodes,
         Policy {
@@ -41,23 +53,23 @@
     )
 }
 
-/// The id of a job in the users' form.
-///
-/// # Errors
-/// It has none.
-pub fn id_of(job: &Value) -> Result<JobId, Failure> {
-    match job["ref"].as_str() {
-        Some(id) => Ok(id.into()),
-        None => Err(Failure::input("the job's ref is missing; it is its id")),
-    }
-}
-
 impl From<ClientError> for Failure {
     fn from(e: ClientError) -> Failure {
         match e {
             ClientError::Refused { .. } | ClientError::NoSuchJob(_) => Failure::failed(e),
             ClientError::BadId(_) | ClientError::NoNodes => Failure::input(e),
-            ClientError::Busy { .. } => Failure::Unreachable(e.to_string()),
+            ClientError::Busy { .. } => {
+                Failure::Unreachable(format!("{e}; is the cluster up, and is it this one?"))
+            }
+        }
+    }
+}
+
+impl From<LoopbackError> for Failure {
+    fn from(e: LoopbackError) -> Failure {
+        match e {
+            LoopbackError::Ports { .. } | LoopbackError::Settings(_) => Failure::input(e),
+            LoopbackError::Storage(_) | LoopbackError::Io(..) => Failure::failed(e),
         }
     }
 }
--- a/crates/pebblectl/src/main.rs
+++ b/crates/pebblectl/src/main.rs
@@ -68,26 +68,17 @@
     }
     let config = config::Config::gather(&args)?;
     let show = Show::new(config.output.value);
+    let client = |nodes| ask::client(nodes, ask::PERSON);
     match args.verb {
         Verb::Up(up) => up::up(up, &show).await,
         Verb::Rehearse(r) => rehearse::rehearse(r, &show).await,
         Verb::Top(t) => top::top(&config.internal()?, t, &show).await,
         Verb::Submit { job } => {
             let job = ask::read_job(&job)?;
-            let (id, body) = (ask::id_of(&job)?, pebblefold_wire::encode(&job));
-            let client = ask::client(config.api()?);
-            show.job(&client.submit_raw(&id, body).await?)
+            show.job(&client(config.api()?).submit(&job).await?)
         }
-        Verb::Status { id } => show.job(
-            &ask::client(config.api()?)
-                .status(&id.as_str().into())
-                .await?,
-        ),
-        Verb::Cancel { id } => show.job(
-            &ask::client(config.api()?)
-                .cancel(&id.as_str().into())
-                .await?,
-        ),
+        Verb::Status { id } => show.job(&client(config.api()?).status(&id.as_str().into()).await?),
+        Verb::Cancel { id } => show.job(&client(config.api()?).cancel(&id.as_str().into()).await?),
         Verb::Inspect { machine, job } => {
             show.any(&ask::inspect(&config.internal()?, &machine, &job).await?)
         }
--- a/crates/pebblectl/src/rehearse.rs
+++ b/crates/pebblectl/src/rehearse.rs
@@ -81,9 +81,7 @@
         port: None,
         log_level: std::env::var("LOG_LEVEL").unwrap_or_else(|_| "info".into()),
     };
-    let cluster = Loopback::start(script, seed, options)
-        .await
-        .map_err(Failure::failed)?;
+    let cluster = Loopback::start(script, seed, options).await?;
     let bar = bar(length, "seconds");
     let mut verdict = cluster
         .rehearse(|stand, t| {
--- a/crates/pebblectl/src/up.rs
+++ b/crates/pebblectl/src/up.rs
@@ -4,11 +4,12 @@
 use crate::ask;
 use crate::output::{Failure, Show};
 use crate::rehearse::{controller_program, load};
+use pebblefold::cli::ServeError;
 use pebblefold_rehearsal::checker::{Breach, Rule};
 use pebblefold_rehearsal::loopback::{Loopback, Options};
 use pebblefold_rehearsal::script::Script;
-use pebblefold_wire::encode;
-use pebblefold_wire::users::JobAnswer;
+use pebblefold_wire::types::Span;
+use pebblefold_wire::users::{JobAnswer, Submission};
 use std::net::SocketAddrV4;
 use std::path::Path;
 use std::time::Duration;
@@ -17,9 +18,15 @@
 /// Time between two looks at a job that is waited for.
 const LOOK: Duration = Duration::from_millis(500);
 
+/// How long a cluster that has just started may take to accept its first job.
+const FIRST: Span = Span::millis(30_000);
+
 /// Serves as one controller.
 pub fn controller(settings: &Path) -> Result<(), Failure> {
-    pebblefold::cli::serve(settings, None).map_err(Failure::input)
+    pebblefold::cli::serve(settings, None).map_err(|e| match e {
+        ServeError::Input(_) => Failure::input(e),
+        ServeError::Listen(_) => Failure::failed(e),
+    })
 }
 
 /// Starts a cluster and keeps it until Ctrl-C, or until its job is over.
@@ -30,7 +37,6 @@
             .map_err(|e| Failure::Failed(format!("the built-in cluster: {e:?}")))?,
     };
     let job = u.job.as_deref().map(ask::read_job).transpose()?;
-    let length = script.length_s;
     let seed = script.seed;
     let options = Options {
         program: controller_program()?,
@@ -38,9 +44,7 @@
         port: (u.port > 0).then_some(u.port),
         log_level: std::env::var("LOG_LEVEL").unwrap_or_else(|_| "info".into()),
     };
-    let cluster = Loopback::start(script, seed, options)
-        .await
-        .map_err(Failure::failed)?;
+    let cluster = Loopback::start(script, seed, options).await?;
     let layout = cluster.layout();
     eprintln!(
         "users:       {}   (pebblectl submit JOB.json)",
@@ -61,7 +65,7 @@
     );
     let served = async {
         let mut told = (0, 0, usize::MAX);
-        while cluster.elapsed() < length {
+        loop {
             cluster.step().await;
             // A cluster whose controllers end is of no use; why is told below.
             let ended = |b: &Breach| b.rule == Rule::Protocol;
@@ -129,13 +133,12 @@
 }
 
 /// Submits a job and waits for its end.
-async fn run(front: SocketAddrV4, job: &serde_json::Value) -> Result<JobAnswer, Failure> {
-    let client = ask::client(vec![front]);
-    let (id, body) = (ask::id_of(job)?, encode(job));
+async fn run(front: SocketAddrV4, job: &Submission) -> Result<JobAnswer, Failure> {
+    let client = ask::client(vec![front], FIRST);
     // A cluster that has just started does not know its machines yet: the
     // client asks again for a while.
-    let answer = client.submit_raw(&id, body).await?;
+    let answer = client.submit(job).await?;
     eprintln!("{}: accepted", answer.id);
     let told = |a: &JobAnswer| eprintln!("{}: {:?}", a.id, a.stage);
-    Ok(client.wait(&id, LOOK, told).await?)
+    Ok(client.wait(&job.id, LOOK, told).await?)
 }
--- a/crates/pebblectl/src/workflow.rs
+++ b/crates/pebblectl/src/workflow.rs
@@ -3,10 +3,11 @@
 use crate::args::WorkflowRun;
 use crate::ask;
 use crate::output::{Failure, Show, pretty};
-use pebblefold_wire::users::{Submission, valid_id};
+use pebblefold_wire::users::valid_id;
 use pebblefold_workflow::load::{Disk, load};
 use pebblefold_workflow::node;
 use pebblefold_workflow::problem::{Problems, Weight};
+use pebblefold_workflow::records::RecordError;
 use pebblefold_workflow::runner::{self, News, Options, RunError};
 use serde_json::{Value, json};
 use std::net::SocketAddrV4;
@@ -90,8 +91,7 @@
         Some(file) => inputs(file)?,
         None => serde_json::Map::new(),
     };
-    let job: Submission = serde_json::from_value(ask::read_job(&r.job)?)
-        .map_err(|e| Failure::Input(format!("{}: {e}", r.job.display())))?;
+    let job = ask::read_job(&r.job)?;
     let work = std::path::absolute(&r.work).map_err(Failure::input)?;
     std::fs::create_dir_all(&work)
         .map_err(|e| Failure::Input(format!("{}: {e}", work.display())))?;
@@ -105,7 +105,7 @@
         state,
         work,
         job,
-        at_once: r.at_once,
+        at_once: usize::from(r.at_once),
         retry: r.retry,
     };
     let tell = |news: News| match news {
@@ -121,6 +121,7 @@
             Ok(())
         }
         Err(RunError::Refused(e)) => Err(Failure::Input(e)),
+        Err(RunError::Records(e @ RecordError::Taken(_))) => Err(Failure::input(e)),
         Err(RunError::Records(e)) => Err(Failure::Unreachable(e.to_string())),
         Err(e) => Err(Failure::failed(e)),
     }
--- a/crates/pebblectl/tests/program.rs
+++ b/crates/pebblectl/tests/program.rs
@@ -142,6 +142,45 @@
     assert!(text(&o.stderr).contains("line 2"), "{}", text(&o.stderr));
 }
 
+// A count of none once passed with nothing played, ports once wrapped around, and a
+// job without a field was refused by a node that named none.
+#[test]
+fn what_cannot_be_meant_is_refused_before_anything_is_done() {
+    let dir = Dir::new("meant");
+    let job = dir.at("job.json");
+    std::fs::write(&job, "{\"ref\": \"wk-000001\"}").unwrap();
+    let up = dir.at("up");
+    let night = "rehearsals/billing-night.toml";
+    let cases: [(&[&str], u8, &str); 4] = [
+        (
+            &["rehearse", "--simulated", "--seeds", "0", night],
+            2,
+            "0 is not in 1..",
+        ),
+        (
+            &["up", "--port", "65530", "--dir", &up],
+            2,
+            "8 ports in a row",
+        ),
+        (&["submit", &job], 2, "missing field `lane`"),
+        (
+            &["up", "--job", &job, "--dir", &up],
+            2,
+            "missing field `lane`",
+        ),
+    ];
+    for (arguments, status, told) in cases {
+        let o = pebblectl(arguments);
+        let said = text(&o.stderr);
+        assert_eq!(
+            o.status.code(),
+            Some(i32::from(status)),
+            "{arguments:?}: {said}"
+        );
+        assert!(said.contains(told), "{arguments:?}: {said}");
+    }
+}
+
 // A rehearsal with real controllers, one killed and one stopped for a while; a
 // page with plots that stands alone.
 #[test]
--- a/crates/pebblectl/tests/state.rs
+++ b/crates/pebblectl/tests/state.rs
@@ -97,6 +97,19 @@
     }
 }
 
+/// The program, to its successful end.
+fn pebblectl(arguments: &[&str]) {
+    let out = Command::new(env!("CARGO_BIN_EXE_pebblectl"))
+        .args(arguments)
+        .output()
+        .unwrap();
+    assert!(
+        out.status.success(),
+        "{}",
+        String::from_utf8_lossy(&out.stderr)
+    );
+}
+
 fn dir(name: &str) -> PathBuf {
     let dir = std::env::temp_dir().join(format!("pebblectl-{name}-{}", std::process::id()));
     std::fs::create_dir_all(&dir).unwrap();
@@ -210,32 +223,10 @@
         for n in 0..50 {
             service.commit(n).await.unwrap();
         }
-        let pebblectl = |arguments: &[&str]| {
-            let out = Command::new(env!("CARGO_BIN_EXE_pebblectl"))
-                .args(arguments)
-                .output()
-                .unwrap();
-            assert!(
-                out.status.success(),
-                "{}",
-                String::from_utf8_lossy(&out.stderr)
-            );
-        };
         let path = file.display().to_string();
-        let admin = service.admin.to_string();
-        let saving = tokio::task::spawn_blocking({
-            let (path, admin) = (path.clone(), admin.clone());
-            move || {
-                let out = Command::new(env!("CARGO_BIN_EXE_pebblectl"))
-                    .args(["state", "snapshot", "save", "--admin", &admin, &path])
-                    .output()
-                    .unwrap();
-                assert!(
-                    out.status.success(),
-                    "{}",
-                    String::from_utf8_lossy(&out.stderr)
-                );
-            }
+        let (asked, admin) = (path.clone(), service.admin.to_string());
+        let saving = tokio::task::spawn_blocking(move || {
+            pebblectl(&["state", "snapshot", "save", "--admin", &admin, &asked]);
         });
         // It serves meanwhile.
         let last = service.commit(50).await.unwrap();
--- a/crates/pebblectl/tests/workflow.rs
+++ b/crates/pebblectl/tests/workflow.rs
@@ -162,16 +162,39 @@
         "{}",
         text(&again.stderr)
     );
-    // The name stands for this workflow alone.
-    let taken = cluster
-        .command("first", &["examples/workflow/readings.cwl"])
+    // A slip in the inputs does not use a name up.
+    let slip = cluster
+        .command("slip", &["examples/workflow/readings.cwl"])
         .output()
         .unwrap();
-    assert!(!taken.status.success());
-
-    // A runner killed at any moment, and begun again.
+    assert!(
+        text(&slip.stderr).contains("input photos: null"),
+        "{}",
+        text(&slip.stderr)
+    );
+    let mended = cluster
+        .command(
+            "slip",
+            &[
+                "examples/workflow/readings.cwl",
+                "examples/workflow/inputs.yml",
+            ],
+        )
+        .output()
+        .unwrap();
+    assert_eq!(outputs(&mended)["total"], 126);
+    // The name stands for this workflow alone.
     let sleepy = cluster.sleepy(12);
     let sleepy = sleepy.to_str().unwrap();
+    let taken = cluster.command("first", &[sleepy]).output().unwrap();
+    assert_eq!(taken.status.code(), Some(2), "{}", text(&taken.stderr));
+    assert!(
+        text(&taken.stderr).contains("is taken"),
+        "{}",
+        text(&taken.stderr)
+    );
+
+    // A runner killed at any moment, and begun again.
     for ms in [900, 1500, 1200] {
         let mut runner = cluster
             .command("killed", &[sleepy, "--at-once", "4"])
--- a/crates/state/src/cut.rs
+++ b/crates/state/src/cut.rs
@@ -174,12 +174,6 @@
     pub fn set_full(&self, full: bool) {
         self.inner().full = full;
     }
-
-    /// Overwrites bytes behind everybody's back, as a bad sector would.
-    pub fn damage(&self, offset: usize, data: &[u8]) {
-        let mut d = self.inner();
-        apply(&mut d.synced, offset as u64, data);
-    }
 }
 
 impl redb::StorageBackend for Opened {
--- a/crates/workflow/src/check.rs
+++ b/crates/workflow/src/check.rs
@@ -3,7 +3,8 @@
 //! are asked for where they are used, and what is not carried out.
 
 use crate::document::{
-    Binding, Expr, Kind, Links, Merge, Parameter, Pick, Process, Scatter, Step, StepInput,
+    Binding, Expr, Kind, Links, Merge, Parameter, Pick, Process, REQUIREMENTS, Scatter, Step,
+    StepInput,
 };
 use crate::expression::Segment;
 use crate::problem::{At, Problems};
@@ -11,23 +12,6 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
-/// Requirements that are understood.
-const KNOWN: [&str; 13] = [
-    "EnvVarRequirement",
-    "InitialWorkDirRequirement",
-    "InlineJavascriptRequirement",
-    "InplaceUpdateRequirement",
-    "MultipleInputFeatureRequirement",
-    "NetworkAccess",
-    "ResourceRequirement",
-    "ScatterFeatureRequirement",
-    "SchemaDefRequirement",
-    "StepInputExpressionRequirement",
-    "SubworkflowFeatureRequirement",
-    "ToolTimeLimit",
-    "WorkReuse",
-];
-
 struct Check<'a> {
     file: Rc<str>,
     problems: &'a mut Problems,
@@ -43,7 +27,6 @@
 /// The type that several sources make together; `None`: they cannot be one.
 fn together(types: &[Type], links: &Links) -> Result<Type, String> {
     let merged = match (types, links.merge) {
-        ([one], None) if !links.listed => one.clone(),
         (_, Some(Merge::Flattened)) => {
             let mut items: Vec<Type> = Vec::new();
             for t in types {
@@ -185,7 +168,8 @@
             if !seen.insert((&r.class, r.hint)) {
                 self.error(r.at, format!("{}: stands here a second time", r.class));
             }
-            if KNOWN.contains(&r.class.as_str()) || r.class.contains(':') {
+            let known = REQUIREMENTS.iter().any(|(class, _)| *class == r.class);
+            if known || r.class.contains(':') {
                 continue;
             }
             let text = format!("{}: is not carried out", r.class);
--- a/crates/workflow/src/document.rs
+++ b/crates/workflow/src/document.rs
@@ -86,8 +86,6 @@
 pub struct Links {
     /// The sources.
     pub sources: Vec<(String, At)>,
-    /// Whether they were written as a list.
-    pub listed: bool,
     /// How several are put together.
     pub merge: Option<Merge>,
     /// How null values are left out.
@@ -176,6 +174,24 @@
     pub node: Node,
 }
 
+/// Requirements that are understood, and whether they are carried out or have
+/// nothing to be carried out; the others are refused when a process would run.
+pub const REQUIREMENTS: [(&str, bool); 13] = [
+    ("EnvVarRequirement", true),
+    ("InitialWorkDirRequirement", false),
+    ("InlineJavascriptRequirement", true),
+    ("InplaceUpdateRequirement", false),
+    ("MultipleInputFeatureRequirement", true),
+    ("NetworkAccess", true),
+    ("ResourceRequirement", true),
+    ("ScatterFeatureRequirement", true),
+    ("SchemaDefRequirement", true),
+    ("StepInputExpressionRequirement", true),
+    ("SubworkflowFeatureRequirement", true),
+    ("ToolTimeLimit", false),
+    ("WorkReuse", false),
+];
+
 /// What a process is.
 #[derive(Clone, Debug)]
 pub enum Kind {
@@ -357,8 +373,7 @@
         }
     }
 
-    /// A list of maps with ids, or a map from ids; a bare value under an id is
-    /// its field `short_form`.
+    /// A list of maps with ids, or a map from ids.
     fn named_list<'n>(
         &mut self,
         node: Option<&'n Node>,
@@ -667,10 +682,7 @@
 
     fn links(&mut self, f: &mut Fields<'_>, field: &str, what: &str) -> Links {
         let node = f.take(field);
-        let mut links = Links {
-            listed: matches!(node.map(|n| &n.value), Some(Value::List(_))),
-            ..Links::default()
-        };
+        let mut links = Links::default();
         for n in self.list(node) {
             if let Some(s) = self.text(n, &format!("{what}.{field}")) {
                 let s = s.rsplit_once('#').map_or(s.as_str(), |(_, i)| i);
@@ -790,7 +802,6 @@
                 }
                 Value::Null => {}
                 _ => {
-                    input.links.listed = matches!(n.value, Value::List(_));
                     for s in self.list(Some(n)) {
                         if let Some(t) = self.text(s, &what) {
                             let t = t.rsplit_once('#').map_or(t.as_str(), |(_, i)| i);
--- a/crates/workflow/src/engine.rs
+++ b/crates/workflow/src/engine.rs
@@ -185,9 +185,6 @@
 /// Several sources' values as one.
 fn merged(values: Vec<Value>, links: &Links) -> Result<Value, String> {
     let value = match links.merge {
-        None if !links.listed && values.len() == 1 => {
-            values.into_iter().next().unwrap_or(Value::Null)
-        }
         None if values.len() == 1 => values.into_iter().next().unwrap_or(Value::Null),
         Some(Merge::Flattened) => {
             let mut all = Vec::new();
--- a/crates/workflow/src/expression.rs
+++ b/crates/workflow/src/expression.rs
@@ -222,11 +222,6 @@
         Ok(Template(pieces))
     }
 
-    /// Whether nothing in it has to be evaluated.
-    pub fn is_literal(&self) -> bool {
-        self.0.iter().all(|p| matches!(p, Piece::Literal(_)))
-    }
-
     /// The references in it, to be checked before anything runs.
     pub fn references(&self) -> impl Iterator<Item = &[Segment]> {
         self.0.iter().filter_map(|p| match p {
--- a/crates/workflow/src/records.rs
+++ b/crates/workflow/src/records.rs
@@ -21,8 +21,8 @@
 const PATIENCE: Duration = Duration::from_secs(5);
 /// Pause between tries while the state service does not answer.
 const PAUSE: Duration = Duration::from_millis(500);
-/// Tries before it is given up.
-const TRIES: u32 = 120;
+/// Tries before it is given up: while nothing has begun, and later.
+const TRIES: (u32, u32) = (6, 120);
 
 /// How a task is recorded.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -61,6 +61,7 @@
     addr: SocketAddrV4,
     name: String,
     net: Client,
+    tries: u32,
     lists: Vec<(List, Version)>,
     /// Transactions written.
     pub writes: u64,
@@ -89,6 +90,7 @@
             addr,
             name: name.into(),
             net: Client::default(),
+            tries: TRIES.0,
             lists: Vec::new(),
             writes: 0,
         };
@@ -114,6 +116,7 @@
             return Err(RecordError::Taken(name.into()));
         }
         r.load().await?;
+        r.tries = TRIES.1;
         Ok(r)
     }
 
@@ -124,7 +127,7 @@
         body: &[u8],
     ) -> Result<(u16, Vec<u8>), RecordError> {
         let mut last = String::new();
-        for _ in 0..TRIES {
+        for _ in 0..self.tries {
             let sent = Sent::default();
             let asked = self.net.exchange(self.addr, method, path, body, &sent);
             match timeout(PATIENCE, asked).await {
--- a/crates/workflow/src/runner.rs
+++ b/crates/workflow/src/runner.rs
@@ -2,7 +2,7 @@
 //! submitted by the users' protocol under an id that follows from the workflow's
 //! name and the task's path, so that a repeated submission is the same job.
 
-use crate::document::{Kind, Process};
+use crate::document::{Kind, Process, REQUIREMENTS};
 use crate::engine::{Action, Engine, Object, Outcome, Task, TaskPath};
 use crate::expression::Limits;
 use crate::node::{Node, Value as NodeValue};
@@ -32,19 +32,6 @@
 const UPLOAD: Duration = Duration::from_secs(10);
 /// Tries of an upload.
 const UPLOADS: u32 = 30;
-/// Requirements that are carried out, or have nothing to be carried out.
-const CARRIED: [&str; 9] = [
-    "EnvVarRequirement",
-    "InlineJavascriptRequirement",
-    "MultipleInputFeatureRequirement",
-    "NetworkAccess",
-    "ResourceRequirement",
-    "ScatterFeatureRequirement",
-    "SchemaDefRequirement",
-    "StepInputExpressionRequirement",
-    "SubworkflowFeatureRequirement",
-];
-
 /// When a step may be run again.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Retry {
@@ -221,7 +208,7 @@
 /// What a process asks for that is not carried out.
 fn refused(p: &Process, out: &mut BTreeSet<String>) {
     for r in p.requirements.iter().filter(|r| !r.hint) {
-        if !CARRIED.contains(&r.class.as_str()) {
+        if !REQUIREMENTS.contains(&(r.class.as_str(), true)) {
             let At { line, .. } = r.at;
             out.insert(format!(
                 "{}:{line}: {} is not carried out yet; as a hint it would be left out",
@@ -318,9 +305,15 @@
         let all: Vec<String> = not.into_iter().collect();
         return Err(RunError::Refused(all.join("\n")));
     }
-    let mut records = Records::open(options.state, &options.name, fingerprint).await?;
     let limits = Limits::default();
     let mut engine = Engine::new(process, inputs, options.at_once, limits);
+    // Before the name is taken: a slip in the inputs must not use it up.
+    if engine.over()
+        && let Some(Action::End(Err(e))) = engine.advance().pop()
+    {
+        return Err(RunError::Refused(e));
+    }
+    let mut records = Records::open(options.state, &options.name, fingerprint).await?;
     let policy = Policy {
         deadline: Span::millis(60_000),
         ..Policy::default()
