--- a/crates/rehearsal/src/loopback.rs
+++ b/crates/rehearsal/src/loopback.rs
@@ -29,7 +29,7 @@
 use std::process::Stdio;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpSocket};
 use tokio::process::{Child, Command};
 use tokio::sync::oneshot;
 use tokio::task::{JoinHandle, spawn_local};
@@ -43,6 +43,8 @@
 const FRONT: Duration = Duration::from_secs(6);
 /// Idle connections to a controller: one for each machine that reports to it.
 const CONNECTIONS: usize = 4096;
+/// The port of every machine.
+const MACHINE_PORT: u16 = 9000;
 /// How long a controller's answer to a peer may take.
 const PEER: Duration = Duration::from_secs(8);
 
@@ -120,6 +122,10 @@
     pub front: SocketAddrV4,
     /// Where others than controllers reach the state service.
     pub records: SocketAddrV4,
+    /// The controllers' ports, kept for as long as they may be started again.
+    _reserved: Vec<TcpSocket>,
+    /// Says that the machines' addresses are taken.
+    _sign: TcpListener,
 }
 
 async fn listen(port: Option<u16>) -> Result<(TcpListener, SocketAddrV4), LoopbackError> {
@@ -131,6 +137,38 @@
     }
 }
 
+/// Keeps a port for a controller: bound, and never listened on, so that the
+/// controller alone can open it, as often as it is started, and nobody else is
+/// given it meanwhile.
+fn reserve(port: Option<u16>) -> Result<(TcpSocket, SocketAddrV4), LoopbackError> {
+    let wanted = SocketAddrV4::new(Ipv4Addr::LOCALHOST, port.unwrap_or(0));
+    let socket = TcpSocket::new_v4().map_err(io(wanted))?;
+    socket.set_reuseaddr(true).map_err(io(wanted))?;
+    socket.bind(wanted.into()).map_err(io(wanted))?;
+    match socket.local_addr().map_err(io(wanted))? {
+        SocketAddr::V4(addr) => Ok((socket, addr)),
+        SocketAddr::V6(_) => unreachable!("bound to an IPv4 address"),
+    }
+}
+
+/// The second byte of the machines' addresses, and the listener that says that
+/// they are taken: rehearsals side by side must not share machines' addresses.
+async fn machines_place(port: u16) -> Result<(u8, TcpListener), LoopbackError> {
+    let mut last = None;
+    for i in 0..250u16 {
+        let place = 1 + ((port % 250 + i) % 250) as u8;
+        let sign = SocketAddrV4::new(Ipv4Addr::new(127, place, 255, 254), MACHINE_PORT);
+        match TcpListener::bind(sign).await {
+            Ok(listener) => return Ok((place, listener)),
+            Err(e) => last = Some(LoopbackError::Io(sign.to_string(), e)),
+        }
+    }
+    Err(last.unwrap_or(LoopbackError::Io(
+        "no place for machines".into(),
+        std::io::ErrorKind::AddrInUse.into(),
+    )))
+}
+
 impl Inner {
     fn now(&self) -> Time {
         Time(self.started.elapsed().as_micros() as u64 + 1)
@@ -581,17 +619,14 @@
             state: Vec::new(),
             cloud: Vec::new(),
         };
-        // Controllers' ports are found by opening them once; they are closed
-        // again before the controllers start.
-        let mut found = Vec::new();
+        let mut reserved = Vec::new();
         for _ in 0..count {
             for list in [&mut layout.api, &mut layout.internal] {
-                let (listener, addr) = listen(next_port()).await?;
+                let (socket, addr) = reserve(next_port())?;
                 list.push(addr.to_string());
-                found.push(listener);
+                reserved.push(socket);
             }
         }
-        drop(found);
         let (records, records_addr) = listen(next_port()).await?;
         let mut listeners = Vec::new();
         for n in 0..count {
@@ -610,11 +645,10 @@
             }
         }
         let first = first_machine(dir);
-        // Rehearsals side by side must not share machines' addresses.
-        let prefix = [127, 1 + (front_addr.port() % 250) as u8];
+        let (place, sign) = machines_place(front_addr.port()).await?;
         let addresses = Addresses {
-            prefix,
-            port: 9000,
+            prefix: [127, place],
+            port: MACHINE_PORT,
             first,
         };
         let store = Store::File(dir.join("state.redb"));
@@ -691,6 +725,8 @@
             inner,
             front: front_addr,
             records: records_addr,
+            _reserved: reserved,
+            _sign: sign,
         })
     }
 
@@ -774,3 +810,35 @@
         })
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    // A controller's port was found by opening it and closing it again: another
+    // process was given it meanwhile, and the controller ended at once.
+    #[tokio::test]
+    async fn a_reserved_port_is_given_to_nobody_else_and_opens_again_and_again() {
+        let (_kept, addr) = reserve(None).unwrap();
+        let stranger = TcpSocket::new_v4().unwrap();
+        assert!(stranger.bind(addr.into()).is_err());
+        let mut others = Vec::new();
+        for _ in 0..500 {
+            let (listener, other) = listen(None).await.unwrap();
+            assert_ne!(other, addr);
+            others.push(listener);
+        }
+        for _ in 0..3 {
+            let (listener, opened) = listen(Some(addr.port())).await.unwrap();
+            assert_eq!(opened, addr);
+            drop(listener);
+        }
+    }
+
+    #[tokio::test]
+    async fn clusters_side_by_side_have_machines_at_places_of_their_own() {
+        let (a, _first) = machines_place(7600).await.unwrap();
+        let (b, _second) = machines_place(7600).await.unwrap();
+        assert_ne!(a, b);
+    }
+}
