--- a/crates/pebblectl/src/args.rs
+++ b/crates/pebblectl/src/args.rs
@@ -225,6 +225,57 @@
     /// Runs a workflow on a cluster that `up` has started, or goes on with one
     /// that was begun: outputs on standard output.
     Run(WorkflowRun),
+    /// Goes on with a workflow as it was begun.
+    Resume {
+        /// The `--name` that it was run under.
+        name: String,
+        /// Take it up again although it failed: what is done stays, what failed is
+        /// run anew.
+        #[arg(long)]
+        again: bool,
+        #[command(flatten)]
+        work: Work,
+    },
+    /// Shows how far a workflow is, step by step.
+    Status {
+        /// The `--name` that it was run under.
+        name: String,
+        #[command(flatten)]
+        work: Work,
+    },
+    /// Cancels a workflow with all its jobs. Safe to repeat.
+    Cancel {
+        /// The `--name` that it was run under.
+        name: String,
+        #[command(flatten)]
+        work: Work,
+    },
+    /// Prints who ran what, of which inputs, by which job, where and when (JSON).
+    Provenance {
+        /// The `--name` that it was run under.
+        name: String,
+        #[command(flatten)]
+        work: Work,
+    },
+    /// Draws steps and links: DOT on standard output, or SVG.
+    Graph {
+        /// The workflow.
+        file: String,
+        /// Write a picture there instead.
+        #[arg(long, value_name = "FILE")]
+        svg: Option<PathBuf>,
+    },
+}
+
+/// Where workflows' files are.
+#[derive(ClapArgs, Debug)]
+pub struct Work {
+    /// A directory that all machines share.
+    #[arg(long = "work", value_name = "DIR", default_value = "target/flows")]
+    pub dir: PathBuf,
+    /// Who is recorded to have asked.
+    #[arg(long, env = "PEBBLECTL_USER", value_name = "NAME")]
+    pub user: Option<String>,
 }
 
 /// Arguments of `workflow run`.
@@ -241,25 +292,21 @@
     /// priority, amounts. A step may ask for less, never for more.
     #[arg(long, value_name = "FILE")]
     pub job: PathBuf,
-    /// A directory that all machines share.
-    #[arg(long, value_name = "DIR", default_value = "target/flows")]
-    pub work: PathBuf,
+    /// Another class that steps may name; may be repeated.
+    #[arg(long = "class", value_name = "CLASS")]
+    pub classes: Vec<String>,
+    #[command(flatten)]
+    pub work: Work,
     /// Steps at once.
     #[arg(long, default_value_t = 40, value_parser = clap::value_parser!(u16).range(1..))]
     pub at_once: u16,
-    /// When a step may be run again: `never` once it was started, or after a
-    /// failing exit so many times (0: only after its machine was lost).
-    #[arg(long, default_value = "0", value_parser = retry)]
-    pub retry: pebblefold_workflow::runner::Retry,
-}
-
-fn retry(text: &str) -> Result<pebblefold_workflow::runner::Retry, String> {
-    use pebblefold_workflow::runner::Retry;
-    match text {
-        "never" => Ok(Retry::Never),
-        n => n
-            .parse()
-            .map(Retry::OnFailure)
-            .map_err(|_| "never, or a number".into()),
-    }
+    /// When a step may be run again, where it does not say so: `never` once it may
+    /// have been started; `if-not-started`; `on-failure N` (or N), after its machine
+    /// was lost and after a failing exit so many times.
+    #[arg(long, default_value = "0")]
+    pub retry: pebblefold_workflow::needs::Retry,
+    /// Use finished steps of the same tools on the same inputs again, and keep
+    /// finished steps there.
+    #[arg(long, value_name = "DIR")]
+    pub cache: Option<PathBuf>,
 }
--- a/crates/pebblectl/src/main.rs
+++ b/crates/pebblectl/src/main.rs
@@ -82,11 +82,7 @@
         Verb::Inspect { machine, job } => {
             show.any(&ask::inspect(&config.internal()?, &machine, &job).await?)
         }
-        Verb::Workflow(WorkflowVerb::Check { files }) => workflow::check(&files, &show),
-        Verb::Workflow(WorkflowVerb::Run(r)) => {
-            let (front, state) = (config.front()?, config.state()?);
-            workflow::run(r, front, state).await
-        }
+        Verb::Workflow(verb) => workflow(verb, &config, &show).await,
         Verb::Config { .. } => show.any_table(&config.shown()),
         Verb::State(StateVerb::Serve(s)) => state::serve(s).await,
         Verb::State(StateVerb::Snapshot(SnapshotVerb::Save { admin, file })) => {
@@ -103,3 +99,29 @@
         }
     }
 }
+
+async fn workflow(verb: WorkflowVerb, config: &config::Config, show: &Show) -> Result<(), Failure> {
+    let cluster = || -> Result<workflow::Cluster, Failure> {
+        Ok(workflow::Cluster {
+            front: config.front()?,
+            state: config.state()?,
+        })
+    };
+    match verb {
+        WorkflowVerb::Check { files } => workflow::check(&files, show),
+        WorkflowVerb::Graph { file, svg } => workflow::graph(&file, svg.as_deref()),
+        WorkflowVerb::Run(r) => workflow::run(r, cluster()?).await,
+        WorkflowVerb::Resume { name, again, work } => {
+            workflow::resume(&name, again, &work, cluster()?).await
+        }
+        WorkflowVerb::Status { name, work } => {
+            workflow::status(&name, &work, cluster()?, show).await
+        }
+        WorkflowVerb::Cancel { name, work } => {
+            workflow::cancel(&name, &work, cluster()?, show).await
+        }
+        WorkflowVerb::Provenance { name, work } => {
+            workflow::provenance(&name, &work, cluster()?).await
+        }
+    }
+}
--- a/crates/rehearsal/src/commands.rs
+++ b/crates/rehearsal/src/commands.rs
@@ -3,13 +3,14 @@
 
 use nix::sys::signal::{Signal, killpg};
 use nix::unistd::Pid;
-use pebblefold_wire::steps::{Again, Description, EXIT, Mark, REFUSED, STARTED};
+use pebblefold_wire::steps::{Again, Description, EXIT, HERE, Mark, Put, REFUSED, STARTED};
 use std::collections::BTreeMap;
 use std::fs::{self, File, OpenOptions};
 use std::io::{Error, ErrorKind, Result, Write};
 use std::os::unix::process::{CommandExt, ExitStatusExt};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// A task's attempt on a machine.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -22,8 +23,16 @@
     pub attempt: u64,
 }
 
+struct Process {
+    child: Child,
+    dir: PathBuf,
+    began_ms: u64,
+    /// When it is ended for taking too long.
+    until: Option<Instant>,
+}
+
 enum Running {
-    Process(Child, PathBuf),
+    Process(Process),
     /// Refused, or impossible to start: nothing runs, and its owner is told by
     /// the mark.
     Nothing,
@@ -69,8 +78,8 @@
             .cloned()
             .collect();
         for place in gone {
-            if let Some(Running::Process(mut child, _)) = self.running.remove(&place) {
-                end(&mut child);
+            if let Some(Running::Process(mut p)) = self.running.remove(&place) {
+                end(&mut p.child);
             }
         }
         for place in should {
@@ -84,8 +93,13 @@
                 Ok(r) => r,
                 Err(e) => {
                     tracing::error!(job = %place.job, error = %e, "cannot start its command");
-                    // As a shell does for a command that is not there.
-                    mark(Path::new(&d.dir), EXIT, place, "", 127);
+                    // The code is a shell's for a command that is not there.
+                    let m = Mark {
+                        code: 127,
+                        not_started: Some(e.to_string()),
+                        ..mark_of(place)
+                    };
+                    write_mark(Path::new(&d.dir), EXIT, &m);
                     Running::Nothing
                 }
             };
@@ -96,21 +110,27 @@
             let Some(d) = self.described.get(&place.job) else {
                 continue;
             };
-            if let Running::Process(child, dir) = r
-                && let Ok(Some(status)) = child.try_wait()
-            {
-                let signal = status.signal().map(|s| 128 + i64::from(s));
-                let code = status.code().map(i64::from).or(signal).unwrap_or(-1);
-                // What it left running in its group goes with it.
-                end(child);
-                mark(
-                    Path::new(&d.dir),
-                    EXIT,
-                    place,
-                    &dir.display().to_string(),
-                    code,
-                );
-                *r = Running::Nothing;
+            if let Running::Process(p) = r {
+                let too_long = p.until.is_some_and(|u| Instant::now() >= u);
+                if too_long {
+                    end(&mut p.child);
+                }
+                if let Ok(Some(status)) = p.child.try_wait() {
+                    let signal = status.signal().map(|s| 128 + i64::from(s));
+                    let code = status.code().map(i64::from).or(signal).unwrap_or(-1);
+                    // What it left running in its group goes with it.
+                    end(&mut p.child);
+                    let m = Mark {
+                        code,
+                        dir: p.dir.display().to_string(),
+                        began_ms: p.began_ms,
+                        ended_ms: now_ms(),
+                        too_long,
+                        ..mark_of(place)
+                    };
+                    write_mark(Path::new(&d.dir), EXIT, &m);
+                    *r = Running::Nothing;
+                }
             }
             if Path::new(&d.dir).join(EXIT).exists() {
                 ended.push(place.job.clone());
@@ -122,8 +142,8 @@
     /// Ends everything.
     pub fn stop(&mut self) {
         for r in self.running.values_mut() {
-            if let Running::Process(child, _) = r {
-                end(child);
+            if let Running::Process(p) = r {
+                end(&mut p.child);
             }
         }
         self.running.clear();
@@ -136,15 +156,97 @@
     let _ = child.wait();
 }
 
-fn mark(dir: &Path, name: &str, place: &Place, attempt_dir: &str, code: i64) {
-    let m = Mark {
-        code,
-        dir: attempt_dir.into(),
+fn now_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |d| d.as_millis() as u64)
+}
+
+fn mark_of(place: &Place) -> Mark {
+    Mark {
         machine: place.machine.clone(),
-    };
-    let bytes = serde_json::to_vec(&m).unwrap_or_default();
+        attempt: place.attempt,
+        ..Mark::default()
+    }
+}
+
+fn write_mark(dir: &Path, name: &str, m: &Mark) {
+    let bytes = serde_json::to_vec(m).unwrap_or_default();
     if let Err(e) = write_once(&dir.join(name), &bytes) {
-        tracing::error!(job = %place.job, error = %e, "cannot write {name}");
+        tracing::error!(dir = %dir.display(), error = %e, "cannot write {name}");
+    }
+}
+
+/// A place within an attempt's directory, with the directories that lead to it.
+fn within(own: &Path, to: &str) -> Result<PathBuf> {
+    let outside = to.is_empty() || to.starts_with('/') || to.split('/').any(|p| p == "..");
+    if outside {
+        return Err(Error::other(format!("{to:?} leads out of the directory")));
+    }
+    let path = own.join(to);
+    if let Some(dir) = path.parent() {
+        fs::create_dir_all(dir)?;
+    }
+    Ok(path)
+}
+
+/// Deepest directory that is copied.
+const MOST_DEEP: usize = 64;
+
+fn copy(from: &Path, to: &Path, deep: usize) -> Result<()> {
+    if !from.is_dir() {
+        return fs::copy(from, to).map(|_| ());
+    }
+    if deep == 0 {
+        return Err(Error::other(format!(
+            "{}: over {MOST_DEEP} deep",
+            from.display()
+        )));
+    }
+    fs::create_dir_all(to)?;
+    for e in fs::read_dir(from)? {
+        let e = e?;
+        copy(&e.path(), &to.join(e.file_name()), deep - 1)?;
+    }
+    Ok(())
+}
+
+fn put(own: &Path, p: &Put) -> Result<()> {
+    let named = |to: &str, e: Error| Error::new(e.kind(), format!("{to}: {e}"));
+    let (to, done) = match p {
+        Put::Link { from, to } => {
+            let at = within(own, to)?;
+            (to, std::os::unix::fs::symlink(from, at))
+        }
+        Put::Copy { from, to } => (to, copy(Path::new(from), &within(own, to)?, MOST_DEEP)),
+        Put::Text { to, text } => {
+            let text = here(text, own);
+            (to, fs::write(within(own, to)?, text))
+        }
+        Put::Directory { to } => (to, fs::create_dir_all(within(own, to)?)),
+    };
+    done.map_err(|e| named(to, e))
+}
+
+/// Puts the attempt's own directory where it is meant.
+fn here(text: &str, own: &Path) -> String {
+    text.replace(HERE, &own.display().to_string())
+}
+
+/// A directory that no start has had before: what an earlier one of the same
+/// attempt left, before the cluster was started again, is not taken for ours.
+fn own_directory(dir: &Path, place: &Place) -> Result<PathBuf> {
+    let name = format!("try-{}-{}", place.attempt, place.machine);
+    let mut n = 1;
+    loop {
+        let own = match n {
+            1 => dir.join(&name),
+            n => dir.join(format!("{name}-{n}")),
+        };
+        match fs::create_dir(&own) {
+            Ok(()) => return Ok(own),
+            Err(e) if e.kind() == ErrorKind::AlreadyExists => n += 1,
+            Err(e) => return Err(e),
+        }
     }
 }
 
@@ -167,35 +269,43 @@
             f.sync_all()?;
         }
         Err(e) if e.kind() == ErrorKind::AlreadyExists && d.again == Again::Never => {
-            mark(dir, REFUSED, place, "", 0);
+            write_mark(dir, REFUSED, &mark_of(place));
             return Ok(Running::Nothing);
         }
         Err(e) if e.kind() == ErrorKind::AlreadyExists => {}
         Err(e) => return Err(e),
     }
-    let own = dir.join(format!("try-{}-{}", place.attempt, place.machine));
-    fs::create_dir_all(&own)?;
+    let own = own_directory(dir, place)?;
+    for p in &d.put {
+        put(&own, p)?;
+    }
     let (program, arguments) = d
         .argv
         .split_first()
         .ok_or_else(|| Error::other("no command"))?;
     let file = |name: &Option<String>| match name {
-        Some(n) => File::create(own.join(n)).map(Stdio::from),
+        Some(n) => File::create(within(&own, n)?).map(Stdio::from),
         None => Ok(Stdio::null()),
     };
     let stdin = match &d.stdin {
-        Some(path) => File::open(path)?.into(),
+        Some(path) => File::open(here(path, &own))?.into(),
         None => Stdio::null(),
     };
-    let child = Command::new(program)
-        .args(arguments)
+    let child = Command::new(here(program, &own))
+        .args(arguments.iter().map(|a| here(a, &own)))
         .current_dir(&own)
         .env_clear()
-        .envs(&d.env)
+        .envs(d.env.iter().map(|(k, v)| (k, here(v, &own))))
         .stdin(stdin)
         .stdout(file(&d.stdout)?)
         .stderr(file(&d.stderr)?)
         .process_group(0)
         .spawn()?;
-    Ok(Running::Process(child, own))
+    let limit = d.limit_s.filter(|s| s.is_finite() && *s >= 0.0);
+    Ok(Running::Process(Process {
+        child,
+        dir: own,
+        began_ms: now_ms(),
+        until: limit.map(|s| Instant::now() + Duration::from_secs_f64(s.min(1e9))),
+    }))
 }
--- a/crates/wire/src/steps.rs
+++ b/crates/wire/src/steps.rs
@@ -16,6 +16,43 @@
     Never,
 }
 
+/// Stands for the directory that an attempt runs in, in arguments, environment and
+/// texts: the worker puts its own in its place.
+pub const HERE: &str = "/:pebblefold:here:";
+
+/// Something that stands in the attempt's directory before the command starts;
+/// `to` is within it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Put {
+    /// A link to a file or directory.
+    Link {
+        /// What it leads to.
+        from: String,
+        /// Its place.
+        to: String,
+    },
+    /// A copy of a file or directory, to be written to.
+    Copy {
+        /// What is copied.
+        from: String,
+        /// Its place.
+        to: String,
+    },
+    /// A text.
+    Text {
+        /// Its place.
+        to: String,
+        /// What is in it.
+        text: String,
+    },
+    /// An empty directory.
+    Directory {
+        /// Its place.
+        to: String,
+    },
+}
+
 /// A command, uploaded under its job's id.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Description {
@@ -39,6 +76,12 @@
     /// Whether it may be run again.
     #[serde(default)]
     pub again: Again,
+    /// What stands in its directory before it starts.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub put: Vec<Put>,
+    /// Seconds after which it is ended.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub limit_s: Option<f64>,
 }
 
 /// The file that tells how a command ended.
@@ -49,7 +92,7 @@
 pub const REFUSED: &str = "refused.json";
 
 /// How a command ended, or where it was started.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Mark {
     /// The exit code; 128 and the signal's number if a signal ended it.
     pub code: i64,
@@ -57,4 +100,19 @@
     pub dir: String,
     /// The machine.
     pub machine: String,
+    /// The attempt.
+    #[serde(default)]
+    pub attempt: u64,
+    /// When it started and ended, in milliseconds since 1970 by the worker's clock.
+    #[serde(default)]
+    pub began_ms: u64,
+    /// Likewise.
+    #[serde(default)]
+    pub ended_ms: u64,
+    /// Why it was not started at all, if so.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub not_started: Option<String>,
+    /// Whether it was ended for taking longer than it may.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub too_long: bool,
 }
--- a/crates/workflow/src/check.rs
+++ b/crates/workflow/src/check.rs
@@ -7,6 +7,7 @@
     StepInput,
 };
 use crate::expression::Segment;
+use crate::needs::Item;
 use crate::problem::{At, Problems};
 use crate::types::{Fit, Type, misfit};
 use std::collections::{BTreeMap, BTreeSet};
@@ -111,7 +112,9 @@
             Kind::Tool(tool) => {
                 if tool.base.is_empty()
                     && tool.arguments.is_empty()
-                    && p.inputs.iter().all(|i| i.binding.is_none())
+                    && p.inputs
+                        .iter()
+                        .all(|i| i.binding.is_none() && !i.within.any())
                 {
                     self.error(p.at, "CommandLineTool: no command; baseCommand, arguments or an inputBinding is wanted");
                 }
@@ -128,7 +131,10 @@
                 ] {
                     self.references(p, e.as_ref(), name);
                 }
+                self.asked(p);
                 for i in &p.inputs {
+                    i.within
+                        .each(&mut |b| self.binding(p, b, &format!("input {}", i.id)));
                     if let Some(b) = &i.binding {
                         self.binding(p, b, &format!("input {}", i.id));
                         if b.item_separator.is_some() && i.kind.items().is_none() {
@@ -166,17 +172,42 @@
         let mut seen = BTreeSet::new();
         for r in &p.requirements {
             if !seen.insert((&r.class, r.hint)) {
-                self.error(r.at, format!("{}: stands here a second time", r.class));
+                let text = format!("{}: stands here a second time", r.class);
+                self.problems.error(&r.file, r.at, text);
             }
-            let known = REQUIREMENTS.iter().any(|(class, _)| *class == r.class);
-            if known || r.class.contains(':') {
+            let foreign = r.hint && r.class.contains(':') && !r.class.starts_with("pebblefold:");
+            if REQUIREMENTS.contains(&r.class.as_str()) || foreign {
                 continue;
             }
             let text = format!("{}: is not carried out", r.class);
             if r.hint {
-                self.problems.note(&self.file, r.at, text);
+                self.problems.note(&r.file, r.at, text);
             } else {
-                self.error(r.at, format!("{text}; as a hint it would be left out"));
+                let text = format!("{text}; as a hint it would be left out");
+                self.problems.error(&r.file, r.at, text);
+            }
+        }
+    }
+
+    /// What a tool's requirements refer to.
+    fn asked(&mut self, p: &Process) {
+        let n = &p.needs;
+        let resources = [&n.cores, &n.ram_mib, &n.limit_s];
+        for e in resources.into_iter().flatten() {
+            self.references(p, Some(e), "a requirement");
+        }
+        for (name, e) in &n.env {
+            self.references(p, Some(e), &format!("EnvVarRequirement: {name}"));
+        }
+        for item in &n.listing {
+            let what = "InitialWorkDirRequirement";
+            match item {
+                Item::Made(e) => self.references(p, Some(e), what),
+                Item::Entry { entry, name, .. } => {
+                    self.references(p, Some(entry), what);
+                    self.references(p, name.as_ref(), what);
+                }
+                Item::Literal(_) => {}
             }
         }
     }
--- a/crates/workflow/src/document.rs
+++ b/crates/workflow/src/document.rs
@@ -1,7 +1,9 @@
 //! CWL v1.2 documents as they are used: read from nodes, each field with its
 //! place, everything wrong gathered.
 
+use crate::bindings::{NamedWithin, Within};
 use crate::expression::Template;
+use crate::needs::Needs;
 use crate::node::{Node, Value};
 use crate::problem::{At, Problems};
 use crate::types::{SIMPLE, Type};
@@ -34,6 +36,38 @@
     pub shell_quote: bool,
     /// The value instead of the input's own.
     pub value_from: Option<Expr>,
+    /// Whether the file is read, as it was written before v1.1.
+    pub load_contents: bool,
+}
+
+/// A file that belongs to another one.
+#[derive(Clone, Debug)]
+pub struct Secondary {
+    /// Its name, made from the other's, or an expression.
+    pub pattern: Expr,
+    /// Whether it has to be there; `None`: an input's has, an output's has not.
+    pub required: Option<Required>,
+}
+
+/// Whether something has to be there.
+#[derive(Clone, Debug)]
+pub enum Required {
+    /// As it is written.
+    Always(bool),
+    /// As an expression says.
+    If(Expr),
+}
+
+/// How much of a directory's content an expression sees.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Listing {
+    /// Nothing.
+    #[default]
+    None,
+    /// What is in it.
+    Shallow,
+    /// Likewise, at any depth.
+    Deep,
 }
 
 /// How an output is found.
@@ -43,6 +77,8 @@
     pub glob: Vec<Expr>,
     /// Whether the first 64 KiB are read.
     pub load_contents: bool,
+    /// What of a directory is listed.
+    pub listing: Option<Listing>,
     /// Makes the value.
     pub output_eval: Option<Expr>,
 }
@@ -71,12 +107,18 @@
     pub default: Option<serde_json::Value>,
     /// For inputs of tools.
     pub binding: Option<Binding>,
+    /// Bindings within its type.
+    pub within: Within,
+    /// Whether the first 64 KiB of a file are read.
+    pub load_contents: bool,
+    /// What of a directory is listed.
+    pub listing: Option<Listing>,
     /// For outputs of tools.
     pub output: Option<OutputBinding>,
     /// The stream that it is, by its short form.
     pub stream: Option<Stream>,
     /// Patterns of files that belong to it.
-    pub secondary: Vec<Expr>,
+    pub secondary: Vec<Secondary>,
     /// For outputs of workflows.
     pub links: Links,
 }
@@ -168,28 +210,32 @@
     pub class: String,
     /// Its place.
     pub at: At,
+    /// The file that it stands in.
+    pub file: Rc<str>,
     /// Whether it may be left out.
     pub hint: bool,
     /// Its fields.
     pub node: Node,
 }
 
-/// Requirements that are understood, and whether they are carried out or have
-/// nothing to be carried out; the others are refused when a process would run.
-pub const REQUIREMENTS: [(&str, bool); 13] = [
-    ("EnvVarRequirement", true),
-    ("InitialWorkDirRequirement", false),
-    ("InlineJavascriptRequirement", true),
-    ("InplaceUpdateRequirement", false),
-    ("MultipleInputFeatureRequirement", true),
-    ("NetworkAccess", true),
-    ("ResourceRequirement", true),
-    ("ScatterFeatureRequirement", true),
-    ("SchemaDefRequirement", true),
-    ("StepInputExpressionRequirement", true),
-    ("SubworkflowFeatureRequirement", true),
-    ("ToolTimeLimit", false),
-    ("WorkReuse", false),
+/// Requirements that are carried out, or have nothing to be carried out.
+pub const REQUIREMENTS: [&str; 16] = [
+    "EnvVarRequirement",
+    "InitialWorkDirRequirement",
+    "InlineJavascriptRequirement",
+    "InplaceUpdateRequirement",
+    "LoadListingRequirement",
+    "MultipleInputFeatureRequirement",
+    "NetworkAccess",
+    "ResourceRequirement",
+    "ScatterFeatureRequirement",
+    "SchemaDefRequirement",
+    "ShellCommandRequirement",
+    "StepInputExpressionRequirement",
+    "SubworkflowFeatureRequirement",
+    "ToolTimeLimit",
+    "WorkReuse",
+    crate::needs::JOB,
 ];
 
 /// What a process is.
@@ -241,6 +287,10 @@
     pub kind: Kind,
     /// Requirements and hints, with what it inherits.
     pub requirements: Vec<Requirement>,
+    /// What they ask for.
+    pub needs: Needs,
+    /// Tells it from every other, wherever it stands: a hash of what it says.
+    pub hash: String,
 }
 
 impl Process {
@@ -261,6 +311,8 @@
     pub problems: &'a mut Problems,
     /// Types with names.
     pub named: Named,
+    /// Bindings within them.
+    pub named_within: NamedWithin,
     /// Whether JavaScript is allowed here.
     pub scripts: bool,
 }
@@ -328,7 +380,8 @@
         }
     }
 
-    fn flag(&mut self, node: Option<&Node>, what: &str, default: bool) -> bool {
+    /// True or false, or the default.
+    pub fn flag(&mut self, node: Option<&Node>, what: &str, default: bool) -> bool {
         match node.map(|n| (&n.value, n.at)) {
             None => default,
             Some((Value::Bool(b), _)) => *b,
@@ -365,7 +418,8 @@
         Some(Expr { text, at, template })
     }
 
-    fn list<'n>(&mut self, node: Option<&'n Node>) -> Vec<&'n Node> {
+    /// A list, or one thing as a list of it.
+    pub fn list<'n>(&mut self, node: Option<&'n Node>) -> Vec<&'n Node> {
         match node.map(|n| &n.value) {
             None | Some(Value::Null) => Vec::new(),
             Some(Value::List(l)) => l.iter().collect(),
@@ -374,7 +428,7 @@
     }
 
     /// A list of maps with ids, or a map from ids.
-    fn named_list<'n>(
+    pub fn named_list<'n>(
         &mut self,
         node: Option<&'n Node>,
         what: &str,
@@ -415,6 +469,14 @@
 
     // ---- types ----
 
+    /// A type that was read before: what is wrong with it is told already.
+    pub fn kind_again(&mut self, node: &Node) -> Type {
+        let told = std::mem::take(self.problems);
+        let kind = self.kind(node, "");
+        *self.problems = told;
+        kind
+    }
+
     /// A type; `Any` stands in for one that cannot be read.
     pub fn kind(&mut self, node: &Node, what: &str) -> Type {
         match &node.value {
@@ -537,6 +599,9 @@
             kind: Type::Any,
             default: None,
             binding: None,
+            within: Within::Nothing,
+            load_contents: false,
+            listing: None,
             output: None,
             stream: None,
             secondary: Vec::new(),
@@ -548,6 +613,9 @@
             n.get("items").is_some() || n.get("symbols").is_some() || n.get("fields").is_some();
         if !full || written {
             p.kind = self.shortcut(n, &what, output && tool, &mut p.stream);
+            if !output {
+                p.within = self.within(n, &what);
+            }
             return p;
         }
         let Some(mut f) = self.fields(n, &what) else {
@@ -555,6 +623,9 @@
         };
         if let Some(t) = f.take("type") {
             p.kind = self.shortcut(t, &what, output && tool, &mut p.stream);
+            if !output {
+                p.within = self.within(t, &what);
+            }
         }
         p.default = f.take("default").map(Node::json);
         if let Some(b) = f.take("inputBinding") {
@@ -563,10 +634,15 @@
         if let Some(b) = f.take("outputBinding") {
             p.output = self.output_binding(b, &what);
         }
+        p.load_contents = self.flag(
+            f.take("loadContents"),
+            &format!("{what}.loadContents"),
+            false,
+        ) || p.binding.as_ref().is_some_and(|b| b.load_contents);
+        p.listing = self.listing(f.take("loadListing"), &what);
         for s in self.list(f.take("secondaryFiles")) {
-            let pattern = s.get("pattern").unwrap_or(s);
             p.secondary
-                .extend(self.expr(pattern, &format!("{what}.secondaryFiles")));
+                .extend(self.secondary(s, &format!("{what}.secondaryFiles")));
         }
         let named = if output { "outputSource" } else { "source" };
         p.links = self.links(&mut f, named, &what);
@@ -594,6 +670,37 @@
         p
     }
 
+    /// How much of a directory is listed.
+    pub fn listing(&mut self, n: Option<&Node>, what: &str) -> Option<Listing> {
+        let words = [
+            ("no_listing", Listing::None),
+            ("shallow_listing", Listing::Shallow),
+            ("deep_listing", Listing::Deep),
+        ];
+        self.word(n, &format!("{what}.loadListing"), &words)
+    }
+
+    fn secondary(&mut self, n: &Node, what: &str) -> Option<Secondary> {
+        let mut pattern = self.expr(n.get("pattern").unwrap_or(n), what)?;
+        let required = n.get("required").and_then(|r| match r.value {
+            Value::Bool(b) => Some(Required::Always(b)),
+            _ => self.expr(r, &format!("{what}.required")).map(Required::If),
+        });
+        // A pattern that ends with a question mark need not be there.
+        if let Some(plain) = pattern.text.strip_suffix('?').map(String::from)
+            && !plain.starts_with("$(")
+            && !plain.starts_with("${")
+        {
+            pattern.template = Template::read(&plain, self.scripts).ok();
+            pattern.text = plain;
+            return Some(Secondary {
+                pattern,
+                required: required.or(Some(Required::Always(false))),
+            });
+        }
+        Some(Secondary { pattern, required })
+    }
+
     /// `stdout` and `stderr` as types of a tool's outputs; `stdin` of an input.
     fn shortcut(&mut self, n: &Node, what: &str, output: bool, found: &mut Option<Stream>) -> Type {
         let stream = match (n.text(), output) {
@@ -609,7 +716,8 @@
         Type::File
     }
 
-    fn binding(&mut self, n: &Node, what: &str) -> Option<Binding> {
+    /// An `inputBinding`.
+    pub fn binding(&mut self, n: &Node, what: &str) -> Option<Binding> {
         let what = format!("{what}.inputBinding");
         let mut f = self.fields(n, &what)?;
         let mut b = Binding {
@@ -631,6 +739,11 @@
         b.value_from = f
             .take("valueFrom")
             .and_then(|p| self.expr(p, &format!("{what}.valueFrom")));
+        b.load_contents = self.flag(
+            f.take("loadContents"),
+            &format!("{what}.loadContents"),
+            false,
+        );
         self.finish(
             f,
             &[
@@ -658,6 +771,7 @@
             &format!("{what}.loadContents"),
             false,
         );
+        b.listing = self.listing(f.take("loadListing"), &what);
         b.output_eval = f
             .take("outputEval")
             .and_then(|p| self.expr(p, &format!("{what}.outputEval")));
@@ -665,7 +779,13 @@
         Some(b)
     }
 
-    fn word<T: Copy>(&mut self, node: Option<&Node>, what: &str, words: &[(&str, T)]) -> Option<T> {
+    /// One of some words.
+    pub fn word<T: Copy>(
+        &mut self,
+        node: Option<&Node>,
+        what: &str,
+        words: &[(&str, T)],
+    ) -> Option<T> {
         let node = node?;
         let found = node
             .text()
@@ -779,6 +899,14 @@
             match &n.value {
                 Value::Map(_) => {
                     if let Some(mut f) = self.fields(n, &what) {
+                        for not in ["loadContents", "loadListing"] {
+                            if let Some(n) = f.take(not) {
+                                self.error(
+                                    n.at,
+                                    format!("{what}: {not} of a step's input is not carried out; write it at the input of what the step runs"),
+                                );
+                            }
+                        }
                         input.links = self.links(&mut f, "source", &what);
                         input.default = f.take("default").map(Node::json);
                         input.value_from = f
@@ -794,8 +922,6 @@
                                 "valueFrom",
                                 "id",
                                 "label",
-                                "loadContents",
-                                "loadListing",
                             ],
                         );
                     }
@@ -865,11 +991,14 @@
         let what = if hint { "hints" } else { "requirements" };
         let Some(node) = node else { return Vec::new() };
         let mut out = Vec::new();
+        let file = Rc::clone(&self.file);
         let mut add = |class: &str, at, node: &Node| {
             let (class, node) = (class.to_string(), node.clone());
+            let file = Rc::clone(&file);
             out.push(Requirement {
                 class,
                 at,
+                file,
                 hint,
                 node,
             });
--- a/crates/workflow/src/engine.rs
+++ b/crates/workflow/src/engine.rs
@@ -145,6 +145,8 @@
     steps: Vec<Progress>,
     /// Places of the steps, by name.
     places: BTreeMap<String, usize>,
+    /// Of a process that is no workflow: whether it was asked for.
+    asked: bool,
 }
 
 /// A running workflow.
@@ -307,6 +309,7 @@
             process,
             path,
             inputs,
+            asked: false,
         }
     }
 
@@ -382,13 +385,7 @@
             match self.frame(&mut root) {
                 Ok(None) => self.root = Some(root),
                 Ok(Some(outputs)) => self.out.push(Action::End(Ok(outputs))),
-                Err(e) => {
-                    // Tasks that were not begun never are; the others are stopped.
-                    self.ready.clear();
-                    let running = std::mem::take(&mut self.running);
-                    self.out.extend(running.into_iter().map(Action::Stop));
-                    self.out.push(Action::End(Err(e)));
-                }
+                Err(e) => self.end(e),
             }
         }
         self.fresh.clear();
@@ -401,11 +398,27 @@
         std::mem::take(&mut self.out)
     }
 
+    /// Ends it, for this reason.
+    pub fn cancel(&mut self, why: &str) -> Vec<Action> {
+        if self.root.take().is_some() {
+            self.end(why.into());
+        }
+        std::mem::take(&mut self.out)
+    }
+
+    fn end(&mut self, why: Failure) {
+        // Tasks that were not begun never are; the others are stopped.
+        self.ready.clear();
+        let running = std::mem::take(&mut self.running);
+        self.out.extend(running.into_iter().map(Action::Stop));
+        self.out.push(Action::End(Err(why)));
+    }
+
     fn frame(&mut self, f: &mut Frame) -> Result<Option<Object>, Failure> {
         let process = Rc::clone(&f.process);
         let steps: &[Step] = match &process.kind {
             Kind::Workflow(steps) => steps,
-            _ => return self.alone(f).map(Some),
+            _ => return self.alone(f),
         };
         // A step that is done may let others begin.
         loop {
@@ -433,8 +446,19 @@
     }
 
     /// A process that is no workflow, run by itself.
-    fn alone(&mut self, f: &Frame) -> Result<Object, Failure> {
-        self.expression(&f.process, &f.inputs, "workflow")
+    fn alone(&mut self, f: &mut Frame) -> Result<Option<Object>, Failure> {
+        let path = TaskPath("run".into());
+        if !std::mem::replace(&mut f.asked, true) {
+            match self.instance(&Rc::clone(&f.process), &path, f.inputs.clone())? {
+                Instance::Done(outputs) => return Ok(Some(outputs)),
+                Instance::Task | Instance::Inner(_) => {}
+            }
+        }
+        match self.outcomes.get(&path) {
+            None => Ok(None),
+            Some(Outcome::Done(o)) => Ok(Some(o.clone())),
+            Some(Outcome::Failed(e)) => Err(format!("{path}: {e}")),
+        }
     }
 
     /// True if the step went on.
@@ -486,21 +510,6 @@
         }
     }
 
-    fn evaluate(
-        &self,
-        e: &crate::document::Expr,
-        scope: &Scope,
-        lib: &[String],
-        what: &str,
-    ) -> Result<Value, Failure> {
-        let read = e
-            .template
-            .as_ref()
-            .ok_or_else(|| format!("{what}: {} cannot be read", e.text))?;
-        let value = read.evaluate(scope, lib, self.limits);
-        value.map_err(|e: ExpressionError| format!("{what}: {e}"))
-    }
-
     /// `None`: its sources are not all there.
     fn begin(&mut self, f: &Frame, step: &Step) -> Result<Option<Progress>, Failure> {
         let what = TaskPath::of(&f.path, &step.id, None);
@@ -537,7 +546,7 @@
             for i in &step.inputs {
                 if let Some(e) = &i.value_from {
                     scope.this = given.get(&i.id).cloned().unwrap_or(Value::Null);
-                    let v = self.evaluate(e, &scope, &lib, path.as_str())?;
+                    let v = evaluate(e, &scope, &lib, path.as_str(), self.limits)?;
                     made.insert(i.id.clone(), v);
                 }
             }
@@ -546,7 +555,7 @@
                     inputs: Value::Object(made.clone()),
                     ..Scope::default()
                 };
-                match self.evaluate(when, &scope, &lib, path.as_str())? {
+                match evaluate(when, &scope, &lib, path.as_str(), self.limits)? {
                     Value::Bool(true) => {}
                     Value::Bool(false) => {
                         instances.push((path, Instance::Done(Object::new())));
@@ -581,9 +590,12 @@
                 let inner = Frame::new(Rc::clone(run), path.as_str().into(), inputs);
                 Instance::Inner(Box::new(inner))
             }
-            Kind::Expression(_) => Instance::Done(self.expression(run, &inputs, path.as_str())?),
+            // What reads files is none of the engine's own.
+            Kind::Expression(_) if !reads_files(run) => {
+                Instance::Done(expression(run, &inputs, path.as_str(), self.limits)?)
+            }
             Kind::Operation => return Err(format!("{path}: an Operation cannot be run")),
-            Kind::Tool(_) => {
+            Kind::Tool(_) | Kind::Expression(_) => {
                 if !self.outcomes.contains_key(path) {
                     self.ready.push_back(Task {
                         path: path.clone(),
@@ -595,28 +607,60 @@
             }
         })
     }
+}
 
-    fn expression(&self, p: &Process, inputs: &Object, path: &str) -> Result<Object, Failure> {
-        let Kind::Expression(Some(e)) = &p.kind else {
-            return Err(format!(
-                "{path}: only a Workflow or an ExpressionTool can be run so"
-            ));
-        };
-        let scope = Scope {
-            inputs: Value::Object(inputs.clone()),
-            ..Scope::default()
-        };
-        match self.evaluate(e, &scope, &library(p), path)? {
-            Value::Object(made) => {
-                for o in &p.outputs {
-                    let v = made.get(&o.id).unwrap_or(&Value::Null);
-                    if let Some(why) = misfit(v, &o.kind, &o.id) {
-                        return Err(format!("{path}: output {why}"));
-                    }
+/// Whether an expression sees what is in files or directories.
+fn reads_files(p: &Process) -> bool {
+    let reads = |i: &crate::document::Parameter| {
+        i.load_contents
+            || !i.secondary.is_empty()
+            || i.listing.unwrap_or(p.needs.loads) != crate::document::Listing::None
+    };
+    p.inputs.iter().any(reads)
+}
+
+fn evaluate(
+    e: &crate::document::Expr,
+    scope: &Scope,
+    lib: &[String],
+    what: &str,
+    limits: Limits,
+) -> Result<Value, Failure> {
+    let read = e
+        .template
+        .as_ref()
+        .ok_or_else(|| format!("{what}: {} cannot be read", e.text))?;
+    let value = read.evaluate(scope, lib, limits);
+    value.map_err(|e: ExpressionError| format!("{what}: {e}"))
+}
+
+/// What an `ExpressionTool` makes of its inputs.
+///
+/// # Errors
+/// Its expression fails, or makes something else than its outputs.
+pub fn expression(
+    p: &Process,
+    inputs: &Object,
+    path: &str,
+    limits: Limits,
+) -> Result<Object, String> {
+    let Kind::Expression(Some(e)) = &p.kind else {
+        return Err(format!("{path}: its expression cannot be read"));
+    };
+    let scope = Scope {
+        inputs: Value::Object(inputs.clone()),
+        ..Scope::default()
+    };
+    match evaluate(e, &scope, &library(p), path, limits)? {
+        Value::Object(made) => {
+            for o in &p.outputs {
+                let v = made.get(&o.id).unwrap_or(&Value::Null);
+                if let Some(why) = misfit(v, &o.kind, &o.id) {
+                    return Err(format!("{path}: output {why}"));
                 }
-                Ok(made)
             }
-            other => Err(format!("{path}: {other}, a map of its outputs is wanted")),
+            Ok(made)
         }
+        other => Err(format!("{path}: {other}, a map of its outputs is wanted")),
     }
 }
--- a/crates/workflow/src/load.rs
+++ b/crates/workflow/src/load.rs
@@ -1,6 +1,7 @@
 //! From a file to a process: packed documents, `run` by relative path, imported
 //! types, requirements that are inherited, documents that lead back to themselves.
 
+use crate::bindings::NamedWithin;
 use crate::check;
 use crate::document::{Fields, Kind, Named, Process, Reader, Requirement, short};
 use crate::node::{self, Node};
@@ -96,6 +97,18 @@
 
 type Origin = (Rc<str>, At);
 
+/// Tells a process from every other by what it says, wherever it stands.
+fn hash(node: &Node, all: &[Requirement], named: &Named) -> String {
+    let mut hash = blake3::Hasher::new();
+    hash.update(node.json().to_string().as_bytes());
+    for r in all {
+        let text = format!("\0{}\0{}", r.class, r.node.json());
+        hash.update(text.as_bytes());
+    }
+    hash.update(format!("{named:?}").as_bytes());
+    hash.finalize().to_hex().to_string()
+}
+
 impl Loader<'_> {
     fn error(&mut self, from: &Origin, text: impl Into<String>) {
         self.problems.error(&from.0, from.1, text);
@@ -215,10 +228,13 @@
                 all.push(r.clone());
             }
         }
-        let named = self.named_types(path, file, &all);
+        let (named, named_within) = self.named_types(path, file, &all);
         let scripts = all.iter().any(|r| r.class == "InlineJavascriptRequirement");
         let mut reader = self.reader(file);
         (reader.named, reader.scripts) = (named, scripts);
+        reader.named_within = named_within;
+        let needs = reader.needs(&all);
+        let hash = hash(node, &all, &reader.named);
         let id = f
             .take("id")
             .and_then(Node::text)
@@ -297,6 +313,8 @@
             outputs,
             kind,
             requirements: all,
+            needs,
+            hash,
         }))
     }
 
@@ -305,6 +323,7 @@
             file: Rc::clone(file),
             problems: &mut self.problems,
             named: Named::new(),
+            named_within: NamedWithin::new(),
             scripts: false,
         }
     }
@@ -392,8 +411,13 @@
     }
 
     /// The types of `SchemaDefRequirement`, in the order they are written.
-    fn named_types(&mut self, path: &Path, file: &Rc<str>, all: &[Requirement]) -> Named {
-        let mut named = Named::new();
+    fn named_types(
+        &mut self,
+        path: &Path,
+        file: &Rc<str>,
+        all: &[Requirement],
+    ) -> (Named, NamedWithin) {
+        let mut named = (Named::new(), NamedWithin::new());
         for r in all.iter().filter(|r| r.class == "SchemaDefRequirement") {
             let Some(crate::node::Value::List(types)) = r.node.get("types").map(|n| &n.value)
             else {
@@ -408,7 +432,13 @@
         named
     }
 
-    fn named_type(&mut self, path: &Path, file: &Rc<str>, t: &Node, named: &mut Named) {
+    fn named_type(
+        &mut self,
+        path: &Path,
+        file: &Rc<str>,
+        t: &Node,
+        named: &mut (Named, NamedWithin),
+    ) {
         if let Some(import) = t.get("$import").and_then(Node::text) {
             let target = tidy(&path.parent().unwrap_or(Path::new("")).join(import));
             let from = (Rc::clone(file), t.at);
@@ -435,8 +465,10 @@
         let Some(name) = name else {
             return reader.error(t.at, "SchemaDefRequirement: a type's name is missing");
         };
-        reader.named = named.clone();
+        (reader.named, reader.named_within) = named.clone();
         let read = reader.kind(t, &name);
-        named.insert(name, read);
+        let within = reader.within(t, &name);
+        named.0.insert(name.clone(), read);
+        named.1.insert(name, within);
     }
 }
--- a/crates/workflow/src/records.rs
+++ b/crates/workflow/src/records.rs
@@ -1,18 +1,22 @@
-//! Outcomes that last: lists of short entries in the state service, each list
-//! written on condition that nobody wrote it meanwhile. What a step brought forth
-//! stands beside its files; the record says only that it is over.
+//! Records that last, in the state service: a head that says what a workflow is
+//! and how it ended, lists of short entries that say which tasks are over, and the
+//! claims of the runners at work. Each is written on condition that nobody wrote
+//! it meanwhile. What a step brought forth stands beside its files.
 
 use crate::engine::TaskPath;
 use pebblefold_net::{Client, Sent};
-use pebblefold_wire::state::{Condition, Entries, Op, Revision, Txn};
+use pebblefold_wire::state::{Condition, Entries, Lease, LeaseRequest, Op, Revision, Txn};
 use pebblefold_wire::types::Version;
 use pebblefold_wire::{decode, encode};
 use serde::{Deserialize, Serialize};
+use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddrV4;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::time::{sleep, timeout};
 
+/// The format of the head; a newer one is left alone.
+const FORMAT: u32 = 1;
 /// JSON bytes of one list; the state service takes 8 KiB.
 const MOST_LIST: usize = 6 * 1024;
 /// Longest reason that is kept, in bytes.
@@ -23,6 +27,11 @@
 const PAUSE: Duration = Duration::from_millis(500);
 /// Tries before it is given up: while nothing has begun, and later.
 const TRIES: (u32, u32) = (6, 120);
+/// Least time between two transactions of one runner: the state service is shared
+/// with the controllers, and their writes go first.
+const BETWEEN: Duration = Duration::from_millis(200);
+/// How long a claim lasts unless it is renewed.
+pub const CLAIM: Duration = Duration::from_secs(10);
 
 /// How a task is recorded.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -35,6 +44,37 @@
     Failed(String),
 }
 
+/// How a workflow ended; written once in each round.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum End {
+    /// With its outputs.
+    Done,
+    /// For this reason.
+    Failed(String),
+    /// By this person.
+    Cancelled(String),
+}
+
+/// What a workflow is, and how far it is.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Head {
+    /// The format.
+    pub v: u32,
+    /// Tells its document with its inputs from every other.
+    pub fingerprint: String,
+    /// Who began it.
+    pub by: String,
+    /// When, in milliseconds since 1970.
+    pub began_ms: u64,
+    /// How often it was taken up again after it had failed.
+    pub round: u32,
+    /// Who asked to cancel it.
+    pub stop: Option<String>,
+    /// How it ended.
+    pub end: Option<End>,
+}
+
 /// Why records cannot be read or written.
 #[derive(Debug, thiserror::Error)]
 pub enum RecordError {
@@ -51,6 +91,14 @@
         "the name {0} is taken by a workflow with another document or other inputs; give another --name"
     )]
     Taken(String),
+    /// There is none of this name.
+    #[error("no workflow {0}; its name is the --name that it was run under")]
+    None(String),
+    /// It was written by a newer program.
+    #[error(
+        "workflow {0} is recorded in format {1}, this program knows up to {FORMAT}; use a newer pebblectl"
+    )]
+    Newer(String, u32),
 }
 
 type List = BTreeMap<String, Entry>;
@@ -62,9 +110,11 @@
     name: String,
     net: Client,
     tries: u32,
+    head: (Head, Version),
     lists: Vec<(List, Version)>,
-    /// Transactions written.
-    pub writes: u64,
+    last: Cell<Option<Instant>>,
+    /// Transactions sent.
+    writes: Cell<u64>,
 }
 
 fn key(name: &str, i: usize) -> String {
@@ -75,6 +125,18 @@
     serde_json::to_vec(list).map_or(usize::MAX, |b| b.len())
 }
 
+/// A text with so many bytes at most.
+fn cut(text: &str, most: usize) -> String {
+    let end = (0..=most.min(text.len())).rev();
+    let end = end.into_iter().find(|i| text.is_char_boundary(*i));
+    text[..end.unwrap_or(0)].to_string()
+}
+
+fn put(key: String, value: impl Serialize, lease: Option<u64>) -> Op {
+    let value = serde_json::to_value(value).unwrap_or_default();
+    Op::Put { key, value, lease }
+}
+
 impl Records {
     /// Opens a workflow's records; `fingerprint` tells it from another of the
     /// same name.
@@ -85,34 +147,25 @@
         addr: SocketAddrV4,
         name: &str,
         fingerprint: &str,
+        by: &str,
+        now_ms: u64,
     ) -> Result<Records, RecordError> {
-        let mut r = Records {
-            addr,
-            name: name.into(),
-            net: Client::default(),
-            tries: TRIES.0,
-            lists: Vec::new(),
-            writes: 0,
-        };
-        let head = format!("flow/{name}");
-        let condition = Condition {
-            key: head.clone(),
-            version: Version(0),
-        };
-        let put = Op::Put {
-            key: head.clone(),
-            value: fingerprint.into(),
-            lease: None,
-        };
-        let txn = Txn {
-            conditions: vec![condition],
-            ops: vec![put],
+        let head = Head {
+            v: FORMAT,
+            fingerprint: fingerprint.into(),
+            by: by.into(),
+            began_ms: now_ms,
+            round: 0,
+            stop: None,
+            end: None,
         };
+        let mut r = Records::empty(addr, name, head);
+        let key = r.head_key();
         // A lost answer is no matter: what stands there afterwards decides.
-        r.ask("POST", "/commit", &encode(&txn)).await?;
-        let (status, body) = r.ask("GET", &format!("/keys/{head}"), &[]).await?;
-        let stands: Option<pebblefold_wire::state::Entry> = decode(&body).filter(|_| status == 200);
-        if stands.is_none_or(|e| e.value != fingerprint) {
+        let value = put(key.clone(), &r.head.0, None);
+        r.commit(vec![(key, Version(0))], vec![value]).await?;
+        r.refresh().await?;
+        if r.head.0.fingerprint != fingerprint {
             return Err(RecordError::Taken(name.into()));
         }
         r.load().await?;
@@ -120,6 +173,154 @@
         Ok(r)
     }
 
+    /// Opens the records of a workflow that was begun.
+    ///
+    /// # Errors
+    /// The state service does not answer, or there is none of this name.
+    pub async fn existing(addr: SocketAddrV4, name: &str) -> Result<Records, RecordError> {
+        let head = Head {
+            v: FORMAT,
+            fingerprint: String::new(),
+            by: String::new(),
+            began_ms: 0,
+            round: 0,
+            stop: None,
+            end: None,
+        };
+        let mut r = Records::empty(addr, name, head);
+        r.refresh().await?;
+        r.load().await?;
+        Ok(r)
+    }
+
+    fn empty(addr: SocketAddrV4, name: &str, head: Head) -> Records {
+        Records {
+            addr,
+            name: name.into(),
+            net: Client::default(),
+            tries: TRIES.0,
+            head: (head, Version(0)),
+            lists: Vec::new(),
+            last: Cell::new(None),
+            writes: Cell::new(0),
+        }
+    }
+
+    fn head_key(&self) -> String {
+        format!("flow/{}", self.name)
+    }
+
+    /// What stood in the head when it was read last.
+    pub fn head(&self) -> &Head {
+        &self.head.0
+    }
+
+    /// Transactions sent.
+    pub fn writes(&self) -> u64 {
+        self.writes.get()
+    }
+
+    /// Reads the head.
+    ///
+    /// # Errors
+    /// The state service does not answer, or there is no head.
+    pub async fn refresh(&mut self) -> Result<(), RecordError> {
+        let path = format!("/keys/{}", self.head_key());
+        let (status, body) = self.ask("GET", &path, &[]).await?;
+        let stands: Option<pebblefold_wire::state::Entry> = decode(&body).filter(|_| status == 200);
+        let stands = stands.ok_or_else(|| RecordError::None(self.name.clone()))?;
+        if let Some(v) = stands.value["v"]
+            .as_u64()
+            .filter(|v| *v > u64::from(FORMAT))
+        {
+            return Err(RecordError::Newer(self.name.clone(), v as u32));
+        }
+        let head = serde_json::from_value(stands.value)
+            .map_err(|e| RecordError::Refused(format!("{}: {e}", self.head_key())))?;
+        self.head = (head, stands.version);
+        Ok(())
+    }
+
+    /// Changes the head; `change` is asked again if somebody else was faster, and
+    /// makes nothing if there is nothing to change any more.
+    ///
+    /// # Errors
+    /// The state service does not answer.
+    pub async fn change(
+        &mut self,
+        mut change: impl FnMut(&Head) -> Option<Head>,
+    ) -> Result<(), RecordError> {
+        loop {
+            let Some(new) = change(&self.head.0) else {
+                return Ok(());
+            };
+            let key = self.head_key();
+            let value = put(key.clone(), &new, None);
+            self.commit(vec![(key, self.head.1)], vec![value]).await?;
+            self.refresh().await?;
+        }
+    }
+
+    /// Records how it ended, unless that is decided: a cancellation that was asked
+    /// for goes first. Returns how it did end.
+    ///
+    /// # Errors
+    /// The state service does not answer.
+    pub async fn end(&mut self, end: &End) -> Result<End, RecordError> {
+        self.refresh().await?;
+        self.change(|h| {
+            let end = match (&h.end, &h.stop) {
+                (Some(_), _) => return None,
+                (None, Some(by)) => End::Cancelled(by.clone()),
+                (None, None) => match end {
+                    End::Failed(why) => End::Failed(cut(why, MOST_REASON)),
+                    other => other.clone(),
+                },
+            };
+            Some(Head {
+                end: Some(end),
+                ..h.clone()
+            })
+        })
+        .await?;
+        let ended = self.head.0.end.clone();
+        ended.ok_or_else(|| RecordError::Refused("its end is not recorded".into()))
+    }
+
+    /// Takes a workflow that failed up again: what failed is forgotten, what is
+    /// done stays.
+    ///
+    /// # Errors
+    /// The state service does not answer.
+    pub async fn take_up(&mut self) -> Result<(), RecordError> {
+        // What failed goes first: a workflow in a new round has no failures.
+        for i in 0..self.lists.len() {
+            loop {
+                let (list, version) = self.lists[i].clone();
+                let left: List = list
+                    .iter()
+                    .filter(|(_, e)| **e == Entry::Done)
+                    .map(|(p, e)| (p.clone(), e.clone()))
+                    .collect();
+                if left.len() == list.len() {
+                    break;
+                }
+                let k = key(&self.name, i);
+                let op = put(k.clone(), &left, None);
+                self.commit(vec![(k, version)], vec![op]).await?;
+                self.load().await?;
+            }
+        }
+        self.change(|h| {
+            matches!(h.end, Some(End::Failed(_))).then(|| Head {
+                round: h.round + 1,
+                end: None,
+                ..h.clone()
+            })
+        })
+        .await
+    }
+
     async fn ask(
         &self,
         method: &str,
@@ -144,6 +345,27 @@
         Err(RecordError::Unreachable(self.addr, last))
     }
 
+    /// One transaction; its revision if it was carried out.
+    async fn commit(
+        &self,
+        conditions: Vec<(String, Version)>,
+        ops: Vec<Op>,
+    ) -> Result<Option<Version>, RecordError> {
+        if let Some(last) = self.last.get() {
+            sleep((last + BETWEEN).saturating_duration_since(Instant::now())).await;
+        }
+        let conditions = conditions
+            .into_iter()
+            .map(|(key, version)| Condition { key, version })
+            .collect();
+        let body = encode(&Txn { conditions, ops });
+        self.writes.set(self.writes.get() + 1);
+        let (status, body) = self.ask("POST", "/commit", &body).await?;
+        self.last.set(Some(Instant::now()));
+        let revision = decode::<Revision>(&body).map(|r| r.revision);
+        Ok(revision.filter(|_| status == 200))
+    }
+
     async fn load(&mut self) -> Result<(), RecordError> {
         self.lists.clear();
         let mut since = String::new();
@@ -188,60 +410,138 @@
             if new.is_empty() {
                 return Ok(());
             }
-            let mut touched: BTreeSet<usize> = BTreeSet::new();
-            let mut lists = self.lists.clone();
+            // Only lists that are touched are copied: there may be many.
+            let mut fresh: Vec<(usize, List, Version)> = Vec::new();
+            let last = self.lists.len().saturating_sub(1);
+            fresh.extend(self.lists.last().map(|(l, v)| (last, l.clone(), *v)));
+            let mut touched = BTreeSet::new();
             for (path, entry) in new {
-                let mut entry = entry.clone();
-                if let Entry::Failed(reason) = &mut entry {
-                    let cut = (0..=MOST_REASON.min(reason.len()))
-                        .rev()
-                        .find(|i| reason.is_char_boundary(*i));
-                    reason.truncate(cut.unwrap_or(0));
-                }
-                let full = lists
-                    .last()
-                    .is_none_or(|(l, _)| length(l) + path.as_str().len() + MOST_REASON > MOST_LIST);
-                if full {
-                    lists.push((List::new(), Version(0)));
-                }
-                if let Some((last, _)) = lists.last_mut() {
-                    last.insert(path.as_str().into(), entry);
-                    touched.insert(lists.len() - 1);
+                let entry = match entry {
+                    Entry::Failed(reason) => Entry::Failed(cut(reason, MOST_REASON)),
+                    Entry::Done => Entry::Done,
+                };
+                let room = |l: &List| length(l) + path.as_str().len() + MOST_REASON <= MOST_LIST;
+                if !fresh.last().is_some_and(|(_, l, _)| room(l)) {
+                    let next = fresh.last().map_or(0, |(i, _, _)| i + 1);
+                    // One transaction holds 48 changes and 64 KiB.
+                    if touched.len() >= 8 {
+                        break;
+                    }
+                    fresh.push((next, List::new(), Version(0)));
                 }
-                // One transaction holds 48 changes and 64 KiB.
-                if touched.len() >= 8 {
-                    break;
+                if let Some((i, list, _)) = fresh.last_mut() {
+                    list.insert(path.as_str().into(), entry);
+                    touched.insert(*i);
                 }
             }
-            let name = self.name.clone();
-            let (mut conditions, mut ops) = (Vec::new(), Vec::new());
-            for &i in &touched {
-                let version = lists[i].1;
-                conditions.push(Condition {
-                    key: key(&name, i),
-                    version,
-                });
-                ops.push(Op::Put {
-                    key: key(&name, i),
-                    value: serde_json::to_value(&lists[i].0).unwrap_or_default(),
-                    lease: None,
-                });
-            }
-            let (status, body) = self
-                .ask("POST", "/commit", &encode(&Txn { conditions, ops }))
-                .await?;
-            self.writes += 1;
-            let revision = decode::<Revision>(&body).map(|r| r.revision);
-            match (status, revision) {
-                (200, Some(v)) => {
-                    for i in touched {
-                        lists[i].1 = v;
+            fresh.retain(|(i, _, _)| touched.contains(i));
+            let conditions = fresh.iter().map(|(i, _, v)| (key(&self.name, *i), *v));
+            let ops = fresh
+                .iter()
+                .map(|(i, l, _)| put(key(&self.name, *i), l, None));
+            let done = self.commit(conditions.collect(), ops.collect()).await?;
+            match done {
+                Some(v) => {
+                    for (i, list, _) in fresh {
+                        self.lists.truncate(i);
+                        self.lists.push((list, v));
                     }
-                    self.lists = lists;
                 }
                 // Somebody else wrote, or our own write whose answer was lost.
-                _ => self.load().await?,
+                None => self.load().await?,
+            }
+        }
+    }
+
+    // ---- claims ----
+
+    fn claims_key(&self) -> String {
+        format!("flow-runs/{}/", self.name)
+    }
+
+    /// How many runners are at work, as far as their claims say.
+    ///
+    /// # Errors
+    /// The state service does not answer.
+    pub async fn claims(&self) -> Result<usize, RecordError> {
+        let path = format!("/keys?starts={}&most=1000", self.claims_key());
+        let (_, body) = self.ask("GET", &path, &[]).await?;
+        let page: Entries =
+            decode(&body).ok_or_else(|| RecordError::Refused("a page cannot be read".into()))?;
+        Ok(page.items.len())
+    }
+}
+
+/// A runner's word that it is at work: for as long as it stands, nobody may think
+/// that nothing more is submitted.
+#[derive(Debug)]
+pub struct Claim {
+    records: Records,
+    key: String,
+    lease: Option<u64>,
+    /// No longer than until then.
+    until: Instant,
+}
+
+impl Claim {
+    /// A claim on a workflow, not made yet; `id` tells the runner from others.
+    ///
+    /// # Errors
+    /// The state service does not answer, or there is no such workflow.
+    pub async fn new(addr: SocketAddrV4, name: &str, id: &str) -> Result<Claim, RecordError> {
+        let mut records = Records::existing(addr, name).await?;
+        // It is asked for again before long.
+        records.tries = 1;
+        let key = format!("{}{id}", records.claims_key());
+        Ok(Claim {
+            records,
+            key,
+            lease: None,
+            until: Instant::now(),
+        })
+    }
+
+    /// Makes or renews it, then reads the head: in this order, whoever asks to
+    /// cancel and sees no claim is seen by the next submission. Returns the head
+    /// and until when the claim stands.
+    ///
+    /// # Errors
+    /// The state service does not answer.
+    pub async fn renew(&mut self) -> Result<(Head, Instant), RecordError> {
+        let begun = Instant::now();
+        if let Some(lease) = self.lease {
+            let path = format!("/leases/{lease}/touch");
+            let (status, _) = self.records.ask("POST", &path, &[]).await?;
+            if status != 200 {
+                self.lease = None;
+            }
+        }
+        if self.lease.is_none() {
+            let ttl_ms = CLAIM.as_millis() as u64;
+            let asked = encode(&LeaseRequest { ttl_ms });
+            let (_, body) = self.records.ask("POST", "/leases", &asked).await?;
+            let lease = decode::<Lease>(&body).map(|l| l.lease);
+            let lease = lease.ok_or_else(|| RecordError::Refused("a lease".into()))?;
+            let op = put(self.key.clone(), &self.records.name, Some(lease));
+            if self.records.commit(Vec::new(), vec![op]).await?.is_some() {
+                self.lease = Some(lease);
             }
         }
+        self.records.refresh().await?;
+        if self.lease.is_some() {
+            self.until = begun + CLAIM;
+        }
+        Ok((self.records.head().clone(), self.until))
+    }
+
+    /// Gives it up at once.
+    pub async fn drop_it(&mut self) {
+        if let Some(lease) = self.lease.take() {
+            // If it is not heard, it ends by itself.
+            let _ = self
+                .records
+                .ask("DELETE", &format!("/leases/{lease}"), &[])
+                .await;
+        }
     }
 }
--- a/crates/workflow/src/runner.rs
+++ b/crates/workflow/src/runner.rs
@@ -2,44 +2,50 @@
 //! submitted by the users' protocol under an id that follows from the workflow's
 //! name and the task's path, so that a repeated submission is the same job.
 
-use crate::document::{Kind, Process, REQUIREMENTS};
-use crate::engine::{Action, Engine, Object, Outcome, Task, TaskPath};
+use crate::cache::Cache;
+use crate::document::{Kind, Process};
+use crate::engine::{Action, Engine, Object, Outcome, Task, TaskPath, expression};
 use crate::expression::Limits;
-use crate::node::{Node, Value as NodeValue};
-use crate::problem::At;
-use crate::records::{Entry, RecordError, Records};
-use crate::tool::{CommandLine, Directory, Ended, MOST_CONTENTS, command_line, ended, outputs};
+use crate::files::{Local, hashes, read_json, write_whole, written};
+use crate::needs::Retry;
+use crate::plan::{Allowed, Lost, Try, again, job_id};
+use crate::records::{Claim, End, Entry, RecordError, Records};
+use crate::tool::{CommandLine, Ended, command_line, ended, inputs, outputs, reusable};
 use pebblefold_client::{Client, ClientError, Policy};
 use pebblefold_net::{Client as Net, Sent};
 use pebblefold_wire::encode;
-use pebblefold_wire::steps::{Again, Description, EXIT, Mark, REFUSED};
+use pebblefold_wire::steps::{Again, Description, EXIT, HERE, Mark, Put, REFUSED};
 use pebblefold_wire::types::{JobId, Span};
 use pebblefold_wire::users::{Stage, Submission};
+use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
-use std::collections::{BTreeMap, BTreeSet};
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::fs;
 use std::net::SocketAddrV4;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use tokio::sync::mpsc;
-use tokio::task::spawn_local;
+use tokio::task::{JoinHandle, spawn_local};
 use tokio::time::{sleep, timeout};
 
-/// Time between looks at a job.
-const LOOK: Duration = Duration::from_millis(500);
+/// Time between looks at a job: at first, and at most.
+const LOOKS: (Duration, Duration) = (Duration::from_millis(250), Duration::from_secs(5));
+/// Time between looks at a job's directory.
+const GLANCE: Duration = Duration::from_millis(100);
 /// How long an upload of a description may take.
 const UPLOAD: Duration = Duration::from_secs(10);
 /// Tries of an upload.
 const UPLOADS: u32 = 30;
-/// When a step may be run again.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Retry {
-    /// Never, once it was started.
-    Never,
-    /// After its machine was lost; after a failing exit so many times.
-    OnFailure(u32),
-}
+/// Time between renewals of a runner's claim, and looks at who asked to cancel.
+const RENEW: Duration = Duration::from_secs(2);
+/// How long a submission that was on its way may still arrive.
+const LATE: Duration = Duration::from_secs(6);
+/// The file, in a workflow's directory, that says how it was run.
+pub const RUN: &str = "run.json";
+/// The file, in a job's directory, that says what it is for.
+pub const JOB: &str = "job.json";
 
 /// How a workflow is run.
 #[derive(Clone, Debug)]
@@ -52,13 +58,14 @@
     pub state: SocketAddrV4,
     /// A directory that all machines share.
     pub work: PathBuf,
-    /// What every step's job begins from: team, class, priority and so on. A
-    /// step asks for no more than this.
-    pub job: Submission,
+    /// What its steps may ask for.
+    pub allowed: Allowed,
     /// Tasks at once.
     pub at_once: usize,
-    /// When steps may be run again.
-    pub retry: Retry,
+    /// Finished steps to use again.
+    pub cache: Option<Cache>,
+    /// Who runs it.
+    pub by: String,
 }
 
 /// Why a workflow did not run.
@@ -67,7 +74,10 @@
     /// It failed; the text names the step.
     #[error("{0}")]
     Failed(String),
-    /// Something in it is not carried out.
+    /// It was cancelled.
+    #[error("cancelled by {0}")]
+    Cancelled(String),
+    /// Something in it is not carried out, or asks for too much.
     #[error("{0}")]
     Refused(String),
     /// Its records.
@@ -83,229 +93,137 @@
 pub enum News {
     /// A task was submitted as this job.
     Submitted(TaskPath, JobId),
+    /// A task is run again, for this reason.
+    Again(TaskPath, String),
+    /// A task was found in the cache, as this job made it.
+    Reused(TaskPath, String),
     /// A task ended.
     Ended(TaskPath, Result<(), String>),
     /// So many outcomes were found recorded.
     Resumed(usize),
+    /// So many tasks are known so far, and so many of them are over.
+    Known(usize, usize),
 }
 
-/// The id of a task's job, for good.
-pub fn job_id(name: &str, path: &TaskPath, again: u32) -> JobId {
-    let text = format!("{name}\0{path}\0{again}");
-    let hash = blake3::hash(text.as_bytes());
-    format!("wk-{}", &hash.to_hex()[..20]).into()
+/// What a job of a step is for, and what came of it: the step's part of the
+/// workflow's history.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct StepRecord {
+    /// The step.
+    pub path: String,
+    /// Its job.
+    pub job: String,
+    /// Who ran the workflow.
+    pub by: String,
+    /// The tool's file and hash.
+    pub tool: String,
+    /// Likewise.
+    pub tool_hash: String,
+    /// Its inputs.
+    pub inputs: Object,
+    /// Hashes of the files in them, by path.
+    pub input_hashes: BTreeMap<String, String>,
+    /// The job as submitted.
+    pub submission: Submission,
+    /// When it was first submitted, in milliseconds since 1970.
+    pub submitted_ms: u64,
 }
 
-/// Tells a document with its inputs from every other.
-pub fn fingerprint(document: &[u8], inputs: &Object) -> String {
-    let mut hash = blake3::Hasher::new();
-    hash.update(document);
-    hash.update(b"\0");
-    hash.update(&serde_json::to_vec(inputs).unwrap_or_default());
-    hash.finalize().to_hex().to_string()
+/// What is kept of a step that is done.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Kept {
+    /// Its outputs.
+    pub outputs: Object,
+    /// The job that made them.
+    pub job: String,
+    /// Whether they were made earlier, and used again.
+    #[serde(default)]
+    pub reused: bool,
 }
 
-struct Local(PathBuf);
-
-impl Directory for Local {
-    fn glob(&self, pattern: &str) -> Result<Vec<String>, String> {
-        if pattern.starts_with('/') || pattern.split('/').any(|p| p == "..") {
-            return Err(format!("glob: {pattern} leads out of the directory"));
-        }
-        let base = glob::Pattern::escape(&self.0.display().to_string());
-        let found = glob::glob(&format!("{base}/{pattern}"))
-            .map_err(|e| format!("glob: {pattern}: {e}"))?;
-        let inside = |p: PathBuf| {
-            p.strip_prefix(&self.0)
-                .map(|p| p.display().to_string())
-                .ok()
-        };
-        let mut all: Vec<String> = found.flatten().filter_map(inside).collect();
-        all.sort();
-        Ok(all)
-    }
-
-    fn describe(&self, path: &str) -> Object {
-        file_object(&self.0.join(path))
-    }
+/// Milliseconds since 1970.
+pub fn now_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |d| d.as_millis() as u64)
+}
 
-    fn contents(&self, path: &str) -> Result<String, String> {
-        let bytes = fs::read(self.0.join(path)).map_err(|e| format!("{path}: {e}"))?;
-        let bytes = &bytes[..bytes.len().min(MOST_CONTENTS)];
-        match std::str::from_utf8(bytes) {
-            Ok(t) => Ok(t.into()),
-            Err(e) => Err(format!("{path}: not text at byte {}", e.valid_up_to())),
+/// Tells a workflow with its inputs from every other: by all that it says, not by
+/// where its files stand.
+pub fn fingerprint(p: &Process, inputs: &Object) -> String {
+    fn add(p: &Process, hash: &mut blake3::Hasher) {
+        hash.update(p.hash.as_bytes());
+        if let Kind::Workflow(steps) = &p.kind {
+            for run in steps.iter().filter_map(|s| s.run.as_ref()) {
+                add(run, hash);
+            }
         }
     }
+    let mut hash = blake3::Hasher::new();
+    add(p, &mut hash);
+    hash.update(b"\0");
+    hash.update(&serde_json::to_vec(inputs).unwrap_or_default());
+    hash.finalize().to_hex().to_string()
 }
 
-/// A file or directory as expressions see it.
-fn file_object(path: &Path) -> Object {
-    let name = path
-        .file_name()
-        .unwrap_or_default()
-        .to_string_lossy()
-        .into_owned();
-    let (root, ext) = match name.rfind('.').filter(|i| *i > 0) {
-        Some(i) => (name[..i].to_string(), name[i..].to_string()),
-        None => (name.clone(), String::new()),
-    };
-    let meta = fs::metadata(path).ok();
-    let directory = meta.as_ref().is_some_and(fs::Metadata::is_dir);
-    let mut o = Object::new();
-    o.insert(
-        "class".into(),
-        if directory { "Directory" } else { "File" }.into(),
-    );
-    o.insert(
-        "location".into(),
-        format!("file://{}", path.display()).into(),
-    );
-    o.insert("path".into(), path.display().to_string().into());
-    o.insert("basename".into(), name.into());
-    if !directory {
-        o.insert("nameroot".into(), root.into());
-        o.insert("nameext".into(), ext.into());
-        o.insert("size".into(), meta.map_or(0, |m| m.len()).into());
-    }
-    o
+struct Shared {
+    options: Options,
+    client: Client,
+    net: Net,
+    limits: Limits,
+    round: u32,
+    /// The job of each task under way.
+    jobs: RefCell<BTreeMap<TaskPath, JobId>>,
+    /// Until when this runner's claim stands.
+    claimed: Cell<Instant>,
+    news: mpsc::UnboundedSender<News>,
 }
 
-/// Inputs with their files found: `path` or `location`, relative to `base`.
-///
-/// # Errors
-/// A file is not there.
-pub fn with_files(v: &Value, base: &Path) -> Result<Value, String> {
-    Ok(match v {
-        Value::Array(l) => Value::Array(
-            l.iter()
-                .map(|v| with_files(v, base))
-                .collect::<Result<_, _>>()?,
-        ),
-        Value::Object(o)
-            if matches!(
-                o.get("class").and_then(Value::as_str),
-                Some("File" | "Directory")
-            ) =>
-        {
-            let named = o
-                .get("path")
-                .or_else(|| o.get("location"))
-                .and_then(Value::as_str);
-            let named = named.ok_or("a File needs path or location")?;
-            let path = base.join(named.strip_prefix("file://").unwrap_or(named));
-            let path = fs::canonicalize(&path).map_err(|e| format!("{}: {e}", path.display()))?;
-            Value::Object(file_object(&path))
-        }
-        Value::Object(o) => {
-            let fields = o.iter().map(|(k, v)| Ok((k.clone(), with_files(v, base)?)));
-            Value::Object(fields.collect::<Result<_, String>>()?)
-        }
-        other => other.clone(),
-    })
+/// The place of a workflow's files.
+pub fn place(work: &Path, name: &str) -> PathBuf {
+    work.join(name)
 }
 
-/// What a process asks for that is not carried out.
-fn refused(p: &Process, out: &mut BTreeSet<String>) {
-    for r in p.requirements.iter().filter(|r| !r.hint) {
-        if !REQUIREMENTS.contains(&(r.class.as_str(), true)) {
-            let At { line, .. } = r.at;
-            out.insert(format!(
-                "{}:{line}: {} is not carried out yet; as a hint it would be left out",
-                p.file, r.class
-            ));
-        }
-    }
-    match &p.kind {
-        Kind::Workflow(steps) => {
-            for s in steps {
-                if let Some(run) = &s.run {
-                    refused(run, out);
-                }
-            }
-        }
-        Kind::Operation => {
-            out.insert(format!(
-                "{}:{}: an Operation cannot be run",
-                p.file, p.at.line
-            ));
-        }
-        Kind::Tool(_) | Kind::Expression(_) => {}
-    }
+/// The file that keeps a step's outputs.
+fn kept_file(work: &Path, name: &str, path: &TaskPath) -> PathBuf {
+    let id = job_id(name, path, Try::default());
+    place(work, name).join(format!("{id}.json"))
 }
 
-/// Numbers of a requirement, where they are written as numbers.
-fn number(n: Option<&Node>) -> Option<f64> {
-    match n?.value {
-        NodeValue::Int(i) => Some(i as f64),
-        NodeValue::Float(f) => Some(f),
-        _ => None,
-    }
+/// What is kept of a step that is recorded as done.
+///
+/// # Errors
+/// The file is not there or cannot be read.
+pub fn kept(work: &Path, name: &str, path: &TaskPath) -> Result<Kept, RunError> {
+    let file = kept_file(work, name, path);
+    read_json(&file).map_err(|e| RunError::Io(file, e))
 }
 
-/// The environment that a tool asks for, on top of the least.
-fn environment(p: &Process, dir: &str) -> BTreeMap<String, String> {
-    let mut env = BTreeMap::from([
-        ("HOME".to_string(), dir.to_string()),
-        ("TMPDIR".to_string(), dir.to_string()),
-        (
-            "PATH".to_string(),
-            "/usr/local/bin:/usr/bin:/bin".to_string(),
-        ),
-    ]);
-    let asked = p
-        .requires("EnvVarRequirement")
-        .and_then(|r| r.node.get("envDef"));
-    let text = |n: &Node| {
-        n.text()
-            .map(String::from)
-            .or_else(|| Some(n.json().to_string()))
+fn client(front: SocketAddrV4) -> Client {
+    let policy = Policy {
+        deadline: Span::millis(60_000),
+        ..Policy::default()
     };
-    match asked.map(|n| &n.value) {
-        Some(NodeValue::Map(m)) => {
-            for (k, n) in m {
-                env.extend(text(n.get("envValue").unwrap_or(n)).map(|v| (k.text.clone(), v)));
-            }
-        }
-        Some(NodeValue::List(l)) => {
-            for n in l {
-                if let (Some(k), Some(v)) =
-                    (n.get("envName").and_then(Node::text), n.get("envValue"))
-                {
-                    env.extend(text(v).map(|v| (k.to_string(), v)));
-                }
-            }
-        }
-        _ => {}
-    }
-    env
-}
-
-struct Shared {
-    options: Options,
-    client: Client,
-    net: Net,
-    limits: Limits,
+    Client::new(vec![front], policy)
 }
 
 /// Runs a workflow to its end, or on to its end if it was begun before.
 ///
 /// # Errors
-/// It failed, or its records cannot be reached: then the same call goes on.
+/// It failed or was cancelled, or its records cannot be reached: then the same
+/// call goes on.
 pub async fn run(
     process: Rc<Process>,
     inputs: Object,
-    fingerprint: &str,
     options: Options,
     mut tell: impl FnMut(News),
 ) -> Result<Object, RunError> {
-    let mut not = BTreeSet::new();
-    refused(&process, &mut not);
+    let not = options.allowed.refused(&process);
     if !not.is_empty() {
         let all: Vec<String> = not.into_iter().collect();
         return Err(RunError::Refused(all.join("\n")));
     }
     let limits = Limits::default();
+    let fingerprint = fingerprint(&process, &inputs);
     let mut engine = Engine::new(process, inputs, options.at_once, limits);
     // Before the name is taken: a slip in the inputs must not use it up.
     if engine.over()
@@ -313,221 +231,508 @@
     {
         return Err(RunError::Refused(e));
     }
-    let mut records = Records::open(options.state, &options.name, fingerprint).await?;
-    let policy = Policy {
-        deadline: Span::millis(60_000),
-        ..Policy::default()
-    };
+    let (state, name) = (options.state, options.name.clone());
+    let mut records = Records::open(state, &name, &fingerprint, &options.by, now_ms()).await?;
+    match &records.head().end {
+        Some(End::Failed(why)) => {
+            return Err(RunError::Failed(format!(
+                "{why}\nit stays failed; pebblectl workflow resume {name} --again takes it up again"
+            )));
+        }
+        Some(End::Cancelled(by)) => return Err(RunError::Cancelled(by.clone())),
+        Some(End::Done) | None => {}
+    }
+    let runner = format!("{}-{}", std::process::id(), now_ms());
+    let mut claim = Claim::new(state, &name, &runner).await?;
+    let (_, until) = claim.renew().await?;
+    let (news, mut told) = mpsc::unbounded_channel();
     let shared = Rc::new(Shared {
-        client: Client::new(vec![options.front], policy),
+        client: client(options.front),
         net: Net::default(),
         options,
         limits,
+        round: records.head().round,
+        jobs: RefCell::default(),
+        claimed: Cell::new(until),
+        news,
     });
-    let mut known = 0;
+    let mut over = 0;
     for (path, entry) in records.all() {
         let outcome = match entry {
-            Entry::Done => Outcome::Done(shared.stored(&path)?),
+            Entry::Done => Outcome::Done(kept(&shared.options.work, &name, &path)?.outputs),
             Entry::Failed(e) => Outcome::Failed(e.clone()),
         };
         engine.outcome(path, outcome);
-        known += 1;
+        over += 1;
     }
-    tell(News::Resumed(known));
+    tell(News::Resumed(over));
+    let mut known = over;
     let (tx, mut rx) = mpsc::unbounded_channel();
-    let mut jobs: BTreeMap<TaskPath, JobId> = BTreeMap::new();
-    loop {
-        for action in engine.advance() {
-            match action {
-                Action::Run(task) => {
-                    let id = job_id(&shared.options.name, &task.path, 0);
-                    jobs.insert(task.path.clone(), id.clone());
-                    tell(News::Submitted(task.path.clone(), id));
-                    let (shared, tx) = (Rc::clone(&shared), tx.clone());
-                    spawn_local(async move {
-                        let outcome = shared.task(&task).await;
-                        // The workflow may be over; nobody misses it.
-                        let _ = tx.send((task.path, outcome));
-                    });
+    let mut tasks: BTreeMap<TaskPath, JoinHandle<()>> = BTreeMap::new();
+    let mut renewals = tokio::time::interval(RENEW);
+    let mut stopping: Vec<(TaskPath, JobId)> = Vec::new();
+    let ended = 'end: loop {
+        let mut actions = engine.advance();
+        loop {
+            for action in std::mem::take(&mut actions) {
+                match action {
+                    Action::Run(task) => {
+                        known += 1;
+                        let (shared, tx) = (Rc::clone(&shared), tx.clone());
+                        let path = task.path.clone();
+                        let work = spawn_local(async move {
+                            let outcome = shared.task(&task).await;
+                            // The workflow may be over; nobody misses it.
+                            let _ = tx.send((task.path, outcome));
+                        });
+                        tasks.insert(path, work);
+                    }
+                    Action::Stop(path) => {
+                        // Whoever waits for it stops first: it must not submit
+                        // the next try.
+                        if let Some(work) = tasks.remove(&path) {
+                            work.abort();
+                        }
+                        let id = shared.jobs.borrow().get(&path).cloned();
+                        stopping.extend(id.map(|id| (path, id)));
+                    }
+                    Action::End(Ok(outputs)) => break 'end Ok(outputs),
+                    Action::End(Err(e)) => break 'end Err(e),
                 }
-                Action::Stop(path) => {
-                    if let Some(id) = jobs.get(&path) {
-                        // Its end is told by its own cancellation; a job that is
-                        // not there any more needs none.
-                        let _ = shared.client.cancel(id).await;
+            }
+            tell(News::Known(known, over));
+            tokio::select! {
+                Some(news) = told.recv() => tell(news),
+                first = rx.recv() => {
+                    let Some(first) = first else { break 'end Err("nothing runs and nothing ends".into()) };
+                    // What ended meanwhile is recorded together.
+                    let mut ended = vec![first];
+                    sleep(Duration::from_millis(20)).await;
+                    while let Ok(next) = rx.try_recv() {
+                        ended.push(next);
+                    }
+                    let entry = |o: &Outcome| match o {
+                        Outcome::Done(_) => Entry::Done,
+                        Outcome::Failed(e) => Entry::Failed(e.clone()),
+                    };
+                    let entries: Vec<_> = ended.iter().map(|(p, o)| (p.clone(), entry(o))).collect();
+                    records.add(&entries).await?;
+                    while let Ok(news) = told.try_recv() {
+                        tell(news);
                     }
+                    for (path, outcome) in ended {
+                        over += 1;
+                        tasks.remove(&path);
+                        shared.jobs.borrow_mut().remove(&path);
+                        let result = match &outcome {
+                            Outcome::Done(_) => Ok(()),
+                            Outcome::Failed(e) => Err(e.clone()),
+                        };
+                        tell(News::Ended(path.clone(), result));
+                        engine.outcome(path, outcome);
+                    }
+                    break;
                 }
-                Action::End(Ok(outputs)) => return Ok(outputs),
-                Action::End(Err(e)) => return Err(RunError::Failed(e)),
+                _ = renewals.tick() => match claim.renew().await {
+                    Ok((head, until)) => {
+                        shared.claimed.set(until);
+                        if let Some(by) = &head.stop {
+                            actions = engine.cancel(&format!("cancelled by {by}"));
+                        }
+                    }
+                    // Submissions wait until it stands again.
+                    Err(e) => tracing::warn!(error = %e, "the claim is not renewed"),
+                },
             }
         }
-        let Some(first) = rx.recv().await else {
-            return Err(RunError::Failed("nothing runs and nothing ends".into()));
-        };
-        // What ended meanwhile is recorded together.
-        let mut ended = vec![first];
-        sleep(Duration::from_millis(20)).await;
-        while let Ok(next) = rx.try_recv() {
-            ended.push(next);
+    };
+    for (_, work) in std::mem::take(&mut tasks) {
+        work.abort();
+    }
+    for (_, id) in &stopping {
+        gone(&shared.client, id).await;
+    }
+    let end = match &ended {
+        Ok(_) => End::Done,
+        Err(e) => End::Failed(e.clone()),
+    };
+    let end = records.end(&end).await?;
+    claim.drop_it().await;
+    tell(News::Known(known, over));
+    match (end, ended) {
+        (End::Done, Ok(outputs)) => {
+            let mut v = Value::Object(outputs);
+            let dir = place(&shared.options.work, &name).join("outputs");
+            written(&mut v, &dir).map_err(RunError::Failed)?;
+            match v {
+                Value::Object(o) => Ok(o),
+                _ => Ok(Object::new()),
+            }
         }
-        let entry = |o: &Outcome| match o {
-            Outcome::Done(_) => Entry::Done,
-            Outcome::Failed(e) => Entry::Failed(e.clone()),
-        };
-        let entries: Vec<_> = ended.iter().map(|(p, o)| (p.clone(), entry(o))).collect();
-        records.add(&entries).await?;
-        for (path, outcome) in ended {
-            jobs.remove(&path);
-            let result = match &outcome {
-                Outcome::Done(_) => Ok(()),
-                Outcome::Failed(e) => Err(e.clone()),
-            };
-            tell(News::Ended(path.clone(), result));
-            engine.outcome(path, outcome);
+        (End::Cancelled(by), _) => Err(RunError::Cancelled(by)),
+        (End::Failed(e), _) => Err(RunError::Failed(e)),
+        (End::Done, Err(e)) => Err(RunError::Failed(e)),
+    }
+}
+
+/// Cancels a job until the cluster says that it is over, or that it never was: a
+/// submission that was on its way has arrived by then.
+async fn gone(client: &Client, id: &JobId) {
+    let begun = Instant::now();
+    loop {
+        match client.cancel(id).await {
+            Ok(_) => return,
+            Err(ClientError::NoSuchJob(_)) if begun.elapsed() >= LATE => return,
+            Err(ClientError::NoSuchJob(_) | ClientError::Busy { .. }) => sleep(LOOKS.0).await,
+            Err(e) => {
+                tracing::error!(job = %id, error = %e, "cannot cancel it");
+                return;
+            }
         }
     }
 }
 
-impl Shared {
-    fn dir(&self, path: &TaskPath, again: u32) -> PathBuf {
-        let id = job_id(&self.options.name, path, again);
-        self.options.work.join(&self.options.name).join(id.as_str())
+/// What a cancellation did.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Cancelled {
+    /// How the workflow ended: a cancellation comes too late for one that is over.
+    pub end: End,
+    /// Jobs that were cancelled here, because no runner was at work.
+    pub jobs: usize,
+}
+
+/// Cancels a workflow: by its runner if one is at work, otherwise here. Safe to
+/// repeat.
+///
+/// # Errors
+/// The state service does not answer, or there is no such workflow.
+pub async fn cancel(
+    name: &str,
+    front: SocketAddrV4,
+    state: SocketAddrV4,
+    work: &Path,
+    by: &str,
+) -> Result<Cancelled, RunError> {
+    let mut records = Records::existing(state, name).await?;
+    records
+        .change(|h| {
+            let asked = h.stop.is_some() || h.end.is_some();
+            (!asked).then(|| crate::records::Head {
+                stop: Some(by.into()),
+                ..h.clone()
+            })
+        })
+        .await?;
+    // A runner at work sees it within its next renewal and ends.
+    while records.head().end.is_none() && records.claims().await? > 0 {
+        sleep(Duration::from_millis(500)).await;
+        records.refresh().await?;
+    }
+    if let Some(end) = &records.head().end {
+        let end = end.clone();
+        return Ok(Cancelled { end, jobs: 0 });
+    }
+    // Nobody submits any more. A job has a directory before it is submitted.
+    let client = client(front);
+    let over: Vec<String> = records.all().map(|(p, _)| p.to_string()).collect();
+    let mut jobs = 0;
+    for step in steps(work, name) {
+        if over.contains(&step.path) {
+            continue;
+        }
+        let id: JobId = step.job.as_str().into();
+        if !place(work, name).join(&step.job).join(EXIT).exists() {
+            gone(&client, &id).await;
+            jobs += 1;
+        }
+    }
+    let end = records.end(&End::Cancelled(by.into())).await?;
+    Ok(Cancelled { end, jobs })
+}
+
+/// Every job of a workflow that was submitted or about to be, in the order of
+/// their submission.
+pub fn steps(work: &Path, name: &str) -> Vec<StepRecord> {
+    let entries = fs::read_dir(place(work, name))
+        .into_iter()
+        .flatten()
+        .flatten();
+    let mut out: Vec<StepRecord> = entries
+        .filter_map(|e| read_json(&e.path().join(JOB)).ok())
+        .collect();
+    out.sort_by(|a, b| (a.submitted_ms, &a.path).cmp(&(b.submitted_ms, &b.path)));
+    out
+}
+
+/// How a job's command ended, if it did.
+pub fn mark(work: &Path, name: &str, job: &str) -> Option<Mark> {
+    read_json(&place(work, name).join(job).join(EXIT)).ok()
+}
+
+/// Why a try of a step has no outputs.
+struct Failure {
+    lost: Lost,
+    text: String,
+}
+
+fn fatal(text: impl Into<String>) -> Failure {
+    Failure {
+        lost: Lost::Final,
+        text: text.into(),
     }
+}
 
-    /// The outputs of a task that is recorded as done.
-    fn stored(&self, path: &TaskPath) -> Result<Object, RunError> {
-        let file = self
-            .options
-            .work
-            .join(&self.options.name)
-            .join(format!("{}.json", job_id(&self.options.name, path, 0)));
-        let bytes = fs::read(&file).map_err(|e| RunError::Io(file.clone(), e))?;
-        serde_json::from_slice(&bytes).map_err(|e| RunError::Io(file, e.into()))
+impl Shared {
+    fn dir(&self, id: &JobId) -> PathBuf {
+        place(&self.options.work, &self.options.name).join(id.as_str())
     }
 
-    /// Keeps outputs beside the files, whole, before they are recorded.
-    fn store(&self, path: &TaskPath, outputs: &Object) -> std::io::Result<()> {
-        let dir = self.options.work.join(&self.options.name);
-        let id = job_id(&self.options.name, path, 0);
-        // Two runners of one workflow write the same, each beside it first.
-        let beside = dir.join(format!("{id}.{}.part", std::process::id()));
-        let file = fs::File::create(&beside)?;
-        serde_json::to_writer(&file, outputs)?;
-        file.sync_all()?;
-        fs::rename(beside, dir.join(format!("{id}.json")))
+    /// Keeps a task's outputs, whole, before it is recorded as done.
+    fn keep(&self, path: &TaskPath, kept: &Kept) -> Result<(), String> {
+        let file = kept_file(&self.options.work, &self.options.name, path);
+        let bytes = serde_json::to_vec(kept).map_err(|e| e.to_string())?;
+        write_whole(&file, &bytes).map_err(|e| format!("{}: {e}", file.display()))
     }
 
     /// Runs a task, again if it may be.
     async fn task(&self, task: &Task) -> Outcome {
-        let most = match self.options.retry {
-            Retry::Never => 0,
-            Retry::OnFailure(n) => n,
+        match self.tried(task).await {
+            Ok(kept) => match self.keep(&task.path, &kept) {
+                Ok(()) => Outcome::Done(kept.outputs),
+                Err(e) => Outcome::Failed(format!("its outputs cannot be kept: {e}")),
+            },
+            Err(e) => Outcome::Failed(e),
+        }
+    }
+
+    async fn tried(&self, task: &Task) -> Result<Kept, String> {
+        let runtime = json!({"outdir": HERE, "tmpdir": format!("{HERE}/.tmp")});
+        let given = inputs(task, &runtime, &Local("/".into()), self.limits)?;
+        if let Kind::Expression(_) = task.tool.kind {
+            // It reads files, so it is evaluated here; it needs no machine.
+            let outputs = expression(&task.tool, &given, task.path.as_str(), self.limits)?;
+            let job = String::new();
+            return Ok(Kept {
+                outputs,
+                job,
+                reused: false,
+            });
+        }
+        let cached = match &self.options.cache {
+            Some(cache) if reusable(task, self.limits)? => Some((cache, Cache::key(task, &given)?)),
+            _ => None,
         };
-        let mut again = 0;
+        if let Some((cache, key)) = &cached
+            && let Some((outputs, job)) = cache.get(key)
+        {
+            let _ = self.news.send(News::Reused(task.path.clone(), job.clone()));
+            return Ok(Kept {
+                outputs,
+                job,
+                reused: true,
+            });
+        }
+        let retry = self.options.allowed.retry(task);
+        let mut number = 0;
         loop {
-            let failed = match self.once(task, again).await {
-                Ok(outputs) => match self.store(&task.path, &outputs) {
-                    Ok(()) => return Outcome::Done(outputs),
-                    Err(e) => (format!("its outputs cannot be kept: {e}"), false),
-                },
-                Err(e) => e,
-            };
-            if !failed.1 || again >= most {
-                return Outcome::Failed(failed.0);
+            let round = self.round;
+            let id = job_id(&self.options.name, &task.path, Try { round, number });
+            match self.once(task, &given, &id, retry).await {
+                Ok(outputs) => {
+                    if let Some((cache, key)) = &cached
+                        && let Err(e) = cache.keep(key, &outputs, id.as_str())
+                    {
+                        tracing::warn!(error = %e, "a finished step is not kept in the cache");
+                    }
+                    let job = id.to_string();
+                    return Ok(Kept {
+                        outputs,
+                        job,
+                        reused: false,
+                    });
+                }
+                Err(f) if again(retry, &f.lost, number) => {
+                    let _ = self.news.send(News::Again(task.path.clone(), f.text));
+                    number += 1;
+                }
+                Err(f) => return Err(f.text),
             }
-            again += 1;
         }
     }
 
-    /// One job; an error says whether it may be tried again.
-    async fn once(&self, task: &Task, again: u32) -> Result<Object, (String, bool)> {
-        let id = job_id(&self.options.name, &task.path, again);
-        let dir = self.dir(&task.path, again);
-        let fatal = |e: String| (e, false);
-        fs::create_dir_all(&dir).map_err(|e| fatal(format!("{}: {e}", dir.display())))?;
-        let needs = task.tool.requires("ResourceRequirement").map(|r| &r.node);
-        let cores = number(needs.and_then(|n| n.get("coresMin"))).unwrap_or(1.0);
-        self.no_more(needs).map_err(fatal)?;
-        let runtime = json!({"cores": cores, "outdir": ".", "tmpdir": "."});
-        let line = command_line(task, &runtime, self.limits).map_err(fatal)?;
+    /// One job.
+    async fn once(
+        &self,
+        task: &Task,
+        given: &Object,
+        id: &JobId,
+        retry: Retry,
+    ) -> Result<Object, Failure> {
+        let dir = self.dir(id);
+        let allowed = &self.options.allowed;
+        let job = allowed.submission(task, id, self.limits).map_err(fatal)?;
+        let runtime = json!({
+            "cores": job.cpus, "ram": job.memory_gb * 1024.0,
+            "outdir": HERE, "tmpdir": format!("{HERE}/.tmp"),
+        });
+        let line = command_line(task, given, &runtime, self.limits).map_err(fatal)?;
         if !dir.join(EXIT).exists() {
-            self.job(task, &id, &dir, &line).await?;
+            self.describe(task, given, &job, &dir).map_err(fatal)?;
+            self.job(task, &job, &dir, &line, retry).await?;
         }
-        let bytes = fs::read(dir.join(EXIT))
-            .map_err(|e| fatal(format!("{}: {e}", dir.join(EXIT).display())))?;
-        let mark: Mark =
-            serde_json::from_slice(&bytes).map_err(|e| fatal(format!("{EXIT}: {e}")))?;
-        match ended(task, mark.code) {
-            Ended::Success => {
-                let left = Local(mark.dir.into());
-                outputs(task, &line, mark.code, &left, &runtime, self.limits).map_err(fatal)
-            }
-            Ended::Temporary => Err((
-                format!("exit code {}, on {}", mark.code, mark.machine),
-                true,
-            )),
-            Ended::Permanent => Err((
-                format!(
+        let named = |e: std::io::Error| fatal(format!("{}: {e}", dir.join(EXIT).display()));
+        let mark: Mark = read_json(&dir.join(EXIT)).map_err(named)?;
+        let lost = match &mark {
+            m if m.not_started.is_some() => Lost::NotStarted,
+            m if m.too_long => Lost::TooLong,
+            m => Lost::Exit(ended(task, m.code)),
+        };
+        if lost != Lost::Exit(Ended::Success) {
+            let text = match (&mark.not_started, mark.too_long) {
+                (Some(why), _) => format!("not started on {}: {why}", mark.machine),
+                (None, true) => format!("ended for its ToolTimeLimit, on {}", mark.machine),
+                (None, false) => format!(
                     "exit code {}, on {}; its files are in {}",
                     mark.code, mark.machine, mark.dir
                 ),
-                matches!(self.options.retry, Retry::OnFailure(n) if n > 0),
-            )),
+            };
+            return Err(Failure { lost, text });
+        }
+        // From here on the directory has its name.
+        let here = |v: &Value| -> Value {
+            let text = v.to_string().replace(HERE, &mark.dir);
+            serde_json::from_str(&text).unwrap_or_default()
+        };
+        let (runtime, own) = (here(&runtime), here(&Value::Object(line.inputs.clone())));
+        let line = CommandLine {
+            inputs: own.as_object().cloned().unwrap_or_default(),
+            ..line
+        };
+        let left = Local(mark.dir.into());
+        outputs(task, &line, mark.code, &left, &runtime, self.limits).map_err(fatal)
+    }
+
+    /// Says what a job is for, before it is submitted: who looks for it finds it,
+    /// whatever becomes of this runner.
+    fn describe(
+        &self,
+        task: &Task,
+        given: &Object,
+        job: &Submission,
+        dir: &Path,
+    ) -> Result<(), String> {
+        let file = dir.join(JOB);
+        if file.exists() {
+            return Ok(());
         }
+        let record = StepRecord {
+            path: task.path.to_string(),
+            job: job.id.to_string(),
+            by: self.options.by.clone(),
+            tool: task.tool.file.to_string(),
+            tool_hash: task.tool.hash.clone(),
+            inputs: given.clone(),
+            input_hashes: hashes(&Value::Object(given.clone()))?.into_iter().collect(),
+            submission: job.clone(),
+            submitted_ms: now_ms(),
+        };
+        let bytes = serde_json::to_vec(&record).map_err(|e| e.to_string())?;
+        write_whole(&file, &bytes).map_err(|e| format!("{}: {e}", file.display()))
     }
 
     /// Uploads, submits and waits for the end.
     async fn job(
         &self,
         task: &Task,
-        id: &JobId,
+        job: &Submission,
         dir: &Path,
         line: &CommandLine,
-    ) -> Result<(), (String, bool)> {
-        let place = dir.display().to_string();
-        let description = Description {
-            argv: line.argv.clone(),
-            env: environment(&task.tool, &place),
-            dir: place,
-            stdin: line.stdin.clone(),
-            stdout: line.stdout.clone(),
-            stderr: line.stderr.clone(),
-            again: match self.options.retry {
-                Retry::Never => Again::Never,
-                Retry::OnFailure(_) => Again::Yes,
-            },
-        };
-        self.upload(id, &description)
+        retry: Retry,
+    ) -> Result<(), Failure> {
+        let id = &job.id;
+        self.upload(id, &self.description(dir, line, retry))
             .await
-            .map_err(|e| (e, false))?;
-        let job = self.submission(task, id);
+            .map_err(fatal)?;
         let client = &self.client;
-        let told = |e: &ClientError| format!("job {id}: {e}");
+        let told = |e: &ClientError| fatal(format!("job {id}: {e}"));
         // A cluster that cannot take it now is asked again: the id is the same.
         loop {
-            match client.submit(&job).await {
+            // Whoever cancels waits until no claim stands: without one nothing is
+            // submitted.
+            while Instant::now() >= self.claimed.get() {
+                sleep(GLANCE).await;
+            }
+            self.jobs.borrow_mut().insert(task.path.clone(), id.clone());
+            match client.submit(job).await {
                 Ok(_) => break,
-                Err(e) if e.may_repeat() => sleep(LOOK).await,
-                Err(e) => return Err((told(&e), false)),
+                Err(e) if e.may_repeat() => sleep(LOOKS.0).await,
+                Err(e) => return Err(told(&e)),
             }
         }
+        // Nobody misses what nobody watches.
+        let _ = self
+            .news
+            .send(News::Submitted(task.path.clone(), id.clone()));
+        let mut every = LOOKS.0;
+        let mut marked = false;
         loop {
             if dir.join(REFUSED).exists() {
                 // Nobody starts it a second time, and nobody knows whether the
                 // first went to its end.
                 let _ = client.cancel(id).await;
-                return Err(("its fate is unknown: it was started, its machine was lost, and its class never forbids to run it again".into(), false));
+                return Err(Failure {
+                    lost: Lost::Unknown,
+                    text: "its fate is unknown: it was started, its machine was lost, and its class of retry forbids to run it again".into(),
+                });
             }
             match client.status(id).await {
                 Ok(a) if a.stage == Stage::Done => return Ok(()),
                 Ok(a) if a.stage == Stage::Cancelled => {
-                    return Err((format!("job {id} was cancelled"), false));
+                    return Err(fatal(format!("job {id} was cancelled")));
                 }
                 Ok(_) => {}
                 Err(e) if e.may_repeat() => {}
-                Err(e) => return Err((told(&e), false)),
+                Err(e) => return Err(told(&e)),
+            }
+            // The job is asked for less and less often, until its command's end is
+            // seen.
+            let next = Instant::now() + every;
+            every = (every * 3 / 2).min(LOOKS.1);
+            while Instant::now() < next && !dir.join(REFUSED).exists() {
+                if !marked && dir.join(EXIT).exists() {
+                    (marked, every) = (true, LOOKS.0);
+                    break;
+                }
+                sleep(GLANCE).await;
             }
-            sleep(LOOK).await;
+        }
+    }
+
+    fn description(&self, dir: &Path, line: &CommandLine, retry: Retry) -> Description {
+        let mut env = BTreeMap::from([
+            ("HOME".to_string(), HERE.to_string()),
+            ("TMPDIR".to_string(), format!("{HERE}/.tmp")),
+            (
+                "PATH".to_string(),
+                "/usr/local/bin:/usr/bin:/bin".to_string(),
+            ),
+        ]);
+        env.extend(line.env.clone());
+        let mut put = vec![Put::Directory { to: ".tmp".into() }];
+        put.extend(line.put.iter().cloned());
+        Description {
+            argv: line.argv.clone(),
+            env,
+            dir: dir.display().to_string(),
+            stdin: line.stdin.clone(),
+            stdout: line.stdout.clone(),
+            stderr: line.stderr.clone(),
+            again: match retry {
+                Retry::Never | Retry::IfNotStarted => Again::Never,
+                Retry::OnFailure(_) => Again::Yes,
+            },
+            put,
+            limit_s: line.limit_s,
         }
     }
 
@@ -548,39 +753,8 @@
                 Ok(Err(e)) => last = e.to_string(),
                 Err(_) => last = "no answer in time".into(),
             }
-            sleep(LOOK).await;
+            sleep(LOOKS.0).await;
         }
         Err(format!("job {id}: its command cannot be uploaded: {last}"))
     }
-
-    /// A step may ask for less than its workflow, never for more.
-    fn no_more(&self, needs: Option<&Node>) -> Result<(), String> {
-        let job = &self.options.job;
-        let asks = |field: &str| number(needs.and_then(|n| n.get(field)));
-        let memory = asks("ramMin").map(|mib| mib / 1024.0);
-        for (what, asked, has) in [
-            ("cores", asks("coresMin"), job.cpus),
-            ("GB of memory", memory, job.memory_gb),
-        ] {
-            if let Some(n) = asked.filter(|n| *n > has) {
-                return Err(format!("asks for {n} {what}, its workflow's job has {has}"));
-            }
-        }
-        Ok(())
-    }
-
-    /// A task's job: of the workflow's team, class and priority.
-    fn submission(&self, task: &Task, id: &JobId) -> Submission {
-        let mut job = self.options.job.clone();
-        job.id = id.clone();
-        job.tasks = 1;
-        let needs = task.tool.requires("ResourceRequirement").map(|r| &r.node);
-        if let Some(cores) = number(needs.and_then(|n| n.get("coresMin"))) {
-            job.cpus = cores;
-        }
-        if let Some(mib) = number(needs.and_then(|n| n.get("ramMin"))) {
-            job.memory_gb = mib / 1024.0;
-        }
-        job
-    }
 }
