--- a/crates/pebblectl/tests/workflow.rs
+++ b/crates/pebblectl/tests/workflow.rs
@@ -6,18 +6,21 @@
 use std::net::TcpListener;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Output, Stdio};
-use std::time::Duration;
+use std::sync::atomic::{AtomicU16, Ordering};
+use std::time::{Duration, Instant};
 
 fn root() -> PathBuf {
     PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../..")
 }
 
-/// So many ports in a row that nobody has.
+/// So many ports in a row that nobody has; tests side by side look at different
+/// ones.
 fn free_ports(count: u16) -> u16 {
-    for base in (20_000..30_000)
-        .step_by(37)
-        .skip(std::process::id() as usize % 200)
-    {
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    let first = 20_000 + (std::process::id() % 200) as u16 * 37;
+    loop {
+        let base = first + NEXT.fetch_add(count, Ordering::Relaxed);
+        assert!(base < 32_000, "no free ports");
         let all: Vec<_> = (base..base + count)
             .map(|p| TcpListener::bind(("127.0.0.1", p)))
             .collect();
@@ -25,7 +28,6 @@
             return base;
         }
     }
-    panic!("no free ports")
 }
 
 struct Cluster {
@@ -35,6 +37,11 @@
 
 impl Cluster {
     fn start(name: &str) -> Cluster {
+        Cluster::with(name, None)
+    }
+
+    /// A cluster as a script has it, faults included.
+    fn with(name: &str, script: Option<&str>) -> Cluster {
         let dir = std::env::temp_dir().join(format!("pebblectl-{name}-{}", std::process::id()));
         std::fs::create_dir_all(&dir).unwrap();
         let port = free_ports(8);
@@ -48,16 +55,39 @@
             at(7)
         );
         std::fs::write(dir.join("config.toml"), config).unwrap();
-        let up = Command::new(env!("CARGO_BIN_EXE_pebblectl"))
-            .args(["up", "--port", &port.to_string(), "--dir"])
+        let mut up = Command::new(env!("CARGO_BIN_EXE_pebblectl"));
+        up.args(["up", "--port", &port.to_string(), "--dir"])
             .arg(dir.join("up"))
             .stdout(Stdio::null())
-            .stderr(std::fs::File::create(dir.join("up.log")).unwrap())
-            .spawn()
-            .unwrap();
+            .stderr(std::fs::File::create(dir.join("up.log")).unwrap());
+        if let Some(text) = script {
+            let file = dir.join("cluster.toml");
+            std::fs::write(&file, text).unwrap();
+            up.arg("--script").arg(file);
+        }
+        let up = up.spawn().unwrap();
         Cluster { up, dir }
     }
 
+    /// A verb on a workflow that was begun.
+    fn verb(&self, verb: &str, name: &str, more: &[&str]) -> Output {
+        Command::new(env!("CARGO_BIN_EXE_pebblectl"))
+            .current_dir(root())
+            .args(["--output", "json", "--config"])
+            .arg(self.dir.join("config.toml"))
+            .args(["workflow", verb, name, "--user", "ana", "--work"])
+            .arg(self.dir.join("work"))
+            .args(more)
+            .output()
+            .unwrap()
+    }
+
+    fn file(&self, name: &str, text: &str) -> String {
+        let path = self.dir.join(name);
+        std::fs::write(&path, text).unwrap();
+        path.display().to_string()
+    }
+
     fn command(&self, name: &str, more: &[&str]) -> Command {
         let mut c = Command::new(env!("CARGO_BIN_EXE_pebblectl"));
         c.current_dir(root())
@@ -113,12 +143,12 @@
     }
 }
 
-fn text(bytes: &[u8]) -> String {
+fn text_of(bytes: &[u8]) -> String {
     String::from_utf8_lossy(bytes).into_owned()
 }
 
 fn outputs(o: &Output) -> Value {
-    assert!(o.status.success(), "{}", text(&o.stderr));
+    assert!(o.status.success(), "{}", text_of(&o.stderr));
     serde_json::from_slice(&o.stdout).unwrap()
 }
 
@@ -157,10 +187,10 @@
         .unwrap();
     assert_eq!(outputs(&again), out);
     assert!(
-        text(&again.stderr).contains("3 steps are over already")
-            && !text(&again.stderr).contains("submitted"),
+        text_of(&again.stderr).contains("3 steps are over already")
+            && !text_of(&again.stderr).contains("submitted"),
         "{}",
-        text(&again.stderr)
+        text_of(&again.stderr)
     );
     // A slip in the inputs does not use a name up.
     let slip = cluster
@@ -168,9 +198,9 @@
         .output()
         .unwrap();
     assert!(
-        text(&slip.stderr).contains("input photos: null"),
+        text_of(&slip.stderr).contains("input photos: null"),
         "{}",
-        text(&slip.stderr)
+        text_of(&slip.stderr)
     );
     let mended = cluster
         .command(
@@ -187,11 +217,11 @@
     let sleepy = cluster.sleepy(12);
     let sleepy = sleepy.to_str().unwrap();
     let taken = cluster.command("first", &[sleepy]).output().unwrap();
-    assert_eq!(taken.status.code(), Some(2), "{}", text(&taken.stderr));
+    assert_eq!(taken.status.code(), Some(2), "{}", text_of(&taken.stderr));
     assert!(
-        text(&taken.stderr).contains("is taken"),
+        text_of(&taken.stderr).contains("is taken"),
         "{}",
-        text(&taken.stderr)
+        text_of(&taken.stderr)
     );
 
     // A runner killed at any moment, and begun again.
@@ -228,7 +258,7 @@
         .collect();
     for r in runners {
         let o = r.wait_with_output().unwrap();
-        assert!(o.status.success(), "{}", text(&o.stderr));
+        assert!(o.status.success(), "{}", text_of(&o.stderr));
     }
     assert_eq!(cluster.log(), once_each(12));
 
@@ -241,9 +271,9 @@
         .unwrap();
     assert_eq!(failed.status.code(), Some(1));
     assert!(
-        text(&failed.stderr).contains("a: exit code 3"),
+        text_of(&failed.stderr).contains("a: exit code 3"),
         "{}",
-        text(&failed.stderr)
+        text_of(&failed.stderr)
     );
     // More than the workflow's own amounts is not to be had.
     let greedy = std::fs::read_to_string(&failing).unwrap().replace(
@@ -256,9 +286,223 @@
         .output()
         .unwrap();
     assert!(
-        text(&greedy.stderr).contains("asks for 64 cores, its workflow's job has 4"),
+        text_of(&greedy.stderr).contains("asks for 64 cores, its workflow's job has 4"),
         "{}",
-        text(&greedy.stderr)
+        text_of(&greedy.stderr)
     );
     assert!(Path::new(&cluster.dir.join("up.log")).exists());
 }
+
+/// Waits until something holds.
+fn until(what: &str, mut holds: impl FnMut() -> bool) {
+    let begun = Instant::now();
+    while !holds() {
+        assert!(begun.elapsed() < Duration::from_secs(90), "never: {what}");
+        std::thread::sleep(Duration::from_millis(100));
+    }
+}
+
+fn stage_of(c: &Cluster, name: &str) -> Value {
+    outputs(&c.verb("status", name, &[]))
+}
+
+#[test]
+fn a_workflow_is_cancelled_taken_up_again_and_told_of() {
+    let c = Cluster::start("verbs");
+    let log = c.dir.join("log");
+    let text = "cwlVersion: v1.2\nclass: Workflow\nrequirements: {ScatterFeatureRequirement: {}}\ninputs: {l: {type: \"int[]\", default: [0, 1, 2, 3, 4, 5, 6, 7]}}\noutputs: []\nsteps:\n  a:\n    scatter: n\n    in: {n: l}\n    out: []\n    run:\n      class: CommandLineTool\n      baseCommand: [sh, -c, 'echo \"begun $1\" >> \"$0\"; sleep 60; echo \"ended $1\" >> \"$0\"', LOG]\n      inputs: {n: {type: int, inputBinding: {}}}\n      outputs: []\n"
+        .replace("LOG", &log.display().to_string());
+    let long = c.file("long.cwl", &text);
+    // Half of its steps run; its runner is at work.
+    let runner = c
+        .command("long", &[&long, "--at-once", "4"])
+        .stdout(Stdio::null())
+        .stderr(Stdio::piped())
+        .spawn()
+        .unwrap();
+    until("four steps run", || c.log().len() == 4);
+    let cancelled = outputs(&c.verb("cancel", "long", &[]));
+    assert_eq!(
+        (&cancelled["stage"], &cancelled["why"]),
+        (&"cancelled".into(), &"by ana".into())
+    );
+    let o = runner.wait_with_output().unwrap();
+    assert_eq!(o.status.code(), Some(1));
+    assert!(
+        text_of(&o.stderr).contains("cancelled by ana"),
+        "{}",
+        text_of(&o.stderr)
+    );
+    // One final answer, however often it is asked for; every job is over.
+    assert_eq!(
+        outputs(&c.verb("cancel", "long", &[]))["stage"],
+        "cancelled"
+    );
+    let status = stage_of(&c, "long");
+    let steps = status["steps"].as_array().unwrap();
+    assert_eq!((steps.len(), &status["runners"]), (4, &0.into()));
+    assert!(steps.iter().all(|s| s["stage"] == "withdrawn"), "{status}");
+    let again = c.command("long", &[&long]).output().unwrap();
+    assert_eq!(again.status.code(), Some(1), "{}", text_of(&again.stderr));
+
+    // The runner is killed, and nobody goes on with it: cancelled all the same.
+    std::fs::remove_file(&log).unwrap();
+    let mut runner = c
+        .command("left", &[&long, "--at-once", "3"])
+        .stdout(Stdio::null())
+        .stderr(Stdio::null())
+        .spawn()
+        .unwrap();
+    until("three steps run", || c.log().len() == 3);
+    runner.kill().unwrap();
+    runner.wait().unwrap();
+    let cancelled = outputs(&c.verb("cancel", "left", &[]));
+    assert_eq!(
+        (&cancelled["stage"], &cancelled["jobs_cancelled_here"]),
+        (&"cancelled".into(), &3.into())
+    );
+    assert!(!c.log().keys().any(|l| l.starts_with("ended")));
+
+    // What failed is run anew, what is done is not.
+    std::fs::remove_file(&log).unwrap();
+    let gate = c.dir.join("gate");
+    let text = "cwlVersion: v1.2\nclass: Workflow\ninputs: []\noutputs: {r: {type: int, outputSource: b/r}}\nsteps:\n  a: {in: {}, out: [o], run: {class: CommandLineTool, baseCommand: [sh, -c, 'echo a >> \"$0\"; echo 42', 'LOG'], inputs: [], stdout: o.txt, outputs: {o: stdout}}}\n  b:\n    in: {f: a/o}\n    out: [r]\n    run:\n      class: CommandLineTool\n      requirements: {InlineJavascriptRequirement: {}, InitialWorkDirRequirement: {listing: [{entryname: in.txt, entry: $(inputs.f)}]}}\n      hints: {pebblefold:Job: {retry: never}}\n      baseCommand: [sh, -c, 'echo b >> \"$0\"; cat in.txt; test -e \"$1\"', 'LOG', 'GATE']\n      stdout: r.txt\n      inputs: {f: File}\n      outputs: {r: {type: int, outputBinding: {glob: r.txt, loadContents: true, outputEval: \"$(parseInt(self[0].contents))\"}}}\n"
+        .replace("LOG", &log.display().to_string())
+        .replace("GATE", &gate.display().to_string());
+    let gated = c.file("gated.cwl", &text);
+    let cache = c.dir.join("cache").display().to_string();
+    let with = |name: &str| {
+        c.command(name, &[&gated, "--cache", &cache])
+            .output()
+            .unwrap()
+    };
+    let failed = with("gated");
+    assert!(
+        text_of(&failed.stderr).contains("b: exit code 1"),
+        "{}",
+        text_of(&failed.stderr)
+    );
+    let stays = c.verb("resume", "gated", &[]);
+    assert!(
+        text_of(&stays.stderr).contains("--again"),
+        "{}",
+        text_of(&stays.stderr)
+    );
+    std::fs::write(&gate, "").unwrap();
+    assert_eq!(outputs(&c.verb("resume", "gated", &["--again"]))["r"], 42);
+    assert_eq!(c.log(), BTreeMap::from([("a".into(), 1), ("b".into(), 2)]));
+    assert_eq!(outputs(&c.verb("cancel", "gated", &[]))["stage"], "done");
+
+    // The same tools on the same inputs are not run again under another name.
+    let reused = with("other");
+    assert_eq!(outputs(&reused)["r"], 42);
+    assert!(
+        text_of(&reused.stderr).contains("used again"),
+        "{}",
+        text_of(&reused.stderr)
+    );
+    assert_eq!(c.log(), BTreeMap::from([("a".into(), 1), ("b".into(), 2)]));
+
+    // Who, what, which inputs, where and when.
+    let told = outputs(&c.verb("provenance", "gated", &[]));
+    let b = told["steps"]
+        .as_array()
+        .unwrap()
+        .iter()
+        .find(|s| s["step"] == "b")
+        .unwrap();
+    let jobs = b["jobs"].as_array().unwrap();
+    assert_eq!(jobs.len(), 2);
+    for j in jobs {
+        assert_eq!(j["asked"]["input_hashes"].as_object().unwrap().len(), 1);
+        assert!(j["ended"]["machine"].as_str().unwrap().starts_with("host-"));
+        assert!(j["ended"]["ended_ms"].as_u64() >= j["ended"]["began_ms"].as_u64());
+    }
+    assert_eq!(told["head"]["round"], 1);
+
+    let none = c.verb("status", "nothing", &[]);
+    assert_eq!(none.status.code(), Some(2));
+    assert!(text_of(&none.stderr).contains("no workflow nothing"));
+    let graph = Command::new(env!("CARGO_BIN_EXE_pebblectl"))
+        .args(["workflow", "graph", &gated])
+        .output()
+        .unwrap();
+    assert!(text_of(&graph.stdout).contains("\"a\" -> \"b\";"));
+    let svg = c.dir.join("g.svg").display().to_string();
+    let graph = Command::new(env!("CARGO_BIN_EXE_pebblectl"))
+        .args(["workflow", "graph", &gated, "--svg", &svg])
+        .output()
+        .unwrap();
+    assert!(graph.status.success());
+    assert!(std::fs::read_to_string(svg).unwrap().contains("<svg"));
+}
+
+/// A cluster whose state service is out, whose leader is killed and one of whose
+/// machines vanishes, one after the other, while a workflow runs.
+const ROUGH: &str = r#"
+name = "rough"
+length_s = 600
+[cluster]
+zones = ["a", "b"]
+controllers = ["a", "b", "a"]
+kinds = [{ name = "box", cpus = 8, gpus = 4, memory_gb = 64, cache_gb = 60, fetch_gb_per_s = 4.0, price = 4.0, spot_price = 1.0, boot_s = 3 }]
+machines = [{ kind = "box", zone = "a", capacity = 6, up = 3 }, { kind = "box", zone = "b", capacity = 6, up = 3 }]
+teams = [{ name = "maps", gpus = 16, gpus_max = 48 }]
+workers = { report_s = 1.0, lease_s = 8.0, gang_wait_s = 20.0, gang_peer_s = 4.0, cancel_s = 20.0 }
+aims = []
+[[faults]]
+at_s = 9
+kind = "state_out"
+for_s = 5
+[[faults]]
+at_s = 18
+kind = "kill"
+nodes = "leader"
+for_s = 3
+[[faults]]
+at_s = 24
+kind = "vanish"
+count = 2
+"#;
+
+// Whatever fails, a step that may be repeated goes to its end, and one whose class
+// forbids it is begun once at most: then the workflow may stop, with its word.
+#[test]
+fn workflows_go_through_failures_and_never_repeat_what_must_not_be() {
+    let c = Cluster::with("rough", Some(ROUGH));
+    let steps = |word: &str| -> String {
+        let text = std::fs::read_to_string(c.sleepy(24)).unwrap();
+        let text = text.replace(
+            "sleep 0.7;",
+            &format!("echo {word}-$1 >> $0.begun; sleep 2;"),
+        );
+        c.file(&format!("{word}.cwl"), &text)
+    };
+    let (may, never) = (steps("may"), steps("never"));
+    let run = |name: &str, file: &str, retry: &str| {
+        c.command(name, &[file, "--at-once", "5", "--retry", retry])
+            .stdout(Stdio::null())
+            .stderr(Stdio::piped())
+            .spawn()
+            .unwrap()
+    };
+    let runners = [run("may", &may, "0"), run("never", &never, "never")];
+    let [may, never] = runners.map(|r| r.wait_with_output().unwrap());
+    assert!(may.status.success(), "{}", text_of(&may.stderr));
+    if !never.status.success() {
+        assert!(
+            text_of(&never.stderr).contains("its fate is unknown"),
+            "{}",
+            text_of(&never.stderr)
+        );
+    }
+    let begun = std::fs::read_to_string(c.dir.join("log.begun")).unwrap();
+    let count = |word: &str| begun.lines().filter(|l| *l == word).count();
+    for i in 0..24 {
+        assert!(
+            count(&format!("never-{i}")) <= 1,
+            "step {i} was begun twice\n{begun}"
+        );
+        assert!(count(&format!("may-{i}")) >= 1);
+    }
+}
--- a/crates/workflow/src/needs.rs
+++ b/crates/workflow/src/needs.rs
@@ -173,7 +173,7 @@
             "ShellCommandRequirement" => &[],
             JOB => &[
                 "team",
-                "class",
+                "job_class",
                 "priority",
                 "gpus",
                 "image",
@@ -194,8 +194,16 @@
         let Some(mut f) = self.fields(&r.node, what) else {
             return;
         };
-        // The class that a list's items carry.
-        f.take("class");
+        // The class that a list's items carry. A job's own class needs another
+        // name: as `class` it was taken for this one, and left out.
+        if let Some(n) = f.take("class")
+            && n.text() != Some(what)
+        {
+            self.error(
+                n.at,
+                format!("{what}: class here names the requirement; job_class is meant?"),
+            );
+        }
         match what {
             "ResourceRequirement" => {
                 needs.cores = self.one_of(&mut f, ["coresMin", "coresMax"], what);
@@ -337,7 +345,7 @@
         let named = |name: &str| format!("{JOB}.{name}");
         for (name, to) in [
             ("team", &mut hint.team),
-            ("class", &mut hint.class),
+            ("job_class", &mut hint.class),
             ("image", &mut hint.image),
         ] {
             *to = f.take(name).and_then(|n| self.text(n, &named(name)));
