--- /dev/null
+++ b/crates/agent/src/link.rs
@@ -0,0 +1,201 @@
+//! A worker's side of its talk with the controllers, as a state machine: reports
+//! at their pace and on change, one in flight, the rotation among controllers and
+//! its pauses, tokens, sessions, and the lease by the steady clock. Agents and the
+//! stand-ins' simulated workers run this same code.
+
+use pebblefold_wire::types::{Session, Span, Tally, Time, Token};
+use rand::{Rng, RngExt};
+
+/// Least time between two reports, whatever changes.
+const LEAST_BETWEEN: Span = Span::millis(500);
+/// How long a worker waits for an answer.
+pub const PATIENCE: Span = Span::millis(4000);
+/// How long it waits before it tries the next node.
+const NEXT_NODE: Span = Span::millis(1000);
+
+/// The times that a deployment gives its workers.
+#[derive(Clone, Copy, Debug)]
+pub struct Pace {
+    /// Between reports.
+    pub report: Span,
+    /// The lease.
+    pub lease: Span,
+}
+
+/// The talk with the controllers.
+#[derive(Debug)]
+pub struct Link {
+    pace: Pace,
+    session: u64,
+    tally: u64,
+    token: u64,
+    /// When the last answered report was sent, or the session began.
+    leased: Time,
+    token_counted: Option<Time>,
+    node: usize,
+    nodes: usize,
+    /// The report in flight: its ticket and when it was sent.
+    flight: Option<(u64, Time)>,
+    next: Time,
+    last: Option<Time>,
+    changed: bool,
+}
+
+impl Link {
+    /// A new worker's link to so many controllers, beginning at any of them.
+    pub fn new(pace: Pace, nodes: usize, now: Time, rng: &mut impl Rng) -> Link {
+        Link::resumed(pace, nodes, now, (Session(1), Token(0)), rng)
+    }
+
+    /// The link of a worker that knows its session and the highest token it has
+    /// seen from before it was started again.
+    pub fn resumed(
+        pace: Pace,
+        nodes: usize,
+        now: Time,
+        (session, token): (Session, Token),
+        rng: &mut impl Rng,
+    ) -> Link {
+        Link {
+            pace,
+            session: session.0,
+            tally: 0,
+            token: token.0,
+            leased: now,
+            token_counted: None,
+            node: rng.random_range(0..nodes.max(1)),
+            nodes: nodes.max(1),
+            flight: None,
+            next: now,
+            last: None,
+            changed: false,
+        }
+    }
+
+    /// The session.
+    pub fn session(&self) -> Session {
+        Session(self.session)
+    }
+
+    /// The highest token seen.
+    pub fn token(&self) -> Token {
+        Token(self.token)
+    }
+
+    /// The number of the next message.
+    pub fn count(&mut self) -> Tally {
+        self.tally += 1;
+        Tally(self.tally)
+    }
+
+    /// The controller that is reported to.
+    pub fn node(&self) -> usize {
+        self.node
+    }
+
+    /// Notes that something changed that is worth a report.
+    pub fn touch(&mut self) {
+        self.changed = true;
+    }
+
+    /// Whether nothing is to be said before the next report is due.
+    pub fn idles(&self, now: Time) -> bool {
+        self.flight.is_none() && !self.changed && now < self.next
+    }
+
+    /// Whether the lease is over.
+    pub fn expired(&self, now: Time) -> bool {
+        now.since(self.leased) > self.pace.lease
+    }
+
+    /// Begins a report under this ticket, if one is due.
+    pub fn due(&mut self, now: Time, ticket: u64, rng: &mut impl Rng) -> bool {
+        if let Some((_, sent)) = self.flight {
+            if now.since(sent) < PATIENCE {
+                return false;
+            }
+            self.try_next(now);
+        }
+        let rested = self.last.is_none_or(|t| now.since(t) >= LEAST_BETWEEN);
+        let soon = self.next.since(now) < self.pace.report.scaled(1.25);
+        if now < self.next && !(self.changed && rested && soon) {
+            return false;
+        }
+        self.changed = false;
+        self.last = Some(now);
+        self.next = now + self.pace.report.scaled(rng.random_range(0.75..1.25));
+        self.flight = Some((ticket, now));
+        true
+    }
+
+    fn try_next(&mut self, now: Time) {
+        self.flight = None;
+        self.node = (self.node + 1) % self.nodes;
+        self.next = now + NEXT_NODE;
+        self.changed = false;
+    }
+
+    /// Whether this ticket's report is the one in flight.
+    pub fn awaits(&self, ticket: u64) -> bool {
+        self.flight.is_some_and(|(t, _)| t == ticket)
+    }
+
+    /// An answer to the report in flight; true if it counts: its commands are to
+    /// be executed, and the lease is renewed.
+    pub fn answered(&mut self, now: Time, token: Token) -> bool {
+        let Some((_, sent)) = self.flight.take() else {
+            return false;
+        };
+        if token.0 < self.token {
+            return false;
+        }
+        self.see_token(now, token.0);
+        self.leased = sent;
+        true
+    }
+
+    fn see_token(&mut self, now: Time, token: u64) {
+        if token > self.token {
+            self.token = token;
+            let half = self.pace.lease.scaled(0.5);
+            if self.token_counted.is_none_or(|t| now.since(t) > half) {
+                self.token_counted = Some(now);
+                self.changed = true;
+            }
+        }
+    }
+
+    /// It is told to report to another node, or the node cannot help.
+    pub fn sent_away(&mut self, now: Time, to: Option<usize>, rng: &mut impl Rng) {
+        match to {
+            Some(n) if n != self.node && n < self.nodes => {
+                self.flight = None;
+                self.node = n;
+                self.next = now + Span::millis(rng.random_range(0..500));
+            }
+            _ => self.try_next(now),
+        }
+    }
+
+    /// Whether direct commands count, by their token and session.
+    pub fn takes(&mut self, now: Time, token: Token, session: Session) -> bool {
+        let ok = token.0 >= self.token && session.0 == self.session;
+        if ok {
+            self.see_token(now, token.0);
+        }
+        ok
+    }
+
+    /// Begins the next session if the lease is over; true if it did: everything
+    /// on the machine has to be killed and forgotten.
+    pub fn renewed(&mut self, now: Time) -> bool {
+        if !self.expired(now) {
+            return false;
+        }
+        self.session += 1;
+        self.leased = now;
+        self.flight = None;
+        self.changed = true;
+        true
+    }
+}
--- a/crates/rehearsal/src/fleet.rs
+++ b/crates/rehearsal/src/fleet.rs
@@ -258,7 +258,7 @@
                 let class = |t: &str| jobs.get(job_of(t)).map(|j| j.class.to_string());
                 out.push(Sending {
                     machine: name.clone(),
-                    node: w.node,
+                    node: w.node(),
                     ticket: t,
                     body: encode(&report),
                     completes: done.filter_map(|t| class(&t.task)).collect(),
--- a/crates/rehearsal/src/worker.rs
+++ b/crates/rehearsal/src/worker.rs
@@ -2,20 +2,16 @@
 //! rotation among controllers, commands, images. What its tasks do together,
 //! and how long they take, is the [`crate::fleet`]'s.
 
-use pebblefold::types::{Amounts, Attempt, Session, Span, Tally, Time, Token};
+use pebblefold::types::{Amounts, Attempt, Session, Span, Time, Token};
 use pebblefold::wire::cloud::{ListedMachine, MachineType};
 use pebblefold::wire::users::{Shape, Submission};
 use pebblefold::wire::workers::{Command, Report, ReportedTask, TaskState, Why};
+use pebblefold_agent::link::{Link, Pace};
 use rand::RngExt;
 use rand::rngs::StdRng;
 use std::collections::{BTreeMap, BTreeSet};
 
-/// Least time between two reports, whatever changes.
-const LEAST_BETWEEN: Span = Span::millis(500);
-/// How long a worker waits for an answer.
-pub const PATIENCE: Span = Span::millis(4000);
-/// How long it waits before it tries the next node.
-const NEXT_NODE: Span = Span::millis(1000);
+pub use pebblefold_agent::link::PATIENCE;
 
 /// Times of all workers.
 #[derive(Clone, Copy, Debug)]
@@ -86,21 +82,7 @@
     has: Amounts,
     cache_gb: f64,
     fetch_gb_per_s: f64,
-    times: Times,
-    session: u64,
-    tally: u64,
-    token: u64,
-    /// When the last answered report was sent, or the session began.
-    leased: Time,
-    token_counted: Option<Time>,
-    /// The controller it reports to.
-    pub node: usize,
-    nodes: usize,
-    /// The report in flight: its ticket and when it was sent.
-    flight: Option<(u64, Time)>,
-    next: Time,
-    last: Option<Time>,
-    changed: bool,
+    link: Link,
     /// It hangs until then.
     pub hung: Option<Time>,
     /// It is taken then, and has been told so.
@@ -134,23 +116,16 @@
         now: Time,
         rng: &mut StdRng,
     ) -> Worker {
+        let pace = Pace {
+            report: times.report,
+            lease: times.lease,
+        };
         Worker {
             machine,
             has: kind.has(),
             cache_gb: kind.cache_gb,
             fetch_gb_per_s: kind.fetch_gb_per_s * rng.random_range(0.7..1.3),
-            times,
-            session: 1,
-            tally: 0,
-            token: 0,
-            leased: now,
-            token_counted: None,
-            node: rng.random_range(0..nodes),
-            nodes,
-            flight: None,
-            next: now,
-            last: None,
-            changed: false,
+            link: Link::new(pace, nodes, now, rng),
             hung: None,
             taken: None,
             speed: rng.random_range(0.95..1.05),
@@ -167,7 +142,7 @@
 
     /// Its report now.
     pub fn report(&mut self, now: Time) -> Report {
-        self.tally += 1;
+        let tally = self.link.count();
         let one = |((task, attempt), t): (&Key, &Task)| ReportedTask {
             task: task.clone(),
             attempt: Attempt(*attempt),
@@ -181,9 +156,9 @@
             kind: self.machine.kind.clone(),
             zone: self.machine.zone.clone(),
             spot: self.machine.spot,
-            session: Session(self.session),
-            tally: Tally(self.tally),
-            token: Token(self.token),
+            session: self.link.session(),
+            tally,
+            token: self.link.token(),
             notice_s: self.taken.map(|t| t.since(now).as_secs()),
             tasks: self.tasks.iter().map(one).collect(),
         }
@@ -191,104 +166,55 @@
 
     /// Whether it has anything to do before its next report.
     pub fn idles(&self, now: Time) -> bool {
-        self.tasks.is_empty() && self.flight.is_none() && !self.changed && now < self.next
+        self.tasks.is_empty() && self.link.idles(now)
     }
 
     /// Whether time does anything to it: it has tasks or fetches, or its lease is
     /// over.
     pub fn needs_time(&self, now: Time) -> bool {
-        !self.tasks.is_empty()
-            || !self.fetching.is_empty()
-            || now.since(self.leased) > self.times.lease
+        !self.tasks.is_empty() || !self.fetching.is_empty() || self.link.expired(now)
     }
 
-    /// Begins a report under this ticket, if one is due.
-    pub fn due(&mut self, now: Time, ticket: u64, rng: &mut StdRng) -> Option<Report> {
-        if let Some((_, sent)) = self.flight {
-            if now.since(sent) < PATIENCE {
-                return None;
-            }
-            self.try_next(now);
-        }
-        let rested = self.last.is_none_or(|t| now.since(t) >= LEAST_BETWEEN);
-        if now < self.next
-            && !(self.changed && rested && self.next.since(now) < self.times.report.scaled(1.25))
-        {
-            return None;
-        }
-        self.changed = false;
-        self.last = Some(now);
-        self.next = now + self.times.report.scaled(rng.random_range(0.75..1.25));
-        self.flight = Some((ticket, now));
-        Some(self.report(now))
+    /// The controller it reports to.
+    pub fn node(&self) -> usize {
+        self.link.node()
     }
 
-    fn try_next(&mut self, now: Time) {
-        self.flight = None;
-        self.node = (self.node + 1) % self.nodes;
-        self.next = now + NEXT_NODE;
-        self.changed = false;
+    /// Begins a report under this ticket, if one is due.
+    pub fn due(&mut self, now: Time, ticket: u64, rng: &mut StdRng) -> Option<Report> {
+        let due = self.link.due(now, ticket, rng);
+        due.then(|| self.report(now))
     }
 
     /// Whether this ticket's report is the one in flight.
     pub fn awaits(&self, ticket: u64) -> bool {
-        self.flight.is_some_and(|(t, _)| t == ticket)
+        self.link.awaits(ticket)
     }
 
     /// An answer that carries a token; `sent`: when its report was sent.
     pub fn answered(&mut self, now: Time, token: Token, commands: Vec<Command>) -> Heard {
-        let Some((_, sent)) = self.flight.take() else {
-            return Heard::Nothing;
-        };
-        if token.0 < self.token {
-            return Heard::Nothing;
-        }
-        self.see_token(now, token.0);
-        self.leased = sent;
-        Heard::Commands(commands)
-    }
-
-    fn see_token(&mut self, now: Time, token: u64) {
-        if token > self.token {
-            self.token = token;
-            let half = self.times.lease.scaled(0.5);
-            if self.token_counted.is_none_or(|t| now.since(t) > half) {
-                self.token_counted = Some(now);
-                self.changed = true;
-            }
+        if self.link.answered(now, token) {
+            Heard::Commands(commands)
+        } else {
+            Heard::Nothing
         }
     }
 
     /// It is told to report to another node, or the node cannot help.
     pub fn sent_away(&mut self, now: Time, to: Option<usize>, rng: &mut StdRng) {
-        match to {
-            Some(n) if n != self.node && n < self.nodes => {
-                self.flight = None;
-                self.node = n;
-                self.next = now + Span::millis(rng.random_range(0..500));
-            }
-            _ => self.try_next(now),
-        }
+        self.link.sent_away(now, to, rng);
     }
 
     /// Whether direct commands count, by their token and session.
     pub fn takes(&mut self, now: Time, token: Token, session: Session) -> bool {
-        let ok = token.0 >= self.token && session.0 == self.session;
-        if ok {
-            self.see_token(now, token.0);
-        }
-        ok
+        self.link.takes(now, token, session)
     }
 
     /// Ends the session if the lease is over; returns what was on the machine.
     pub fn lease_over(&mut self, now: Time) -> BTreeMap<Key, Task> {
-        if now.since(self.leased) <= self.times.lease {
+        if !self.link.renewed(now) {
             return BTreeMap::new();
         }
-        self.session += 1;
-        self.leased = now;
-        self.flight = None;
-        self.changed = true;
         std::mem::take(&mut self.tasks)
     }
 
@@ -298,7 +224,7 @@
         if self.tasks.contains_key(&key) {
             return;
         }
-        self.changed = true;
+        self.link.touch();
         let live = |t: &Task| t.state != TaskState::Exited;
         let job = jobs.get(job_of(task));
         let mut used = Amounts::default();
@@ -348,13 +274,13 @@
             .is_some_and(|t| t.state == TaskState::Exited)
         {
             self.tasks.remove(&key);
-            self.changed = true;
+            self.link.touch();
         }
     }
 
     /// Notes that something changed that is worth a report.
     pub fn touch(&mut self) {
-        self.changed = true;
+        self.link.touch();
     }
 
     /// Lets images come in; returns tasks whose image is there now.
@@ -407,7 +333,9 @@
                 ready.push((task.clone(), *attempt));
             }
         }
-        self.changed |= !ready.is_empty();
+        if !ready.is_empty() {
+            self.link.touch();
+        }
         ready
     }
 
--- a/crates/rehearsal/tests/standins.rs
+++ b/crates/rehearsal/tests/standins.rs
@@ -374,9 +374,9 @@
     m.start(0, 0, 1);
     m.pass(4.0, true);
     let name = m.name(0);
-    let before = m.fleet.workers()[&name].node;
+    let before = m.fleet.workers()[&name].node();
     m.pass(9.0, false);
-    assert_ne!(m.fleet.workers()[&name].node, before);
+    assert_ne!(m.fleet.workers()[&name].node(), before);
     assert_eq!(m.states(0).len(), 1, "within its lease");
     m.pass(3.0, false);
     let r = m.report(0);
@@ -384,13 +384,13 @@
     assert_eq!(m.fleet.lease_kills, 1);
     // Sent to a node by name, and to none.
     let labels: Vec<Label> = (0..3).map(|n| format!("node-{n}").into()).collect();
-    let to = (m.fleet.workers()[&name].node + 1) % 3;
+    let to = (m.fleet.workers()[&name].node() + 1) % 3;
     let told = encode(&ReportElsewhere {
         report_to: Some(labels[to].clone()),
     });
     m.fleet
         .answered(t(m.now), &name, Some((421, &told)), &labels, &mut rng());
-    assert_eq!(m.fleet.workers()[&name].node, to);
+    assert_eq!(m.fleet.workers()[&name].node(), to);
 }
 
 #[test]
--- a/crates/workflow/src/runner.rs
+++ b/crates/workflow/src/runner.rs
@@ -700,7 +700,9 @@
             // The job is asked for less and less often, until its command's end is
             // seen.
             let next = Instant::now() + every;
-            every = (every * 3 / 2).min(LOOKS.1);
+            if !marked {
+                every = (every * 3 / 2).min(LOOKS.1);
+            }
             while Instant::now() < next && !dir.join(REFUSED).exists() {
                 if !marked && dir.join(EXIT).exists() {
                     (marked, every) = (true, LOOKS.0);
