Agent, in hand: a program that serves a machine through kills, drains and its lease

An agent that ends must leave no task that outlives the lease, and one that is started again must neither repeat nor lose what runs. Change: worker (link and attempts together, pure), store (results published once, whole saves, gangs' meetings), settings, driver, and pebblefold-agent serve. The shim watches the lease, bound to its session, so tasks end with it whatever became of the agent; a higher token and a session are on disk before anything is done in their name.

--- a/crates/agent/src/attempts.rs
+++ b/crates/agent/src/attempts.rs
@@ -4,7 +4,7 @@
 //! survive, and before every report that must not be told.
 
 use crate::shim::Exit;
-use pebblefold_wire::types::{Amounts, Attempt, Span, Time};
+use pebblefold_wire::types::{Amounts, Attempt, Session, Span, Time, Token};
 use pebblefold_wire::users::{Shape, Submission};
 use pebblefold_wire::workers::{Command, ReportedTask, TaskState, Why};
 use serde::{Deserialize, Serialize};
@@ -58,6 +58,10 @@
     Record(Key, Record),
     /// Strike it out, likewise.
     Strike(Key),
+    /// Write down the highest token seen, likewise.
+    Token(Token),
+    /// Write down the session, likewise.
+    Session(Session),
     /// Fetch a job's description.
     Describe(String),
     /// Fetch an image for an attempt.
@@ -100,6 +104,7 @@
     all: BTreeMap<Key, One>,
     asked: BTreeSet<String>,
     draining: bool,
+    changed: bool,
     out: Vec<Effect>,
 }
 
@@ -120,6 +125,7 @@
             all: BTreeMap::new(),
             asked: BTreeSet::new(),
             draining: false,
+            changed: false,
             out: Vec::new(),
         }
     }
@@ -129,6 +135,11 @@
         std::mem::take(&mut self.out)
     }
 
+    /// Whether something changed that is worth a report, since the last call.
+    pub fn changed(&mut self) -> bool {
+        std::mem::take(&mut self.changed)
+    }
+
     /// All of it, for a report.
     pub fn reported(&self) -> Vec<ReportedTask> {
         let one = |(key, o): (&Key, &One)| ReportedTask {
@@ -393,6 +404,7 @@
             .is_some_and(|o| o.record.state == TaskState::Exited)
         {
             self.all.remove(key);
+            self.changed = true;
             // Struck out before the next report leaves it out: power lost in
             // between only tells of it once more.
             self.out.push(Effect::Strike(key.clone()));
@@ -409,8 +421,9 @@
         }
         let (stopped, broken) = (o.stopped || exit.stopped, o.broken);
         match exit.code {
-            // Complete is complete, also where it was told to stop meanwhile.
-            0 if !stopped => self.end(key, Why::Done, None),
+            // Many programs end with 0 when they are told to stop: complete is
+            // only what ended before anybody told it to.
+            0 if !exit.stopped => self.end(key, Why::Done, None),
             _ if broken => self.end(key, Why::Peers, None),
             // By the tasks' contract a stop that has saved ends with this code.
             code if stopped => self.end(key, Why::Stopped, Some(code == SAVED)),
@@ -450,6 +463,7 @@
     fn set(&mut self, key: &Key, record: Record) {
         if let Some(o) = self.all.get_mut(key) {
             o.record = record;
+            self.changed = true;
             self.out.push(Effect::Record(key.clone(), record));
         }
     }
--- a/crates/agent/src/journal.rs
+++ b/crates/agent/src/journal.rs
@@ -32,6 +32,13 @@
     },
 }
 
+impl JournalError {
+    /// Whether another process holds it.
+    pub fn taken(&self) -> bool {
+        matches!(self, JournalError::Store(e) if matches!(**e, redb::Error::DatabaseAlreadyOpen))
+    }
+}
+
 impl<E: Into<redb::Error>> From<E> for JournalError {
     fn from(e: E) -> JournalError {
         JournalError::Store(Box::new(e.into()))
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -7,11 +7,18 @@
 //! - [`journal`]: what must survive power loss, in an embedded store.
 //! - [`shim`]: one task's processes, and its result, whatever becomes of the agent.
 //! - [`process`]: processes by id and start time, and the proof that they are gone.
+//! - [`worker`]: the two together, a machine's whole side of the protocol.
+//! - [`store`]: results, saves and gangs' meetings, outside the machine.
+//! - [`settings`], [`driver`]: what an operator says; sockets, clock and files.
 //!
-//! [`link`] and [`attempts`] touch neither clock, file nor process.
+//! [`link`], [`attempts`] and [`worker`] touch neither clock, file nor process.
 
 pub mod attempts;
+pub mod driver;
 pub mod journal;
 pub mod link;
 pub mod process;
+pub mod settings;
 pub mod shim;
+pub mod store;
+pub mod worker;
--- a/crates/agent/src/link.rs
+++ b/crates/agent/src/link.rs
@@ -44,16 +44,16 @@
 impl Link {
     /// A new worker's link to so many controllers, beginning at any of them.
     pub fn new(pace: Pace, nodes: usize, now: Time, rng: &mut impl Rng) -> Link {
-        Link::resumed(pace, nodes, now, (Session(1), Token(0)), rng)
+        Link::resumed(pace, nodes, now, (Session(1), Token(0), now), rng)
     }
 
-    /// The link of a worker that knows its session and the highest token it has
-    /// seen from before it was started again.
+    /// The link of a worker that knows from before it was started again its
+    /// session, the highest token it has seen, and from when its lease counts.
     pub fn resumed(
         pace: Pace,
         nodes: usize,
         now: Time,
-        (session, token): (Session, Token),
+        (session, token, leased): (Session, Token, Time),
         rng: &mut impl Rng,
     ) -> Link {
         Link {
@@ -61,7 +61,7 @@
             session: session.0,
             tally: 0,
             token: token.0,
-            leased: now,
+            leased,
             token_counted: None,
             node: rng.random_range(0..nodes.max(1)),
             nodes: nodes.max(1),
@@ -103,6 +103,11 @@
         self.flight.is_none() && !self.changed && now < self.next
     }
 
+    /// When the lease is over unless it is renewed.
+    pub fn until(&self) -> Time {
+        self.leased + self.pace.lease
+    }
+
     /// Whether the lease is over.
     pub fn expired(&self, now: Time) -> bool {
         now.since(self.leased) > self.pace.lease
--- a/crates/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -1,21 +1,60 @@
 //! The agent's program. What it does is in the library.
 
-use std::path::Path;
+use clap::{Parser, Subcommand};
+use pebblefold_agent::driver;
+use pebblefold_agent::settings::Settings;
+use std::path::PathBuf;
 use std::process::ExitCode;
 
+/// The worker that runs real tasks on a machine.
+#[derive(Parser)]
+#[command(name = "pebblefold-agent", version)]
+struct Args {
+    #[command(subcommand)]
+    verb: Verb,
+}
+
+#[derive(Subcommand)]
+enum Verb {
+    /// Serves as the worker of a machine until it is killed.
+    Serve {
+        /// Settings (TOML).
+        settings: PathBuf,
+    },
+    /// Runs one attempt; the agent starts these.
+    #[command(hide = true)]
+    Shim {
+        /// The attempt's directory.
+        dir: PathBuf,
+    },
+}
+
+/// Exit status for settings that cannot be used.
+const BAD_INPUT: u8 = 2;
+
+fn fail(status: u8, e: impl std::fmt::Display) -> ExitCode {
+    eprintln!("pebblefold-agent: {e}");
+    ExitCode::from(status)
+}
+
 fn main() -> ExitCode {
-    let arguments: Vec<String> = std::env::args().skip(1).collect();
-    match arguments.iter().map(String::as_str).collect::<Vec<_>>()[..] {
-        ["shim", dir] => match pebblefold_agent::shim::run(Path::new(dir)) {
+    match Args::parse().verb {
+        Verb::Shim { dir } => match pebblefold_agent::shim::run(&dir) {
             Ok(()) => ExitCode::SUCCESS,
-            Err(e) => {
-                eprintln!("pebblefold-agent: {dir}: {e}");
-                ExitCode::FAILURE
-            }
+            Err(e) => fail(1, format!("{}: {e}", dir.display())),
         },
-        _ => {
-            eprintln!("pebblefold-agent: shim DIR is wanted: the directory of one attempt");
-            ExitCode::from(2)
+        Verb::Serve { settings } => {
+            tracing_subscriber::fmt()
+                .with_writer(std::io::stderr)
+                .with_target(false)
+                .init();
+            match Settings::load(&settings) {
+                Err(e) => fail(BAD_INPUT, e),
+                Ok(s) => match driver::serve(s) {
+                    Ok(()) => ExitCode::SUCCESS,
+                    Err(e) => fail(1, e),
+                },
+            }
         }
     }
 }
--- a/crates/agent/src/shim.rs
+++ b/crates/agent/src/shim.rs
@@ -80,6 +80,44 @@
     pub dir: PathBuf,
     /// Its limits.
     pub limits: Limits,
+    /// The file that says how long the machine's lease lasts: when it is over the
+    /// task ends, whatever became of the agent.
+    #[serde(default)]
+    pub lease: Option<PathBuf>,
+    /// The session that it belongs to.
+    #[serde(default)]
+    pub session: u64,
+}
+
+/// How long a machine's lease lasts.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Lease {
+    /// The start of the machine that the time counts from.
+    pub boot: String,
+    /// The session that it is the lease of.
+    pub session: u64,
+    /// Until when, in microseconds of the steady clock.
+    pub until_us: u64,
+}
+
+/// How much earlier than the lease a task begins to be ended: the controllers
+/// count it as gone when the lease is over, so it has to be by then.
+const AHEAD_US: u64 = 250_000;
+
+/// Microseconds of the steady clock since the machine started, sleep included.
+pub fn steady_us() -> u64 {
+    let t = nix::time::clock_gettime(nix::time::ClockId::CLOCK_BOOTTIME);
+    t.map_or(0, |t| {
+        t.tv_sec() as u64 * 1_000_000 + t.tv_nsec() as u64 / 1000
+    })
+}
+
+impl Lease {
+    /// Whether it is over, or of another start of the machine or session: what the
+    /// next session has is no lease for the tasks of the one before.
+    pub fn over(&self, boot: &str, session: u64, now_us: u64) -> bool {
+        self.boot != boot || self.session != session || now_us + AHEAD_US >= self.until_us
+    }
 }
 
 /// Who runs it.
@@ -105,6 +143,9 @@
     pub stopped: bool,
     /// Whether it took longer than it may.
     pub too_long: bool,
+    /// Whether it was ended because the machine's lease was over.
+    #[serde(default)]
+    pub lease_over: bool,
     /// Whether everything that it forked is proven to be gone.
     pub gone: bool,
     /// Why it was not started, if so.
@@ -289,6 +330,12 @@
     let mut until = until.map(|s| Instant::now() + Duration::from_secs_f64(s.min(1e9)));
     let mut exit = Exit::default();
     let mut killed = false;
+    let boot = crate::process::boot_id()?;
+    // A lease that cannot be read is no longer known to last.
+    let leased = || match &plan.lease {
+        None => true,
+        Some(file) => read::<Lease>(file).is_ok_and(|l| !l.over(&boot, plan.session, steady_us())),
+    };
     loop {
         match waitpid(Pid::from_raw(-1), Some(WaitPidFlag::WNOHANG)) {
             Ok(WaitStatus::Exited(id, code)) if id == main => {
@@ -316,9 +363,11 @@
             // A second request may only shorten it.
             until = until.map(|u| u.min(at));
         }
-        if until.is_some_and(|u| Instant::now() >= u) && !killed {
+        exit.lease_over = exit.lease_over || !leased();
+        let over = exit.lease_over || until.is_some_and(|u| Instant::now() >= u);
+        if over && !killed {
             killed = true;
-            exit.too_long = !exit.stopped;
+            exit.too_long = !exit.stopped && !exit.lease_over;
             let own = std::process::id() as i32;
             end_all(|| below(own), GONE)?;
         }
--- /dev/null
+++ b/crates/agent/src/worker.rs
@@ -0,0 +1,171 @@
+//! A machine's whole side of the protocol as one state machine: reports and their
+//! answers, direct commands, sessions and what is on the machine.
+
+use crate::attempts::{Attempts, Effect, Times};
+use crate::link::{Link, Pace};
+use pebblefold_wire::decode;
+use pebblefold_wire::types::{Amounts, Kind, Label, MachineId, Time, Zone};
+use pebblefold_wire::workers::{Command, DirectCommands, Report, ReportAnswer, ReportElsewhere};
+use rand::Rng;
+
+/// What a machine is.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Machine {
+    /// Its name.
+    pub id: MachineId,
+    /// Where direct commands go.
+    pub addr: String,
+    /// Its type.
+    pub kind: Kind,
+    /// Its zone.
+    pub zone: Zone,
+    /// Whether it is a spot machine.
+    pub spot: bool,
+    /// What it has.
+    pub has: Amounts,
+}
+
+/// A worker.
+#[derive(Debug)]
+pub struct Worker {
+    machine: Machine,
+    labels: Vec<Label>,
+    link: Link,
+    /// What is on the machine.
+    pub attempts: Attempts,
+    /// When the machine is taken, if that is known.
+    taken: Option<Time>,
+    before: Vec<Effect>,
+}
+
+impl Worker {
+    /// A worker on a machine that talks to the controllers of these names.
+    pub fn new(machine: Machine, labels: Vec<Label>, link: Link, times: Times) -> Worker {
+        Worker {
+            attempts: Attempts::new(machine.has, times),
+            machine,
+            labels,
+            link,
+            taken: None,
+            before: Vec::new(),
+        }
+    }
+
+    /// The link to the controllers.
+    pub fn link(&self) -> &Link {
+        &self.link
+    }
+
+    /// What is to be done, in this order.
+    pub fn take(&mut self) -> Vec<Effect> {
+        let mut all = std::mem::take(&mut self.before);
+        all.extend(self.attempts.take());
+        all
+    }
+
+    /// The cloud takes the machine then.
+    pub fn notice(&mut self, at: Time) {
+        if self.taken.replace(at) != Some(at) {
+            self.link.touch();
+        }
+    }
+
+    /// Its report now.
+    pub fn report(&mut self, now: Time) -> Report {
+        let m = &self.machine;
+        Report {
+            machine: m.id.clone(),
+            addr: m.addr.clone(),
+            kind: m.kind.clone(),
+            zone: m.zone.clone(),
+            spot: m.spot,
+            session: self.link.session(),
+            tally: self.link.count(),
+            token: self.link.token(),
+            notice_s: self.taken.map(|t| t.since(now).as_secs()),
+            tasks: self.attempts.reported(),
+        }
+    }
+
+    /// Begins a report under this ticket, if one is due: to which controller, and
+    /// what it says.
+    pub fn due(&mut self, now: Time, ticket: u64, rng: &mut impl Rng) -> Option<(usize, Report)> {
+        if self.attempts.changed() {
+            self.link.touch();
+        }
+        let due = self.link.due(now, ticket, rng);
+        due.then(|| (self.link.node(), self.report(now)))
+    }
+
+    /// The answer to a report; `None`: none came.
+    pub fn answered(
+        &mut self,
+        now: Time,
+        ticket: u64,
+        answer: Option<(u16, &[u8])>,
+        rng: &mut impl Rng,
+    ) {
+        if !self.link.awaits(ticket) {
+            return;
+        }
+        match answer {
+            Some((200, body)) => match decode::<ReportAnswer>(body) {
+                Some(a) => {
+                    let before = self.link.token();
+                    if self.link.answered(now, a.token) {
+                        self.execute(now, before, &a.commands);
+                    }
+                }
+                None => self.link.sent_away(now, None, rng),
+            },
+            Some((421, body)) => {
+                let told = decode::<ReportElsewhere>(body).and_then(|e| e.report_to);
+                let to = told.and_then(|l| self.labels.iter().position(|k| *k == l));
+                self.link.sent_away(now, to, rng);
+            }
+            _ => self.link.sent_away(now, None, rng),
+        }
+    }
+
+    /// Commands sent straight to the machine: the status, to be answered with the
+    /// report after them.
+    pub fn commanded(&mut self, now: Time, body: &[u8]) -> u16 {
+        let Some(d) = decode::<DirectCommands>(body) else {
+            return 400;
+        };
+        let before = self.link.token();
+        if !self.link.takes(now, d.token, d.session) {
+            return 409;
+        }
+        self.execute(now, before, &d.commands);
+        200
+    }
+
+    fn execute(&mut self, now: Time, before: pebblefold_wire::types::Token, commands: &[Command]) {
+        // A higher token is on disk before anything is done in its name: started
+        // again, the machine must not obey whoever held the one before.
+        if self.link.token() > before {
+            self.before.push(Effect::Token(self.link.token()));
+        }
+        for c in commands {
+            self.attempts.command(now, c);
+        }
+    }
+
+    /// Lets time pass.
+    pub fn advance(&mut self, now: Time) {
+        if self.link.renewed(now) {
+            self.before.push(Effect::Session(self.link.session()));
+            self.attempts.lease_over();
+        }
+        self.attempts.advance(now);
+    }
+}
+
+/// The pace that a link needs, from seconds.
+pub fn pace(report_s: f64, lease_s: f64) -> Pace {
+    Pace {
+        report: pebblefold_wire::types::Span::secs(report_s),
+        lease: pebblefold_wire::types::Span::secs(lease_s),
+    }
+}
--- /dev/null
+++ b/crates/agent/tests/agent.rs
@@ -0,0 +1,416 @@
+//! The agent as a process, with a plain controller written here: killed and
+//! started again, stopped and continued, drained. What ran is told by the tasks'
+//! own log and by what is published, never by the agent's word.
+
+use nix::sys::signal::{Signal, kill};
+use nix::unistd::Pid;
+use pebblefold_agent::driver::DRAIN;
+use pebblefold_net::answer_connections;
+use pebblefold_wire::http::Response;
+use pebblefold_wire::steps::Description;
+use pebblefold_wire::types::{Attempt, Token};
+use pebblefold_wire::users::{Priority, Shape, Submission};
+use pebblefold_wire::workers::{Command as Order, Report, ReportAnswer, TaskState, Why};
+use pebblefold_wire::{decode, encode};
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, BTreeSet};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::net::{TcpListener, TcpSocket};
+use tokio::task::{LocalSet, spawn_local};
+use tokio::time::sleep;
+
+/// A controller that wants some tasks done, on one machine.
+#[derive(Default)]
+struct Controller {
+    last: RefCell<Option<Report>>,
+    /// Tasks that it wants done, with the attempt that it is at.
+    wanted: RefCell<BTreeMap<String, u64>>,
+    done: RefCell<BTreeSet<String>>,
+    /// Why attempts ended that were not done.
+    ended: RefCell<Vec<(String, Why)>>,
+    stops: RefCell<Vec<Order>>,
+    silent: Cell<bool>,
+    sessions: RefCell<BTreeSet<u64>>,
+}
+
+impl Controller {
+    fn answer(&self, r: Report) -> ReportAnswer {
+        self.sessions.borrow_mut().insert(r.session.0);
+        let mut commands = std::mem::take(&mut *self.stops.borrow_mut());
+        let mut wanted = self.wanted.borrow_mut();
+        for t in r.tasks.iter().filter(|t| t.state == TaskState::Exited) {
+            let current = wanted.get(&t.task) == Some(&t.attempt.0);
+            match t.why {
+                Some(Why::Done) => {
+                    self.done.borrow_mut().insert(t.task.clone());
+                }
+                Some(why) if current => {
+                    self.ended.borrow_mut().push((t.task.clone(), why));
+                    wanted.entry(t.task.clone()).and_modify(|a| *a += 1);
+                }
+                _ => {}
+            }
+            commands.push(Order::Forget {
+                task: t.task.clone(),
+                attempt: t.attempt,
+            });
+        }
+        for (task, attempt) in &*wanted {
+            let here = r.tasks.iter().any(|t| t.task == *task);
+            if !here && !self.done.borrow().contains(task) {
+                commands.push(Order::Start {
+                    task: task.clone(),
+                    attempt: Attempt(*attempt),
+                });
+            }
+        }
+        *self.last.borrow_mut() = Some(r);
+        ReportAnswer {
+            token: Token(5),
+            commands,
+        }
+    }
+
+    fn states(&self) -> Vec<TaskState> {
+        let last = self.last.borrow();
+        last.iter()
+            .flat_map(|r| r.tasks.iter().map(|t| t.state))
+            .collect()
+    }
+}
+
+struct Site {
+    dir: PathBuf,
+    controller: Rc<Controller>,
+    agent: Option<Child>,
+    _port: TcpSocket,
+}
+
+impl Site {
+    async fn new(name: &str, lease_s: f64) -> Site {
+        let dir =
+            std::env::temp_dir().join(format!("pebblefold-agent-{name}-{}", std::process::id()));
+        let _ = std::fs::remove_dir_all(&dir);
+        std::fs::create_dir_all(dir.join("jobs")).unwrap();
+        std::fs::create_dir_all(dir.join("commands")).unwrap();
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let addr = listener.local_addr().unwrap();
+        // A port that the agent alone opens, as often as it is started: bound and
+        // never listened on, so that nobody else is given it.
+        let own = TcpSocket::new_v4().unwrap();
+        own.set_reuseaddr(true).unwrap();
+        own.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+        let at = own.local_addr().unwrap();
+        let settings = format!(
+            "dir = \"{0}/agent\"\njobs = \"{0}\"\nstore = \"{0}/store\"\n\
+             controllers = [{{ label = \"c0\", addr = \"{addr}\" }}]\n\
+             times = {{ report_s = 0.5, lease_s = {lease_s}, gang_wait_s = 2.0, gang_peer_s = 1.0 }}\n\
+             [machine]\nid = \"box-1\"\naddr = \"{at}\"\nkind = \"k\"\nzone = \"z\"\ncpus = 8\nmemory_gb = 8\n",
+            dir.display()
+        );
+        std::fs::write(dir.join("agent.toml"), settings).unwrap();
+        let controller = Rc::new(Controller::default());
+        let door = Rc::clone(&controller);
+        spawn_local(answer_connections(listener, move |r| {
+            let door = Rc::clone(&door);
+            async move {
+                if door.silent.get() {
+                    return None;
+                }
+                let report: Report = decode(&r.body)?;
+                Some(Response {
+                    status: 200,
+                    retry_after: None,
+                    body: encode(&door.answer(report)),
+                    close: false,
+                })
+            }
+        }));
+        Site {
+            dir,
+            controller,
+            agent: None,
+            _port: own,
+        }
+    }
+
+    fn start(&mut self) {
+        let log = std::fs::File::options()
+            .create(true)
+            .append(true)
+            .open(self.dir.join("agent.log"));
+        let agent = Command::new(env!("CARGO_BIN_EXE_pebblefold-agent"))
+            .arg("serve")
+            .arg(self.dir.join("agent.toml"))
+            .stdout(Stdio::null())
+            .stderr(log.unwrap())
+            .spawn();
+        self.agent = Some(agent.unwrap());
+    }
+
+    fn kill(&mut self) {
+        if let Some(mut a) = self.agent.take() {
+            a.kill().unwrap();
+            a.wait().unwrap();
+        }
+    }
+
+    fn signal(&self, s: Signal) {
+        let id = self.agent.as_ref().unwrap().id() as i32;
+        kill(Pid::from_raw(id), s).unwrap();
+    }
+
+    /// A job whose tasks run a script; `$LOG` is the tasks' own log.
+    fn job(&self, id: &str, tasks: u32, gang: bool, saves: bool, script: &str) {
+        let spec = Submission {
+            id: id.into(),
+            class: "c".into(),
+            team: "t".into(),
+            shape: if gang { Shape::Gang } else { Shape::Array },
+            priority: Priority::Normal,
+            tasks,
+            cpus: 0.5,
+            gpus: 0.0,
+            memory_gb: 0.1,
+            image: "i".into(),
+            image_gb: 0.1,
+            kinds: None,
+            zone: None,
+            one_zone: false,
+            spread: false,
+            spot: false,
+            estimate_s: 1.0,
+            checkpoint_s: if saves { 1.0 } else { 0.0 },
+            save_s: 0.1,
+            deadline_s: None,
+        };
+        let env = BTreeMap::from([
+            ("PATH".to_string(), "/usr/bin:/bin".to_string()),
+            (
+                "LOG".to_string(),
+                self.dir.join("log").display().to_string(),
+            ),
+        ]);
+        let d = Description {
+            argv: ["sh", "-c", script].map(String::from).to_vec(),
+            env,
+            ..Description::default()
+        };
+        std::fs::write(self.dir.join("jobs").join(id), encode(&spec)).unwrap();
+        std::fs::write(self.dir.join("commands").join(id), encode(&d)).unwrap();
+    }
+
+    fn want(&self, id: &str, tasks: u32) {
+        let mut wanted = self.controller.wanted.borrow_mut();
+        wanted.extend((0..tasks).map(|i| (format!("{id}/{i}"), 1)));
+    }
+
+    fn log(&self) -> BTreeMap<String, usize> {
+        let mut out = BTreeMap::new();
+        for line in std::fs::read_to_string(self.dir.join("log"))
+            .unwrap_or_default()
+            .lines()
+        {
+            *out.entry(line.to_string()).or_default() += 1;
+        }
+        out
+    }
+
+    /// What is known, for a failure that can be read.
+    fn told(&self) -> String {
+        let c = &self.controller;
+        let agent = std::fs::read_to_string(self.dir.join("agent.log")).unwrap_or_default();
+        format!(
+            "log {:?}, ended {:?}, sessions {:?}, last {:?}, agent:\n{agent}",
+            self.log(),
+            c.ended.borrow(),
+            c.sessions.borrow(),
+            c.last.borrow()
+        )
+    }
+
+    async fn until(&self, what: &str, mut holds: impl FnMut(&Site) -> bool) {
+        let begun = Instant::now();
+        while !holds(self) {
+            assert!(
+                begun.elapsed() < Duration::from_secs(60),
+                "never: {what}; {}",
+                self.told()
+            );
+            sleep(Duration::from_millis(20)).await;
+        }
+    }
+}
+
+impl Drop for Site {
+    fn drop(&mut self) {
+        self.kill();
+        let _ = std::fs::remove_dir_all(&self.dir);
+    }
+}
+
+fn on_sockets<F: Future<Output = ()>>(test: F) {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .unwrap();
+    LocalSet::new().block_on(&runtime, test);
+}
+
+// Killed at named points: when it was told of tasks, when some run, when some have
+// ended and are not told, when some are told and not cleared.
+#[test]
+fn an_agent_killed_again_and_again_finishes_each_task_once_and_repeats_nothing() {
+    on_sockets(async {
+        let mut s = Site::new("kills", 20.0).await;
+        let script = "echo begun-$PEBBLEFOLD_INDEX >> $LOG; sleep 0.4; echo $PEBBLEFOLD_INDEX > $PEBBLEFOLD_OUT/result";
+        s.job("wk-a", 12, false, false, script);
+        s.want("wk-a", 12);
+        s.start();
+        s.until("some run", |s| s.log().len() >= 2).await;
+        s.kill();
+        s.start();
+        s.until("some have ended", |s| {
+            !s.controller.done.borrow().is_empty()
+        })
+        .await;
+        for ms in [0, 120, 260, 400, 540] {
+            sleep(Duration::from_millis(ms)).await;
+            s.kill();
+            s.start();
+        }
+        s.until("all are done", |s| s.controller.done.borrow().len() == 12)
+            .await;
+        let once: BTreeMap<String, usize> = (0..12).map(|i| (format!("begun-{i}"), 1)).collect();
+        assert_eq!(s.log(), once, "{:?}", s.controller.ended.borrow());
+        for i in 0..12 {
+            let place = s.dir.join(format!("store/wk-a/{i}"));
+            let outs = std::fs::read_dir(&place).unwrap().flatten();
+            let outs = outs.filter(|e| e.file_name().to_string_lossy().starts_with("out."));
+            assert_eq!(outs.count(), 1, "task {i}");
+            assert!(place.join("result.json").exists());
+        }
+        assert_eq!(*s.controller.sessions.borrow(), BTreeSet::from([1]));
+        // There is one agent for a machine; the first has it once it reports.
+        s.controller.last.borrow_mut().take();
+        s.until("it reports", |s| s.controller.last.borrow().is_some())
+            .await;
+        let mut second = Command::new(env!("CARGO_BIN_EXE_pebblefold-agent"))
+            .arg("serve")
+            .arg(s.dir.join("agent.toml"))
+            .stderr(Stdio::null())
+            .spawn()
+            .unwrap();
+        let mut status = None;
+        s.until("the second ends", |_| {
+            status = second.try_wait().unwrap();
+            status.is_some()
+        })
+        .await;
+        assert_eq!(status.and_then(|s| s.code()), Some(1));
+    });
+}
+
+// Standing still for longer than the lease: what ran is gone, the session rises, and
+// the task goes on from what it saved.
+#[test]
+fn past_its_lease_nothing_counts_and_work_goes_on_from_what_was_saved() {
+    on_sockets(async {
+        let mut s = Site::new("lease", 2.0).await;
+        // Counts to seventy, saving each step whole: renamed, then signed.
+        let script = "n=0; test -z \"$PEBBLEFOLD_RESUME\" || n=$(cat $PEBBLEFOLD_RESUME/n); \
+            echo from-$n >> $LOG; while test $n -lt 70; do sleep 0.1; n=$((n+1)); \
+            mkdir -p $PEBBLEFOLD_SAVE; echo $n > $PEBBLEFOLD_SAVE/n; touch $PEBBLEFOLD_SAVE/whole; \
+            mv $PEBBLEFOLD_SAVE $PEBBLEFOLD_SAVES/save-$(printf %06d $n); done";
+        s.job("wk-s", 1, false, true, script);
+        s.want("wk-s", 1);
+        s.start();
+        s.until("it has saved", |s| {
+            s.dir.join("store/wk-s/0/save-000008").exists()
+        })
+        .await;
+        // A torn save is the newest by its number.
+        std::fs::create_dir_all(s.dir.join("store/wk-s/0/save-000900")).unwrap();
+        s.signal(Signal::SIGSTOP);
+        sleep(Duration::from_millis(2600)).await;
+        let place = s.dir.join("store/wk-s/0");
+        let saves = || -> u64 {
+            let names = std::fs::read_dir(&place).unwrap().flatten();
+            let whole = names.filter(|e| e.path().join("whole").exists());
+            let number = |e: std::fs::DirEntry| {
+                let name = e.file_name().into_string().ok()?;
+                name.strip_prefix("save-")?.parse().ok()
+            };
+            whole.filter_map(number).max().unwrap_or(0)
+        };
+        let stood = saves();
+        sleep(Duration::from_millis(400)).await;
+        assert_eq!(saves(), stood, "it ran on past its lease");
+        s.signal(Signal::SIGCONT);
+        s.until("it goes on", |_| saves() >= stood + 3).await;
+        assert!(s.controller.sessions.borrow().contains(&2));
+        // Away for good, as far as the machine knows.
+        s.kill();
+        sleep(Duration::from_millis(2600)).await;
+        let left = saves();
+        sleep(Duration::from_millis(400)).await;
+        assert_eq!(saves(), left, "it ran on past its lease");
+        s.start();
+        s.until("it is done", |s| s.controller.done.borrow().len() == 1)
+            .await;
+        assert_eq!(*s.controller.sessions.borrow(), BTreeSet::from([1, 2, 3]));
+        // Each time from the newest whole save, never from the torn one.
+        let went = [0, stood, left].map(|n| (format!("from-{n}"), 1));
+        assert_eq!(s.log(), BTreeMap::from(went), "{}", s.told());
+    });
+}
+
+#[test]
+fn gangs_meet_and_draining_machines_take_nothing_new() {
+    on_sockets(async {
+        let mut s = Site::new("gang", 20.0).await;
+        let script = "echo begun >> $LOG; while test $(wc -l < $LOG) -lt 3; do sleep 0.02; done";
+        s.job("wk-g", 3, true, false, script);
+        s.want("wk-g", 2);
+        s.start();
+        // Two of three wait, and give it up.
+        s.until("two wait", |s| {
+            let states = s.controller.states();
+            states.iter().filter(|s| **s == TaskState::Waiting).count() == 2
+        })
+        .await;
+        assert!(s.log().is_empty());
+        s.until("they are alone", |s| s.controller.ended.borrow().len() >= 2)
+            .await;
+        let alone = s
+            .controller
+            .ended
+            .borrow()
+            .iter()
+            .all(|(_, w)| *w == Why::Alone);
+        assert!(alone, "{:?}", s.controller.ended.borrow());
+        // All three, in an attempt of their own.
+        {
+            let mut wanted = s.controller.wanted.borrow_mut();
+            *wanted = (0..3).map(|i| (format!("wk-g/{i}"), 9)).collect();
+        }
+        s.until("the gang is done", |s| {
+            s.controller.done.borrow().len() == 3
+        })
+        .await;
+        assert_eq!(s.log(), BTreeMap::from([("begun".into(), 3)]));
+        std::fs::write(s.dir.join("agent").join(DRAIN), "").unwrap();
+        sleep(Duration::from_millis(200)).await;
+        s.controller.ended.borrow_mut().clear();
+        s.job("wk-n", 1, false, false, "echo new >> $LOG");
+        s.want("wk-n", 1);
+        s.until("it is refused", |s| !s.controller.ended.borrow().is_empty())
+            .await;
+        let refused = s.controller.ended.borrow()[0].clone();
+        assert_eq!(refused, ("wk-n/0".into(), Why::NoRoom));
+        assert!(!s.log().contains_key("new"));
+    });
+}
--- a/crates/agent/tests/journal.rs
+++ b/crates/agent/tests/journal.rs
@@ -130,8 +130,7 @@
     // Its making was cut off once.
     std::fs::write(dir.join("journal.part"), b"half").unwrap();
     let first = Journal::open(&path).unwrap();
-    let second = Journal::open(&path).err().map(|e| e.to_string());
-    assert!(second.is_some_and(|e| e.contains("already open")));
+    assert!(Journal::open(&path).is_err_and(|e| e.taken()));
     drop(first);
     std::fs::remove_dir_all(&dir).unwrap();
 }
--- a/crates/agent/tests/shim.rs
+++ b/crates/agent/tests/shim.rs
@@ -4,9 +4,10 @@
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
 use pebblefold_agent::attempts::SAVED;
-use pebblefold_agent::process::{Process, below, end_all, marked};
+use pebblefold_agent::process::{Process, below, boot_id, end_all, marked};
 use pebblefold_agent::shim::{
-    BEGUN, Begun, EXIT, Exit, Limits, MARK, PLAN, Plan, STOP, Stop, read, write_whole,
+    BEGUN, Begun, EXIT, Exit, Lease, Limits, MARK, PLAN, Plan, STOP, Stop, read, steady_us,
+    write_whole,
 };
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command};
@@ -23,6 +24,10 @@
 
 impl Task {
     fn start(name: &str, script: &str, limits: Limits) -> Task {
+        Task::leased(name, script, limits, None)
+    }
+
+    fn leased(name: &str, script: &str, limits: Limits, lease: Option<Lease>) -> Task {
         let dir = std::env::temp_dir().join(format!("pebblefold-shim-{}", attempt(name)));
         let _ = std::fs::remove_dir_all(&dir);
         std::fs::create_dir_all(&dir).unwrap();
@@ -32,6 +37,12 @@
             env: [("PATH".to_string(), "/usr/bin:/bin".to_string())].into(),
             dir: dir.join("work"),
             limits,
+            lease: lease.map(|l| {
+                let file = dir.join("lease.json");
+                write_whole(&file, &serde_json::to_vec(&l).unwrap()).unwrap();
+                file
+            }),
+            session: 0,
         };
         write_whole(&dir.join(PLAN), &serde_json::to_vec(&plan).unwrap()).unwrap();
         Task {
@@ -187,3 +198,55 @@
     assert!(end_all(find, Duration::from_secs(10)).unwrap());
     assert!(find().is_empty() && !t.dir.join(EXIT).exists());
 }
+
+// The agent is gone for good, or stands still: its tasks must not outlive the
+// lease, or the controllers start them elsewhere while they run here.
+#[test]
+fn a_task_ends_with_the_lease_whatever_became_of_the_agent() {
+    let boot = boot_id().unwrap();
+    let lease = |boot: &str, ms: u64| Lease {
+        boot: boot.into(),
+        session: 0,
+        until_us: steady_us() + ms * 1000,
+    };
+    let script = "trap '' TERM; echo > up; while :; do sleep 0.01; done";
+    let mut t = Task::leased(
+        "lease",
+        script,
+        Limits::default(),
+        Some(lease(&boot, 60_000)),
+    );
+    until("it is up", || !t.file("up").is_empty());
+    assert!(!t.dir.join(EXIT).exists());
+    // Nobody renews it.
+    let over = serde_json::to_vec(&lease(&boot, 100)).unwrap();
+    write_whole(&t.dir.join("lease.json"), &over).unwrap();
+    let exit = t.end();
+    assert!(exit.lease_over && exit.gone && !exit.too_long, "{exit:?}");
+    // The next session's lease is none for it.
+    let mut t = Task::leased(
+        "next",
+        script,
+        Limits::default(),
+        Some(lease(&boot, 60_000)),
+    );
+    until("it is up", || !t.file("up").is_empty());
+    let next = Lease {
+        session: 1,
+        ..lease(&boot, 60_000)
+    };
+    write_whole(
+        &t.dir.join("lease.json"),
+        &serde_json::to_vec(&next).unwrap(),
+    )
+    .unwrap();
+    assert!(t.end().lease_over);
+    // A lease of another start of the machine is none.
+    let mut t = Task::leased(
+        "boot",
+        script,
+        Limits::default(),
+        Some(lease("other", 60_000)),
+    );
+    assert!(t.end().lease_over);
+}
