--- a/crates/pebblefold/src/core/leader.rs
+++ b/crates/pebblefold/src/core/leader.rs
@@ -207,6 +207,11 @@
         self.is_loaded() && now.since(self.contact) < START_CONTACT
     }
 
+    /// Whether it knows of a machine.
+    pub fn knows(&self, machine: &MachineId) -> bool {
+        self.machines.contains_key(machine)
+    }
+
     /// Has the next cycle run soon.
     pub fn cycle_soon(&mut self, now: Time) {
         // The more machines a cycle looks at, the rarer cycles have to be.
--- a/crates/pebblefold/src/core/node.rs
+++ b/crates/pebblefold/src/core/node.rs
@@ -135,6 +135,17 @@
         self.leader.as_ref().is_some_and(Leader::is_loaded)
     }
 
+    /// The token under which this node leads, if it does.
+    pub fn token(&self) -> Option<Token> {
+        self.leader.as_ref().map(|l| l.token)
+    }
+
+    /// Whether it leads and knows of a machine, for rehearsals to count those
+    /// that nobody does.
+    pub fn knows(&self, machine: &MachineId) -> bool {
+        self.leader.as_ref().is_some_and(|l| l.knows(machine))
+    }
+
     fn tick(&mut self) {
         let now = self.io.now.time;
         self.election.tick(&mut self.io);
--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -22,5 +22,6 @@
 pub mod script;
 pub mod simulated;
 pub mod stand;
+pub mod tally;
 pub mod users;
 pub mod worker;
--- a/crates/rehearsal/src/report.rs
+++ b/crates/rehearsal/src/report.rs
@@ -2,6 +2,7 @@
 
 use crate::checker::{Breach, JobRecord};
 use crate::stand::{Sample, Stand};
+use crate::tally::Tally;
 use hdrhistogram::Histogram;
 use pebblefold::types::Time;
 use plotters::prelude::*;
@@ -68,6 +69,8 @@
     pub accept_ms: [u64; 3],
     /// Money spent on machines.
     pub cost: f64,
+    /// What renting came to.
+    pub renting: Tally,
     /// By class.
     pub classes: BTreeMap<String, ClassReport>,
     /// Faults that struck: the second, and what.
@@ -154,6 +157,7 @@
             repeated_s: stand.fleet().repeated_s,
             accept_ms: [accept(0.5), accept(0.95), accept(1.0)],
             cost,
+            renting: stand.tally().clone(),
             classes,
             faults: stand.marks().to_vec(),
             not_struck: stand.left(),
@@ -194,6 +198,12 @@
             out,
             "  accepted within {a} ms (half), {b} ms (95 %), {c} ms (all)"
         )?;
+        let r = &self.renting;
+        writeln!(
+            out,
+            "  machines: {} hired, {} of them never used; paid and unknown to the leader {:.0} s, {:.0} s at the longest; {} tasks lost to a replaced controller's release",
+            r.hired, r.unused, r.unknown_s, r.unknown_longest_s, r.lost_to_replaced
+        )?;
         for (name, k) in &self.classes {
             let [s50, s90, s100] = k.start_s;
             let [e50, e90, e100] = k.end_s;
--- a/crates/rehearsal/src/simulated.rs
+++ b/crates/rehearsal/src/simulated.rs
@@ -11,7 +11,7 @@
 use pebblefold::core::{CallId, Input, Now, Output, Reply, RequestId, Side, Target};
 use pebblefold::policy::{DEFAULT_SCRIPT, Policy, PolicyError};
 use pebblefold::settings::SettingsError;
-use pebblefold::types::{Span, Time, Wall};
+use pebblefold::types::{MachineId, Span, Time, Wall};
 use pebblefold_state::StorageError;
 use pebblefold_state::cut::CutDisk;
 use pebblefold_wire::http::Request;
@@ -471,6 +471,12 @@
                 Event::Stand => {
                     self.stand.advance(t);
                     self.drain();
+                    if self.stand.tally().is_due(t) {
+                        let nodes = self.slots.iter().filter_map(|s| s.node.as_ref());
+                        let leader = nodes.filter(|n| n.leads()).max_by_key(|n| n.token());
+                        let knows = leader.map(|l| |m: &MachineId| l.knows(m));
+                        self.stand.look_for_unknown(t, knows);
+                    }
                     self.at(t + TICK, Event::Stand);
                     if stop_when_over && self.stand.all_over() && self.stand.left().is_empty() {
                         return;
--- a/crates/rehearsal/src/stand.rs
+++ b/crates/rehearsal/src/stand.rs
@@ -10,10 +10,12 @@
 use crate::layout::label;
 use crate::links::{Host, Links};
 use crate::script::{Moment, Script};
+use crate::tally::Tally;
 use crate::users::{Planned, Users, plan};
 use crate::worker::{PATIENCE, Times};
 use pebblefold::core::ledger;
-use pebblefold::types::{Label, Span, Time};
+use pebblefold::types::{Label, MachineId, Span, Time};
+use pebblefold::wire::cloud::MachineNames;
 use pebblefold::wire::decode;
 use pebblefold::wire::state::{Op, Txn};
 use pebblefold::wire::users::Submission;
@@ -190,6 +192,7 @@
     lost_calls: BTreeSet<u64>,
     out: Vec<Out>,
     samples: Vec<Sample>,
+    tally: Tally,
     marks: Vec<(f64, String)>,
 }
 
@@ -244,6 +247,7 @@
             lost_calls: BTreeSet::new(),
             out: Vec::new(),
             samples: Vec::new(),
+            tally: Tally::default(),
             marks: Vec::new(),
             store,
             script,
@@ -303,6 +307,36 @@
         &self.users.accept_ms
     }
 
+    /// What renting came to.
+    pub fn tally(&self) -> &Tally {
+        &self.tally
+    }
+
+    /// Compares the machines that are paid with those that the leader knows,
+    /// if it is time to; `knows` is `None` where nobody leads.
+    pub fn look_for_unknown(&mut self, now: Time, knows: Option<impl Fn(&MachineId) -> bool>) {
+        let unknown = knows.map(|knows| {
+            let paid = self.cloud.machines().filter(|m| !knows(&m.id));
+            paid.map(|m| m.id.to_string()).collect()
+        });
+        self.tally.look(now, unknown);
+    }
+
+    /// Counts the tasks that a release takes with it.
+    fn count_released(&mut self, node: usize, r: &Request) {
+        let names = decode::<MachineNames>(&r.body).unwrap_or_default();
+        if self.leader != Some(node) {
+            let workers = self.fleet.workers();
+            let there = names
+                .machines
+                .iter()
+                .filter_map(|m| workers.get(m.as_str()));
+            let tasks = there.map(|w| w.tasks.values().filter(|t| t.on_machine()).count());
+            let tasks = tasks.sum();
+            self.tally.released_by_replaced(tasks);
+        }
+    }
+
     /// Money spent on machines so far.
     pub fn cost(&self) -> f64 {
         self.cloud.cost()
@@ -397,6 +431,9 @@
         match target {
             Host::State => self.call_state(now, node, call, &r),
             Host::Cloud => {
+                if r.path == "/machines/release" {
+                    self.count_released(node, &r);
+                }
                 let (status, body) = self.cloud.handle(now, &mut self.rng, &r);
                 for what in std::mem::take(&mut self.cloud.misused) {
                     self.checker.protocol(now, what);
@@ -404,6 +441,9 @@
                 let hired = status == 200 && r.method == "POST" && r.path == "/machines";
                 self.happen(now);
                 if hired {
+                    let names = decode::<MachineNames>(&body).unwrap_or_default();
+                    self.tally
+                        .hired(names.machines.iter().map(MachineId::as_str));
                     let about = About {
                         node: Some(node),
                         call: Some(call),
@@ -729,6 +769,9 @@
     /// Lets the checker hear what was seen.
     fn collect(&mut self, now: Time) {
         for seen in self.fleet.take_seen() {
+            if let Seen::On { machine, .. } = &seen {
+                self.tally.used(machine);
+            }
             self.checker.hear(now, seen);
         }
         for seen in self.users.take_seen() {
