--- /dev/null
+++ b/crates/pebblefold/src/core/duty/aside.rs
@@ -0,0 +1,145 @@
+//! Machines put aside: one that falls silent with its lease again and again
+//! gets no work for a pause that doubles, and one on which several jobs failed
+//! gets none at all. A successor remembers both.
+
+use super::PREFIX;
+use super::book::Book;
+use crate::types::{MachineId, Span, Wall};
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+use std::collections::BTreeMap;
+
+/// The pause after a machine's second strike; it doubles with each further one.
+const PAUSE: Span = Span::millis(60_000);
+/// Most doublings.
+const MOST_DOUBLINGS: u32 = 5;
+/// Strikes older than this are forgotten.
+const FORGOTTEN: Span = Span::millis(3_600_000);
+
+/// What is remembered of a machine.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+struct Mark {
+    /// Times it fell silent for as long as its lease.
+    n: u32,
+    /// When it last did.
+    t: Wall,
+    /// Whether it is to get no work at all.
+    #[serde(default)]
+    d: bool,
+}
+
+/// The machines that are remembered.
+#[derive(Clone, Debug, Default)]
+pub struct Asides {
+    marks: BTreeMap<MachineId, Mark>,
+}
+
+fn key(m: &MachineId) -> String {
+    format!("{PREFIX}m/{m}")
+}
+
+fn store(book: &mut Book, m: &MachineId, mark: &Mark) {
+    if let Ok(value) = serde_json::to_value(mark) {
+        book.put(key(m), value);
+    }
+}
+
+impl Asides {
+    /// Takes over a stored mark. Returns the machine, and whether it is to get
+    /// no work at all.
+    pub fn load(&mut self, at: &str, stored: &Value) -> Option<(MachineId, bool)> {
+        let id = at.strip_prefix(PREFIX)?.strip_prefix("m/")?;
+        let mark = Mark::deserialize(stored).ok()?;
+        let id = MachineId::from(id);
+        let drained = mark.d;
+        self.marks.insert(id.clone(), mark);
+        Some((id, drained))
+    }
+
+    /// A machine was silent for as long as its lease. Returns its pause. A
+    /// first time is no sign, and is not stored.
+    pub fn strike(&mut self, book: &mut Book, m: &MachineId, wall: Wall) -> Option<Span> {
+        let mark = self.marks.entry(m.clone()).or_insert(Mark {
+            n: 0,
+            t: wall,
+            d: false,
+        });
+        (mark.n, mark.t) = (mark.n + 1, wall);
+        let pause = mark.pause()?;
+        store(book, m, mark);
+        Some(pause)
+    }
+
+    /// A machine is to get no work any more.
+    pub fn drain(&mut self, book: &mut Book, m: &MachineId, wall: Wall) {
+        let mark = self.marks.entry(m.clone()).or_insert(Mark {
+            n: 0,
+            t: wall,
+            d: true,
+        });
+        mark.d = true;
+        store(book, m, mark);
+    }
+
+    /// Whether a machine gets no work now.
+    pub fn is_aside(&self, m: &MachineId, wall: Wall) -> bool {
+        self.marks.get(m).is_some_and(|k| k.d) || self.pause_left(m, wall).is_some()
+    }
+
+    /// What is left of a machine's pause.
+    pub fn pause_left(&self, m: &MachineId, wall: Wall) -> Option<Span> {
+        let mark = self.marks.get(m)?;
+        let until = mark.t.0 + mark.pause()?.as_millis();
+        let left = Span::millis(until.saturating_sub(wall.0));
+        (left > Span::ZERO).then_some(left)
+    }
+
+    /// Forgets machines that are not there any more, and old strikes.
+    pub fn tend(&mut self, book: &mut Book, wall: Wall, there: impl Fn(&MachineId) -> bool) {
+        self.marks.retain(|m, k| {
+            let old = wall.0 > k.t.0 + FORGOTTEN.as_millis() && !k.d;
+            let keep = there(m) && !old;
+            if !keep && (k.d || k.pause().is_some()) {
+                book.delete(key(m));
+            }
+            keep
+        });
+    }
+
+    /// How many machines get no work now.
+    pub fn count(&self, wall: Wall) -> usize {
+        let all = self.marks.keys();
+        all.filter(|m| self.is_aside(m, wall)).count()
+    }
+}
+
+impl Mark {
+    fn pause(&self) -> Option<Span> {
+        let doublings = self.n.checked_sub(2)?.min(MOST_DOUBLINGS);
+        Some(Span(PAUSE.0 << doublings))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn pauses_double_and_outlive_their_holder() {
+        let (mut a, mut book) = (Asides::default(), Book::default());
+        let m = MachineId::from("host-1");
+        let wall = |s: u64| Wall(s * 1000);
+        assert_eq!(a.strike(&mut book, &m, wall(0)), None);
+        assert!(book.is_empty() && !a.is_aside(&m, wall(1)));
+        assert_eq!(a.strike(&mut book, &m, wall(100)), Some(PAUSE));
+        let twice = a.strike(&mut book, &m, wall(300));
+        assert_eq!(twice, Some(Span(PAUSE.0 * 2)));
+        let mut next = Asides::default();
+        for (key, value) in book.take_puts(9) {
+            assert_eq!(next.load(&key, &value), Some((m.clone(), false)));
+        }
+        assert!(next.is_aside(&m, wall(419)) && !next.is_aside(&m, wall(421)));
+        next.tend(&mut book, wall(421), |_| false);
+        assert_eq!(book.take_deletes(9), ["d/m/host-1"]);
+    }
+}
--- /dev/null
+++ b/crates/pebblefold/src/core/duty/intents.rs
@@ -0,0 +1,398 @@
+//! Intents: what the cloud is to do. The cloud knows no token and may carry a
+//! request out minutes late, so each hire and release stands in the state
+//! service before it is asked for. A successor reads them and finishes them.
+//!
+//! A hire keeps its name until its answer is known and all its machines were
+//! heard of; whoever repeats it gets the same machines. A release can't be
+//! taken back: whoever reads it starts nothing on its machines.
+
+use super::PREFIX;
+use super::book::Book;
+use crate::core::weak::{self, Decision};
+use crate::types::{Kind, MachineId, Span, Time, Token, Wall, Zone};
+use crate::wire::cloud::Rent;
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Machines of one type, zone and kind (spot or not).
+pub type Market = (Kind, Zone, bool);
+
+/// Most machines of one hire.
+pub const MOST_RENTED: u32 = 50;
+/// Most machines named in one call to release.
+pub const MOST_RELEASED: usize = 100;
+/// How long settled intents are kept, beyond what lists lag.
+const KEPT: Span = Span::millis(60_000);
+/// Hires older than this are not repeated: what they brought is listed.
+const STALE: Span = Span::millis(120_000);
+/// Releases decided and not yet answered that may stand beside one another;
+/// what comes later is grouped.
+const MOST_OPEN: usize = 2;
+
+/// How far a hire has come.
+#[derive(Clone, Debug, PartialEq)]
+enum Stage {
+    /// Decided; not stored yet.
+    Decided,
+    /// Stored; nobody can have asked for it yet.
+    Stored,
+    /// It may have been asked for: only its own name may ask again.
+    Doubtful,
+    /// Answered; these machines were not heard of yet.
+    Filled(Time, BTreeSet<MachineId>),
+}
+
+#[derive(Clone, Debug)]
+struct Hire {
+    rent: Rent,
+    stage: Stage,
+}
+
+#[derive(Clone, Debug)]
+struct Release {
+    machines: Vec<MachineId>,
+    stored: bool,
+    answered: Option<Time>,
+}
+
+#[derive(Serialize, Deserialize)]
+struct HireRecord {
+    r: Rent,
+    t: Wall,
+}
+
+#[derive(Serialize, Deserialize)]
+struct ReleaseRecord {
+    t: Wall,
+    /// The machines, by why they go.
+    w: BTreeMap<String, Vec<MachineId>>,
+}
+
+/// All intents of the renting duty.
+#[derive(Clone, Debug)]
+pub struct Intents {
+    token: Token,
+    next: u64,
+    /// How long lists lag, and what one record may hold.
+    list_lag: Span,
+    value_bytes: usize,
+    hires: BTreeMap<String, Hire>,
+    releases: BTreeMap<String, Release>,
+    /// Machines that are to go, and since when they are gone.
+    going: BTreeMap<MachineId, Option<Time>>,
+    /// Records to be written.
+    pub book: Book,
+}
+
+fn value<T: Serialize>(v: &T) -> Value {
+    serde_json::to_value(v).unwrap_or(Value::Null)
+}
+
+fn hire_key(name: &str) -> String {
+    format!("{PREFIX}h/{name}")
+}
+
+fn release_key(name: &str) -> String {
+    format!("{PREFIX}x/{name}")
+}
+
+impl Intents {
+    /// Nothing meant yet, by the holder of this token.
+    pub fn new(token: Token, list_lag: Span, value_bytes: usize) -> Intents {
+        Intents {
+            token,
+            next: 1,
+            list_lag,
+            value_bytes,
+            hires: BTreeMap::new(),
+            releases: BTreeMap::new(),
+            going: BTreeMap::new(),
+            book: Book::default(),
+        }
+    }
+
+    /// The token makes the name unique among all holders, so a late request
+    /// can never be taken for another one.
+    fn name(&mut self) -> String {
+        let name = format!("{}-{}", self.token, self.next);
+        self.next += 1;
+        name
+    }
+
+    /// Takes over a stored intent of an earlier holder, who may have asked for
+    /// it or may yet. Returns the machines that are to go. A record that
+    /// cannot be read is left where it is.
+    pub fn load(&mut self, key: &str, stored: &Value, wall: Wall) -> Vec<MachineId> {
+        let rest = key.strip_prefix(PREFIX).and_then(|k| k.split_once('/'));
+        match rest {
+            Some(("h", name)) if weak::holds(Decision::HiresAreRepeated) => {
+                if let Ok(record) = HireRecord::deserialize(stored) {
+                    let age = Span::millis(wall.0.saturating_sub(record.t.0));
+                    if age > STALE.max(Span(self.list_lag.0 * 4)) {
+                        self.book.delete(key.into());
+                    } else {
+                        let (rent, stage) = (record.r, Stage::Doubtful);
+                        self.hires.insert(name.into(), Hire { rent, stage });
+                    }
+                }
+                Vec::new()
+            }
+            Some(("x", name)) if weak::holds(Decision::ReleasesStand) => {
+                let Ok(record) = ReleaseRecord::deserialize(stored) else {
+                    return Vec::new();
+                };
+                let machines: Vec<MachineId> = record.w.into_values().flatten().collect();
+                for m in &machines {
+                    self.going.insert(m.clone(), None);
+                }
+                let release = Release {
+                    machines: machines.clone(),
+                    stored: true,
+                    answered: None,
+                };
+                self.releases.insert(name.into(), release);
+                machines
+            }
+            _ => Vec::new(),
+        }
+    }
+
+    /// An intent is stored: it may be acted on.
+    pub fn stored(&mut self, key: &str) {
+        let rest = key.strip_prefix(PREFIX).and_then(|k| k.split_once('/'));
+        match rest {
+            Some(("h", name)) => {
+                if let Some(h) = self.hires.get_mut(name)
+                    && h.stage == Stage::Decided
+                {
+                    h.stage = Stage::Stored;
+                }
+            }
+            Some(("x", name)) => {
+                if let Some(r) = self.releases.get_mut(name) {
+                    r.stored = true;
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// Decides to hire machines, at most [`MOST_RENTED`].
+    pub fn hire(&mut self, (kind, zone, spot): Market, count: u32, wall: Wall) {
+        let name = self.name();
+        let rent = Rent {
+            request: name.clone(),
+            kind,
+            zone,
+            spot,
+            count: count.clamp(1, MOST_RENTED),
+        };
+        let r = rent.clone();
+        self.book
+            .put(hire_key(&name), value(&HireRecord { r, t: wall }));
+        let stage = Stage::Decided;
+        self.hires.insert(name, Hire { rent, stage });
+    }
+
+    fn unfilled(&self) -> impl Iterator<Item = &Hire> {
+        let all = self.hires.values();
+        all.filter(|h| !matches!(h.stage, Stage::Filled(..)))
+    }
+
+    /// Whether the answer to a hire is still to come.
+    pub fn is_hiring(&self) -> bool {
+        self.unfilled().next().is_some()
+    }
+
+    /// Machines of hires whose answer is still to come.
+    pub fn coming(&self) -> u32 {
+        self.unfilled().map(|h| h.rent.count).sum()
+    }
+
+    /// The next hire to ask for, those that may have been asked for first.
+    pub fn next_hire(&self) -> Option<Rent> {
+        let ready =
+            |h: &&Hire| h.stage != Stage::Decided || !weak::holds(Decision::IntentBeforeAct);
+        let next = self.unfilled().filter(ready);
+        next.min_by_key(|h| h.stage != Stage::Doubtful)
+            .map(|h| h.rent.clone())
+    }
+
+    /// A hire was asked for and not answered.
+    pub fn hire_lost(&mut self, name: &str) {
+        if let Some(h) = self.hires.get_mut(name) {
+            h.stage = Stage::Doubtful;
+        }
+    }
+
+    fn settle(&mut self, name: &str) {
+        if self.hires.remove(name).is_some() {
+            self.book.delete(hire_key(name));
+        }
+    }
+
+    /// A hire was refused and not carried out. One that may have been asked
+    /// for before keeps its name.
+    pub fn hire_refused(&mut self, name: &str) {
+        if self
+            .hires
+            .get(name)
+            .is_some_and(|h| h.stage != Stage::Doubtful)
+        {
+            self.settle(name);
+        }
+    }
+
+    /// There is no room for a hire, nor for others of its market that nobody
+    /// has asked for.
+    pub fn no_room(&mut self, name: &str) {
+        let Some(Rent {
+            kind, zone, spot, ..
+        }) = self.hires.get(name).map(|h| h.rent.clone())
+        else {
+            return;
+        };
+        let alike = |h: &Hire| {
+            let r = &h.rent;
+            (&r.kind, &r.zone, r.spot) == (&kind, &zone, spot)
+                && matches!(h.stage, Stage::Decided | Stage::Stored)
+        };
+        let all = self.hires.iter().filter(|(_, h)| alike(h));
+        let others: Vec<String> = all.map(|(n, _)| n.clone()).collect();
+        others.iter().for_each(|n| self.settle(n));
+        self.settle(name);
+    }
+
+    /// A hire was answered with these machines. Its name is kept until all of
+    /// them were heard of, so that a successor can ask for them.
+    pub fn filled(&mut self, name: &str, machines: &[MachineId], now: Time) {
+        if let Some(h) = self.hires.get_mut(name) {
+            h.stage = Stage::Filled(now, machines.iter().cloned().collect());
+        }
+    }
+
+    /// Whether one more release may be decided; until then machines that are
+    /// to go are collected.
+    pub fn may_release(&self) -> bool {
+        let open = self.releases.values().filter(|r| r.answered.is_none());
+        open.count() < MOST_OPEN
+    }
+
+    /// Decides to release machines, each with why, as many as one record
+    /// holds. There is no way back.
+    pub fn release(
+        &mut self,
+        machines: impl Iterator<Item = (MachineId, &'static str)>,
+        wall: Wall,
+    ) {
+        let mut w: BTreeMap<String, Vec<MachineId>> = BTreeMap::new();
+        let (mut names, mut bytes) = (Vec::new(), 64);
+        for (m, why) in machines {
+            bytes += m.as_str().len() + 4;
+            if !w.contains_key(why) {
+                bytes += why.len() + 8;
+            }
+            if names.len() >= MOST_RELEASED || bytes > self.value_bytes {
+                break;
+            }
+            w.entry(why.into()).or_default().push(m.clone());
+            self.going.insert(m.clone(), None);
+            names.push(m);
+        }
+        if names.is_empty() {
+            return;
+        }
+        let name = self.name();
+        self.book
+            .put(release_key(&name), value(&ReleaseRecord { t: wall, w }));
+        let release = Release {
+            machines: names,
+            stored: false,
+            answered: None,
+        };
+        self.releases.insert(name, release);
+    }
+
+    /// Machines to ask the release of next.
+    pub fn next_release(&self) -> Vec<MachineId> {
+        let ready = |r: &&Release| {
+            r.answered.is_none() && (r.stored || !weak::holds(Decision::IntentBeforeAct))
+        };
+        let open = self.releases.values().filter(ready);
+        let names = open.flat_map(|r| &r.machines).filter(|m| !self.is_gone(m));
+        names.take(MOST_RELEASED).cloned().collect()
+    }
+
+    /// A release was answered: these machines are gone.
+    pub fn released(&mut self, machines: &[MachineId], now: Time) {
+        for m in machines {
+            self.going.insert(m.clone(), Some(now));
+        }
+        let going = &self.going;
+        let gone = |m: &MachineId| matches!(going.get(m), Some(Some(_)));
+        for r in self.releases.values_mut() {
+            if r.answered.is_none() && r.machines.iter().all(gone) {
+                r.answered = Some(now);
+            }
+        }
+    }
+
+    /// Whether a machine is to go, whoever decided it.
+    pub fn is_leaving(&self, m: &MachineId) -> bool {
+        self.going.contains_key(m)
+    }
+
+    /// Whether a machine was released not long ago, so that a list or report
+    /// that has it is old.
+    pub fn is_gone(&self, m: &MachineId) -> bool {
+        matches!(self.going.get(m), Some(Some(_)))
+    }
+
+    /// Settles what nobody needs any more: hires whose machines were all heard
+    /// of, by list or report, and releases that no list can contradict.
+    pub fn tend(&mut self, now: Time, heard: impl Fn(&MachineId) -> bool) {
+        let listed = Span(self.list_lag.0 * 3);
+        let going = &self.going;
+        let mut over = Vec::new();
+        for (name, h) in &mut self.hires {
+            if let Stage::Filled(at, missing) = &mut h.stage {
+                missing.retain(|m| !heard(m) && !going.contains_key(m));
+                if missing.is_empty() || now.since(*at) > listed {
+                    over.push(name.clone());
+                }
+            }
+        }
+        over.iter().for_each(|n| self.settle(n));
+        let old = |t: Time| now.since(t) > listed + KEPT;
+        let over: Vec<String> = self
+            .releases
+            .iter()
+            .filter(|(_, r)| r.answered.is_some_and(old))
+            .map(|(n, _)| n.clone())
+            .collect();
+        for name in over {
+            let machines = self.releases.remove(&name).map(|r| r.machines);
+            for m in machines.into_iter().flatten() {
+                self.going.remove(&m);
+            }
+            self.book.delete(release_key(&name));
+        }
+    }
+
+    /// Open hires, open releases and machines to go, for operators.
+    pub fn open(&self) -> [usize; 3] {
+        let releases = self.releases.values().filter(|r| r.answered.is_none());
+        let going = self.going.values().filter(|t| t.is_none());
+        [self.unfilled().count(), releases.count(), going.count()]
+    }
+
+    /// Machines hired that were not heard of yet, for tests.
+    pub fn unheard(&self) -> BTreeSet<MachineId> {
+        let all = self.hires.values().filter_map(|h| match &h.stage {
+            Stage::Filled(_, missing) => Some(missing),
+            _ => None,
+        });
+        all.flatten().cloned().collect()
+    }
+}
--- /dev/null
+++ b/crates/pebblefold/src/core/duty/sweep.rs
@@ -0,0 +1,87 @@
+//! Keys that belong to no job any more. They are found when a leader loads,
+//! and deleted one small transaction at a time when nothing else is to be
+//! written. Each goes only if it is as it was seen and its job's submission is
+//! not there, so that nothing a live job needs is ever removed.
+
+use crate::core::ledger;
+use crate::core::weak::{self, Decision};
+use crate::types::{JobId, Version};
+use crate::wire::state::{Condition, Op};
+use std::collections::VecDeque;
+
+/// Keys deleted in one transaction; each has two conditions.
+const MOST: usize = 8;
+
+/// A key without its job.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Orphan {
+    key: String,
+    version: Version,
+    job: JobId,
+}
+
+/// Orphans found and not yet deleted.
+#[derive(Clone, Debug, Default)]
+pub struct Sweep {
+    found: VecDeque<Orphan>,
+    /// Keys deleted so far.
+    pub deleted: u64,
+}
+
+/// The job that a key is about, if it is one that must not outlive its job.
+fn owner(key: &str) -> Option<JobId> {
+    if let Some((job, _)) = ledger::record(key) {
+        return Some(job);
+    }
+    match ledger::watched(key) {
+        ledger::Watched::Part(job, _) | ledger::Watched::End(job) => Some(job),
+        _ => None,
+    }
+}
+
+impl Sweep {
+    /// Looks at a key that was read; `there`: whether its job's submission
+    /// was read too, whether or not it could be understood.
+    pub fn look(&mut self, key: &str, version: Version, there: impl Fn(&JobId) -> bool) {
+        if let Some(job) = owner(key)
+            && (!there(&job) || !weak::holds(Decision::OrphansOnly))
+        {
+            let key = key.into();
+            self.found.push_back(Orphan { key, version, job });
+        }
+    }
+
+    /// How many are left.
+    pub fn left(&self) -> usize {
+        self.found.len()
+    }
+
+    /// The next ones to delete, with what has to hold.
+    pub fn next(&mut self, room: usize) -> Vec<(Orphan, Vec<Condition>, Op)> {
+        let n = room.min(MOST).min(self.found.len());
+        let next = self.found.drain(..n);
+        next.map(|o| {
+            let seen = Condition {
+                key: o.key.clone(),
+                version: o.version,
+            };
+            let gone = Condition {
+                key: ledger::job_key(&o.job),
+                version: Version(0),
+            };
+            let key = o.key.clone();
+            let conditions = if weak::holds(Decision::OrphansOnly) {
+                vec![seen, gone]
+            } else {
+                Vec::new()
+            };
+            (o, conditions, Op::Delete { key })
+        })
+        .collect()
+    }
+
+    /// One could not be written; it is tried again.
+    pub fn again(&mut self, orphan: Orphan) {
+        self.found.push_back(orphan);
+    }
+}
--- a/crates/pebblefold/src/core/fleet.rs
+++ b/crates/pebblefold/src/core/fleet.rs
@@ -1,11 +1,11 @@
 //! Machines and their workers' reports, as the leader sees them.
 
-use super::RequestId;
 use super::io::Io;
 use super::leader::{Fate, Leader};
 use super::ledger::Job;
 use super::presence::{Phase, Placement, Verdict};
 use super::tables::Cache;
+use super::{Now, RequestId};
 use crate::types::{Amounts, JobId, Kind, MachineId, Session, Span, Tally, TaskId, Time, Zone};
 use crate::wire::cloud::MachineStage;
 use crate::wire::workers::{Report, ReportedTask, TaskState, Why};
@@ -60,8 +60,12 @@
     pub lost: bool,
     /// Whether it is being returned.
     pub leaving: Leaving,
+    /// Why.
+    pub why: &'static str,
     /// Its images.
     pub cache: Cache,
+    /// It gets no work before this time.
+    pub aside: Option<Time>,
     /// When high-priority work was last placed here.
     pub last_high: Option<Time>,
     /// Since when it has nothing to do.
@@ -95,6 +99,8 @@
             known: now,
             lost: false,
             leaving: Leaving::No,
+            why: "",
+            aside: None,
             cache: Cache::default(),
             last_high: None,
             idle: None,
@@ -104,6 +110,13 @@
         }
     }
 
+    /// It is to be released.
+    pub fn send_back(&mut self, why: &'static str) {
+        if self.leaving != Leaving::Release {
+            (self.leaving, self.why) = (Leaving::Release, why);
+        }
+    }
+
     /// Notes a task placed here.
     pub fn take(&mut self, task: TaskId, needs: Amounts) {
         if self.tasks.insert(task) {
@@ -128,6 +141,7 @@
             && !self.lost
             && self.leaving == Leaving::No
             && self.taken_at.is_none()
+            && self.aside.is_none_or(|t| now >= t)
             && self.reported.is_some_and(|t| now.since(t) < silence)
     }
 }
@@ -190,15 +204,13 @@
             io.answer_later(request, 503, 1);
             return Fate::Stay;
         }
-        if self.rental.is_released(&report.machine) {
+        if self.rental.intents.is_gone(&report.machine) {
             // Held back by the network; the machine is gone.
             io.answer_later(request, 503, 1);
             return Fate::Stay;
         }
-        let machine = self
-            .machines
-            .entry(report.machine.clone())
-            .or_insert_with(|| Machine::new(now));
+        let ours = report.token == self.token;
+        let machine = self.meet(now, &report.machine);
         if (report.session, report.tally) <= (machine.session, machine.tally) {
             // Held back by the network; its sender no longer waits.
             io.answer_later(request, 503, 1);
@@ -211,7 +223,7 @@
         machine.session = report.session;
         machine.tally = report.tally;
         machine.reported = Some(now);
-        machine.ours = report.token == self.token;
+        machine.ours = ours;
         if machine.ours {
             machine.ours_since.get_or_insert(now);
         }
@@ -223,7 +235,7 @@
         if let Some(held) = self.held.remove(&report.machine) {
             io.answer_later(held.request, 503, 1);
         }
-        let freed = self.take_in(now, &report);
+        let freed = self.take_in(io.now, &report);
         self.note_listed(&report);
         if report.notice_s.is_some() {
             self.drain_noticed(io, &report.machine);
@@ -333,7 +345,8 @@
     }
 
     /// Compares a report with the placements; true if it freed room.
-    pub(super) fn take_in(&mut self, now: Time, report: &Report) -> bool {
+    pub(super) fn take_in(&mut self, at: Now, report: &Report) -> bool {
+        let now = at.time;
         let id = &report.machine;
         let mut listed: BTreeMap<TaskId, &ReportedTask> = BTreeMap::new();
         let mut strays = Amounts::default();
@@ -385,7 +398,7 @@
                 Verdict::Undelivered => p.phase = Phase::Unsent,
                 Verdict::Present => {
                     if let Some(t) = seen {
-                        freed |= self.seen(now, &task, t);
+                        freed |= self.seen(at, &task, t);
                     }
                 }
             }
@@ -394,9 +407,10 @@
     }
 
     /// A placed task was reported; true if it ended.
-    pub(super) fn seen(&mut self, now: Time, task: &TaskId, t: &ReportedTask) -> bool {
+    pub(super) fn seen(&mut self, at: Now, task: &TaskId, t: &ReportedTask) -> bool {
+        let now = at.time;
         if t.state == TaskState::Exited {
-            self.exited(now, task, t);
+            self.exited(at, task, t);
             return true;
         }
         let Some(job) = self.jobs.get_mut(&task.job) else {
--- a/crates/pebblefold/src/core/leader.rs
+++ b/crates/pebblefold/src/core/leader.rs
@@ -1,7 +1,8 @@
 //! The leading controller: loads what is recorded, follows changes, places
 //! work every cycle and writes its decisions ahead of sending them.
 
-use super::fleet::{Held, Machine};
+use super::duty::{self, aside::Asides, sweep::Sweep};
+use super::fleet::{Held, Leaving, Machine};
 use super::io::{Io, Waits};
 use super::ledger::{self, Assembly, ChunkSize, Dirty, End, HeadStage, Job, Lane, Watched};
 use super::rental::{CloudCall, Rental};
@@ -11,7 +12,7 @@
 use crate::policy::Policy;
 use crate::settings::Settings;
 use crate::types::{
-    Attempt, Class, Image, JobId, Kind, MachineId, Span, TaskId, Time, Token, Version, Wall,
+    Attempt, Class, Image, JobId, Kind, Label, MachineId, Span, TaskId, Time, Token, Version, Wall,
 };
 use crate::wire;
 use crate::wire::cloud::{MachineType, MachineTypes};
@@ -51,6 +52,7 @@
 enum Load {
     Watched(Vec<Entry>, Option<Version>),
     Records(Vec<Entry>),
+    Duties(Vec<Entry>),
     Done,
 }
 
@@ -65,8 +67,8 @@
     },
     /// The transaction of its one lane of writes.
     Commit,
-    /// A call to the cloud.
-    Cloud(CloudCall),
+    /// A call to the cloud, and the peer that makes it.
+    Cloud(CloudCall, Option<Label>),
 }
 
 /// The leader.
@@ -118,6 +120,10 @@
     pub(super) inherited_wait: Span,
     hold: Option<Span>,
     pub(super) rental: Rental,
+    pub(super) asides: Asides,
+    pub(super) sweep: Sweep,
+    /// Submissions that were read, whether or not they could be understood.
+    submitted: BTreeSet<JobId>,
     pub(super) arrivals: BTreeMap<Class, VecDeque<(Wall, f64, u32)>>,
     pub(super) told: BTreeMap<JobId, (u32, u32)>,
     pub(super) told_caches: BTreeMap<MachineId, Vec<(Image, f64)>>,
@@ -171,7 +177,10 @@
             direct: BTreeMap::new(),
             inherited_wait: hold.unwrap_or(Span::ZERO) + lease_time,
             hold,
-            rental: Rental::new(&settings, now),
+            rental: Rental::new(&settings, token, now),
+            asides: Asides::default(),
+            sweep: Sweep::default(),
+            submitted: BTreeSet::new(),
             arrivals: BTreeMap::new(),
             told: BTreeMap::new(),
             told_caches: BTreeMap::new(),
@@ -229,6 +238,7 @@
                 self.look_due = io.now.time + LOOK_EVERY;
                 self.expire(io);
                 self.give_up_machines(io.now.time);
+                self.mean_releases(io.now.wall);
             }
             self.rental_tick(io);
         }
@@ -252,6 +262,7 @@
         let (path, timeout) = match &self.load {
             Load::Watched(got, _) => (page(ledger::WATCHED, got), Span::secs(3.0)),
             Load::Records(got) => (page(ledger::RECORDS, got), Span::secs(3.0)),
+            Load::Duties(got) => (page(duty::PREFIX, got), Span::secs(3.0)),
             Load::Done => (
                 format!(
                     "/changes?starts={}&since={}&hold_ms={}",
@@ -273,7 +284,7 @@
         match what {
             Awaits::Read { sent } => self.on_read(io, sent, reply),
             Awaits::Commit => self.on_commit(io, reply),
-            Awaits::Cloud(call) => self.on_cloud(io, call, reply),
+            Awaits::Cloud(call, by) => self.on_cloud(io, call, by, reply),
         }
     }
 
@@ -300,7 +311,7 @@
         self.watch_backoff.succeeded();
         self.watch_again = now;
         if !self.is_loaded() {
-            return self.on_page(now, sent, &body);
+            return self.on_page(io.now, sent, &body);
         }
         let Some(changes) = wire::decode::<Changes>(&body) else {
             return Fate::StepDown("changes could not be read");
@@ -309,7 +320,7 @@
         self.apply(io, changes)
     }
 
-    fn on_page(&mut self, now: Time, sent: Time, body: &[u8]) -> Fate {
+    fn on_page(&mut self, now: super::Now, sent: Time, body: &[u8]) -> Fate {
         let Some(page) = wire::decode::<Entries>(body) else {
             return Fate::StepDown("records could not be read");
         };
@@ -333,7 +344,15 @@
                 got.extend(page.items);
                 if !more {
                     let got = std::mem::take(got);
-                    self.load_records(now, got);
+                    self.load_records(now.time, got);
+                    self.load = Load::Duties(Vec::new());
+                }
+            }
+            Load::Duties(got) => {
+                got.extend(page.items);
+                if !more {
+                    let got = std::mem::take(got);
+                    self.load_duties(now, got);
                     self.load = Load::Done;
                     self.contact = sent;
                     tracing::info!(token = %self.token, jobs = self.jobs.len(), machines = self.machines.len(), "leading");
@@ -356,6 +375,17 @@
         if !holds {
             return Some(Fate::StepDown("the lease ran out while loading"));
         }
+        let submitted = entries
+            .iter()
+            .filter_map(|e| match ledger::watched(&e.key) {
+                Watched::Job(id) => Some(id),
+                _ => None,
+            });
+        self.submitted = submitted.collect();
+        for e in &entries {
+            let there = |id: &JobId| self.submitted.contains(id);
+            self.sweep.look(&e.key, e.version, there);
+        }
         for e in &entries {
             if let Watched::Job(id) = ledger::watched(&e.key) {
                 self.add_job(&id, e.version, &e.value);
@@ -409,11 +439,14 @@
     }
 
     fn load_records(&mut self, now: Time, entries: Vec<Entry>) {
+        let submitted = std::mem::take(&mut self.submitted);
         for e in entries {
             let Some((id, chunk)) = ledger::record(&e.key) else {
                 continue;
             };
             // Without its submission a record is a remnant of an ended job.
+            self.sweep
+                .look(&e.key, e.version, |id| submitted.contains(id));
             let Some(job) = self.jobs.get_mut(&id) else {
                 continue;
             };
@@ -451,6 +484,48 @@
         }
     }
 
+    /// Takes over what earlier leaders meant to have done.
+    fn load_duties(&mut self, now: super::Now, entries: Vec<Entry>) {
+        for e in entries {
+            let go = self.rental.intents.load(&e.key, &e.value, now.wall);
+            for id in go {
+                self.meet(now.time, &id)
+                    .send_back("an earlier leader meant to release it");
+            }
+            if let Some((id, drained)) = self.asides.load(&e.key, &e.value) {
+                let left = self.asides.pause_left(&id, now.wall);
+                let m = self.meet(now.time, &id);
+                m.aside = left.map(|left| now.time + left);
+                if drained && m.leaving == Leaving::No {
+                    m.leaving = Leaving::Drain;
+                }
+            }
+        }
+        let [hires, releases, going] = self.rental.intents.open();
+        if hires + releases > 0 {
+            tracing::info!(
+                hires,
+                releases,
+                machines = going,
+                "finishing what earlier leaders meant"
+            );
+        }
+    }
+
+    /// A machine that was heard of. One that is to go stays so, whoever
+    /// decided it and whatever brought the machine up again.
+    pub(super) fn meet(&mut self, now: Time, id: &MachineId) -> &mut Machine {
+        let leaving = self.rental.intents.is_leaving(id);
+        let m = self
+            .machines
+            .entry(id.clone())
+            .or_insert_with(|| Machine::new(now));
+        if leaving {
+            m.leaving = Leaving::Release;
+        }
+        m
+    }
+
     fn stop_all(&mut self, now: Time, id: &JobId, why: &'static str) {
         let Some(job) = self.jobs.get(id) else {
             return;
--- a/crates/pebblefold/src/core/ledger.rs
+++ b/crates/pebblefold/src/core/ledger.rs
@@ -8,9 +8,12 @@
 //! | `w/x/REF` | how the job ended | likewise |
 //! | `r/REF/C` | tasks of chunk C: highest attempt, done ranges, placements | likewise |
 //! | `types` | the machine types last read from the cloud | |
+//! | `d/h/NAME`, `d/x/NAME` | a hire, a release: meant, maybe asked for | until settled |
+//! | `d/m/MACHINE` | why a machine gets no work for a while | while it is there |
 //!
 //! Everything below `w/` is watched by the leader.
 
+use super::duty::sweep::Orphan;
 use super::presence::Placement;
 use crate::types::{Attempt, JobId, Label, MachineId, Session, Span, Time, Token, Version, Wall};
 use crate::wire::state::{Condition, Op, Txn};
@@ -583,6 +586,10 @@
     Finish(JobId),
     /// Keys of an ended job deleted; whether they were the last.
     Drop(JobId, bool),
+    /// A duty's record stored, or deleted.
+    Note(String, Option<Value>),
+    /// A key without its job deleted.
+    Sweep(Orphan),
 }
 
 /// The leader's only lane of writes: one transaction at a time, so that their
@@ -625,6 +632,11 @@
         }
     }
 
+    /// Whether it has nothing to do yet.
+    pub fn is_empty(&self) -> bool {
+        self.txn.ops.is_empty()
+    }
+
     /// How many more changes fit.
     pub fn room(&self) -> usize {
         self.limits.ops - self.txn.ops.len()
--- a/crates/pebblefold/src/core/losses.rs
+++ b/crates/pebblefold/src/core/losses.rs
@@ -1,23 +1,29 @@
 //! How tasks leave their machines: done, ended early, or proven gone.
 
+use super::Now;
 use super::fleet::*;
 use super::io::Io;
 use super::leader::Leader;
 use super::ledger::End;
 use super::weak::{self, Decision};
-use crate::types::{MachineId, Span, TaskId, Time};
+use crate::types::{MachineId, Span, TaskId, Time, Zone};
 use crate::wire::cloud::MachineStage;
 use crate::wire::workers::{ReportedTask, Why};
+use std::collections::BTreeMap;
 
 /// Failures of different jobs that make a machine suspect.
 const SUSPECT: usize = 2;
 /// How long a failure counts against a machine.
 const FAULT_LIFE: Span = Span::millis(600_000);
+/// Machines of one zone that may fall silent in one look and still count as
+/// faulty themselves.
+const MOST_AT_ONCE: usize = 3;
 /// Machines of one job's failures that are remembered.
 const MOST_FAILED_ON: usize = 4;
 
 impl Leader {
-    pub(super) fn exited(&mut self, now: Time, task: &TaskId, t: &ReportedTask) {
+    pub(super) fn exited(&mut self, now: Now, task: &TaskId, t: &ReportedTask) {
+        let (now, wall) = (now.time, now.wall);
         let why = t.why.unwrap_or(Why::Unknown);
         let Some(job) = self.jobs.get(&task.job) else {
             return;
@@ -50,6 +56,7 @@
         let Some(job) = self.jobs.get_mut(&task.job) else {
             return;
         };
+        let mut suspect = None;
         match why {
             Why::Error | Why::Unknown => {
                 job.notes.failures += 1;
@@ -68,6 +75,7 @@
                     if m.faults.len() >= SUSPECT && m.leaving == Leaving::No {
                         tracing::info!(machine = %place.machine, "put aside: several jobs failed on it");
                         m.leaving = Leaving::Drain;
+                        suspect = Some(place.machine.clone());
                     }
                 }
             }
@@ -76,6 +84,10 @@
             }
             Why::Done | Why::Stopped | Why::Peers | Why::Alone => {}
         }
+        if let Some(id) = suspect {
+            let book = &mut self.rental.intents.book;
+            self.asides.drain(book, &id, wall);
+        }
     }
 
     /// Marks a task done, wherever it was found to be.
@@ -194,11 +206,35 @@
                 dead.push((id.clone(), proof));
             }
         }
+        self.strike(io.now, dead.iter().map(|(id, _)| id));
         for (id, proof) in dead {
             self.write_off(now, &id, proof);
         }
     }
 
+    /// Remembers machines that fell silent for as long as a lease. Where many of
+    /// a zone do so at once it is the zone's fault, not theirs.
+    fn strike<'a>(&mut self, now: Now, dead: impl Iterator<Item = &'a MachineId>) {
+        let mut by_zone: BTreeMap<Option<Zone>, Vec<&MachineId>> = BTreeMap::new();
+        for id in dead {
+            let zone = self.machines.get(id).and_then(|m| m.zone.clone());
+            by_zone.entry(zone).or_default().push(id);
+        }
+        for id in by_zone
+            .into_values()
+            .filter(|v| v.len() <= MOST_AT_ONCE)
+            .flatten()
+        {
+            let book = &mut self.rental.intents.book;
+            if let Some(pause) = self.asides.strike(book, id, now.wall)
+                && let Some(m) = self.machines.get_mut(id)
+            {
+                tracing::info!(machine = %id, pause_s = pause.as_secs(), "put aside: silent again and again");
+                m.aside = Some(now.time + pause);
+            }
+        }
+    }
+
     /// Everything on a machine is gone.
     pub fn write_off(&mut self, now: Time, id: &MachineId, proof: &'static str) {
         let tasks: Vec<TaskId> = self
--- a/crates/pebblefold/src/core/mod.rs
+++ b/crates/pebblefold/src/core/mod.rs
@@ -3,6 +3,7 @@
 
 mod commands;
 pub mod cycle;
+pub mod duty;
 pub mod election;
 pub mod fleet;
 pub mod intake;
--- a/crates/pebblefold/src/core/node.rs
+++ b/crates/pebblefold/src/core/node.rs
@@ -1,5 +1,6 @@
 //! A controller node: routes inputs to its parts.
 
+mod hands;
 mod inspect;
 mod kinds;
 mod peers;
@@ -32,6 +33,11 @@
     },
     /// A greeting to a peer.
     Greet(Label),
+    /// A call to the cloud on behalf of the leader.
+    Hand {
+        /// The request.
+        request: RequestId,
+    },
 }
 
 #[derive(Clone, Debug)]
@@ -204,6 +210,7 @@
                 self.io.answer_status(id, status);
             }
             (Side::Internal, "POST", ["greet"]) => self.greeted(id, &r.body),
+            (Side::Internal, "GET" | "POST", ["cloud", token, ..]) => self.hand(id, token, &r),
             (Side::Internal, "GET", ["inspect"]) => {
                 let body = wire::encode(&self.inspect(&r.query));
                 self.io.answer_body(id, body);
@@ -240,6 +247,7 @@
         } else {
             match self.waits.take(id) {
                 Some(Awaits::Relay { request }) => return self.on_relay(request, reply),
+                Some(Awaits::Hand { request }) => return self.on_hand(request, reply),
                 Some(Awaits::Types) => self.on_types(&reply),
                 Some(Awaits::Greet(label)) => self.on_greet(label, &reply),
                 None => {}
--- a/crates/pebblefold/src/core/rental.rs
+++ b/crates/pebblefold/src/core/rental.rs
@@ -1,21 +1,20 @@
 //! Renting and returning machines.
 
 use super::cycle::{Cycle, Pace, Want};
-use super::fleet::{Leaving, Machine};
+use super::duty::hands::Hands;
+use super::duty::intents::{Intents, MOST_RENTED, Market};
+use super::fleet::Leaving;
 use super::io::Io;
 use super::leader::{Awaits, Fate, Leader};
 use super::tables::Row;
 use super::{Reply, Target};
 use crate::settings::{ObjectiveKind, Settings};
-use crate::types::{Kind, MachineId, Span, Time, Zone};
+use crate::types::{Label, MachineId, Span, Time, Token, Zone};
 use crate::wire;
 use crate::wire::cloud::{MachineList, MachineNames, MachineStage, MachineTypes, Rent};
 use crate::wire::pace::{Backoff, Bucket};
 use std::collections::{BTreeMap, HashMap};
 
-/// Machines of one type, zone and kind.
-type Market = (Kind, Zone, bool);
-
 /// What the one call to the cloud in flight is about.
 #[derive(Clone, Debug)]
 pub enum CloudCall {
@@ -36,11 +35,10 @@
     calling: bool,
     not_before: Time,
     backoff: Backoff,
-    next_request: u64,
-    /// Machines wanted, not asked for yet.
-    orders: BTreeMap<Market, u32>,
-    /// A request whose answer was lost; repeated under its name until answered.
-    unanswered: Option<Rent>,
+    /// What the cloud is to do.
+    pub intents: Intents,
+    /// Who calls the cloud.
+    pub hands: Hands,
     paused: BTreeMap<Market, Time>,
     list_due: Time,
     list_every: Span,
@@ -50,8 +48,7 @@
     types_due: Time,
     /// Whether the last call released machines.
     released_last: bool,
-    /// Machines released, and when; lists go on naming them for a while.
-    released: BTreeMap<MachineId, Time>,
+    tend_due: Time,
 }
 
 /// Machines in each zone.
@@ -62,27 +59,31 @@
     f64::from(crowds.get(zone).copied().unwrap_or(0))
 }
 
-/// Machines named in one release.
-const MOST_RELEASED: usize = 100;
-/// Machines of one request.
-const MOST_RENTED: u32 = 50;
-/// How long a released machine is remembered, beyond what lists lag.
-const RELEASED_KEPT: Span = Span::millis(60_000);
+/// Time between looks for intents that are settled.
+const TEND_EVERY: Span = Span::millis(1000);
+/// What a peer answers where the cloud gave it no answer: certainly not
+/// reached, or perhaps; and where it knows a later token than ours.
+pub(super) const BAD_GATEWAY: u16 = 502;
+pub(super) const GATEWAY_TIMEOUT: u16 = 504;
+pub(super) const CONFLICT: u16 = 409;
+/// How long a call to the cloud may take, and longer by a peer.
+const CALL: Span = Span::millis(5000);
+const CALL_BY_PEER: Span = Span::millis(6000);
 /// Time between looks at the machine types.
 const TYPES_EVERY: Span = Span::millis(60_000);
 
 impl Rental {
     /// Nothing under way.
-    pub fn new(settings: &Settings, now: Time) -> Rental {
+    pub fn new(settings: &Settings, token: Token, now: Time) -> Rental {
+        let peers = settings.peers.iter().map(|p| p.label.clone()).collect();
         let rate = settings.cloud_rps * 0.9;
         Rental {
             calls: Bucket::new(rate, rate.max(1.0)),
             calling: false,
             not_before: now,
             backoff: Backoff::default(),
-            next_request: 1,
-            orders: BTreeMap::new(),
-            unanswered: None,
+            intents: Intents::new(token, settings.list_lag, settings.state_limits.value_bytes),
+            hands: Hands::new(peers),
             paused: BTreeMap::new(),
             list_due: now,
             list_every: Span(settings.list_lag.0 / 2).max(Span::secs(2.0)),
@@ -90,21 +91,27 @@
             listed: None,
             types_due: now,
             released_last: false,
-            released: BTreeMap::new(),
+            tend_due: now,
         }
     }
-
-    /// Whether a machine was released not long ago, so that a list or report
-    /// that has it is old.
-    pub fn is_released(&self, id: &MachineId) -> bool {
-        self.released.contains_key(id)
-    }
 }
 
 impl Leader {
     /// Makes the next call to the cloud, if one is due.
     pub(super) fn rental_tick(&mut self, io: &mut Io) {
         let now = io.now.time;
+        if now >= self.rental.tend_due {
+            self.rental.tend_due = now + TEND_EVERY;
+            let machines = &self.machines;
+            let heard = |id: &MachineId| {
+                let m = machines.get(id);
+                m.is_none_or(|m| m.reported.is_some() || m.listed_at.is_some())
+            };
+            self.rental.intents.tend(now, heard);
+            let there = |id: &MachineId| machines.contains_key(id);
+            let book = &mut self.rental.intents.book;
+            self.asides.tend(book, io.now.wall, there);
+        }
         if self.rental.calling || now < self.rental.not_before || !self.may_start(now) {
             return;
         }
@@ -135,8 +142,35 @@
                 }),
             ),
         };
-        let id = io.call(Target::Cloud, method, path, body, Span::secs(5.0));
-        self.waits.add(id, Awaits::Cloud(call));
+        let by = self.rental.hands.peer(now).cloned();
+        let peer = by
+            .as_ref()
+            .and_then(|label| self.settings.peers.iter().find(|p| p.label == *label));
+        let id = match peer {
+            Some(p) => {
+                let path = format!("/cloud/{}{path}", self.token);
+                io.call(Target::Host(p.addr), method, path, body, CALL_BY_PEER)
+            }
+            None => io.call(Target::Cloud, method, path, body, CALL),
+        };
+        self.waits.add(id, Awaits::Cloud(call, by));
+    }
+
+    /// Writes down which machines are to go. What comes while two releases are
+    /// under way is grouped.
+    pub(super) fn mean_releases(&mut self, wall: crate::types::Wall) {
+        if !self.rental.intents.may_release() {
+            return;
+        }
+        let intents = &self.rental.intents;
+        let new = self
+            .machines
+            .iter()
+            .filter(|(id, m)| m.leaving == Leaving::Release && !intents.is_leaving(id));
+        let new: Vec<_> = new.map(|(id, m)| (id.clone(), m.why)).collect();
+        if !new.is_empty() {
+            self.rental.intents.release(new.into_iter(), wall);
+        }
     }
 
     /// The next call; made only if the rate allows it.
@@ -157,13 +191,7 @@
     }
 
     fn release_call(&mut self, _: Time) -> Option<CloudCall> {
-        let release: Vec<MachineId> = self
-            .machines
-            .iter()
-            .filter(|(_, m)| m.leaving == Leaving::Release)
-            .map(|(id, _)| id.clone())
-            .take(MOST_RELEASED)
-            .collect();
+        let release = self.rental.intents.next_release();
         (!release.is_empty()).then_some(CloudCall::Release(release))
     }
 
@@ -172,22 +200,8 @@
         if late {
             return Some(CloudCall::List);
         }
-        if let Some(r) = &self.rental.unanswered {
-            return Some(CloudCall::Rent(r.clone()));
-        }
-        if let Some((market, count)) = self.rental.orders.pop_first() {
-            // The token makes the name unique among all leaders, so a late
-            // request can never be taken for another one.
-            let request = format!("{}-{}", self.token, self.rental.next_request);
-            self.rental.next_request += 1;
-            let (kind, zone, spot) = market;
-            return Some(CloudCall::Rent(Rent {
-                request,
-                kind,
-                zone,
-                spot,
-                count: count.min(MOST_RENTED),
-            }));
+        if let Some(rent) = self.rental.intents.next_hire() {
+            return Some(CloudCall::Rent(rent));
         }
         if now >= self.rental.list_due {
             return Some(CloudCall::List);
@@ -199,13 +213,29 @@
     }
 
     /// The cloud answered, or not.
-    pub fn on_cloud(&mut self, io: &mut Io, call: CloudCall, reply: Reply) -> Fate {
+    pub fn on_cloud(
+        &mut self,
+        io: &mut Io,
+        call: CloudCall,
+        by: Option<Label>,
+        reply: Reply,
+    ) -> Fate {
         let now = io.now.time;
         self.rental.calling = false;
         let (status, body) = match reply {
+            // What a peer says when it got no answer itself.
+            Reply::Answer(GATEWAY_TIMEOUT | BAD_GATEWAY, _) if by.is_some() => (0, Vec::new()),
+            Reply::Answer(CONFLICT, _) if by.is_some() => {
+                return Fate::StepDown("a peer knows a later leader");
+            }
             Reply::Answer(status, body) => (status, body),
             Reply::NotSent | Reply::Lost => (0, Vec::new()),
         };
+        if status == 0 {
+            self.rental.hands.unanswered(now, by.as_ref());
+        } else {
+            self.rental.hands.answered(now, by.as_ref());
+        }
         let no_capacity = status == 503
             && wire::decode::<crate::wire::users::Refusal>(&body)
                 .is_some_and(|r| r.error == "no capacity");
@@ -219,7 +249,11 @@
             if let CloudCall::Rent(r) = call {
                 // Answered by a refusal, it was not carried out; otherwise it
                 // may have been, or may yet be: only its own name may ask again.
-                self.rental.unanswered = (status == 0).then_some(r);
+                if status == 0 {
+                    self.rental.intents.hire_lost(&r.request);
+                } else {
+                    self.rental.intents.hire_refused(&r.request);
+                }
             }
             return Fate::Stay;
         }
@@ -244,9 +278,9 @@
                 None => self.rental.list_due = now + self.rental.list_every,
             },
             CloudCall::Rent(r) => {
-                self.rental.unanswered = None;
                 if no_capacity || status == 400 {
                     let pause = Span::secs(self.policy.no_capacity_pause_s);
+                    self.rental.intents.no_room(&r.request);
                     tracing::info!(kind = %r.kind, zone = %r.zone, spot = r.spot, "no capacity");
                     self.rental
                         .paused
@@ -258,8 +292,12 @@
                             .paused
                             .insert((r.kind.clone(), r.zone.clone(), r.spot), now + pause);
                     }
+                    self.rental.intents.filled(&r.request, &names.machines, now);
                     for id in names.machines {
-                        let m = self.machines.entry(id).or_insert_with(|| Machine::new(now));
+                        if self.rental.intents.is_gone(&id) {
+                            continue;
+                        }
+                        let m = self.meet(now, &id);
                         m.kind.get_or_insert(r.kind.clone());
                         m.zone.get_or_insert(r.zone.clone());
                         m.spot = r.spot;
@@ -267,12 +305,12 @@
                 }
             }
             CloudCall::Release(names) => {
+                self.rental.intents.released(&names, now);
                 for id in names {
                     // By now the machine and everything on it is gone.
                     self.write_off(now, &id, "released");
                     self.machines.remove(&id);
                     self.held.remove(&id);
-                    self.rental.released.insert(id, now);
                 }
             }
         }
@@ -282,18 +320,13 @@
     fn take_list(&mut self, now: Time) {
         let list = std::mem::take(&mut self.rental.listing);
         self.rental.listed = Some(now);
-        let old = Span(self.settings.list_lag.0 * 3) + RELEASED_KEPT;
-        self.rental.released.retain(|_, t| now.since(*t) < old);
         for l in list {
             // One that was taken in again would count as coming up, and
             // nothing would be rented for the work that waits for it.
-            if self.rental.is_released(&l.id) {
+            if self.rental.intents.is_gone(&l.id) {
                 continue;
             }
-            let m = self
-                .machines
-                .entry(l.id)
-                .or_insert_with(|| Machine::new(now));
+            let m = self.meet(now, &l.id);
             m.kind.get_or_insert(l.kind);
             m.zone.get_or_insert(l.zone);
             m.spot = l.spot;
@@ -303,7 +336,7 @@
             m.listed = Some((l.stage, Span::secs(l.age_s)));
             m.listed_at = Some(now);
             if l.stage == MachineStage::Failed && m.tasks.is_empty() {
-                m.leaving = Leaving::Release;
+                m.send_back("failed");
             }
         }
     }
@@ -331,14 +364,21 @@
             });
             match m.leaving {
                 Leaving::Release => {}
-                Leaving::Drain if m.tasks.is_empty() => m.leaving = Leaving::Release,
+                Leaving::Drain if m.tasks.is_empty() => m.send_back("put aside"),
+                // It is paid for nothing, as an idle machine is.
+                _ if m.tasks.is_empty()
+                    && m.aside
+                        .is_some_and(|t| t.since(now) > Span::secs(self.policy.idle_s)) =>
+                {
+                    m.send_back("put aside");
+                }
                 _ if m.lost && matches!(m.listed, Some((MachineStage::Failed, _))) => {
-                    m.leaving = Leaving::Release;
+                    m.send_back("failed");
                 }
                 _ if m.reported.is_none() => {
                     if quiet > patience && m.listed_at.is_some() {
                         tracing::info!(machine = %id, "did not come up, released");
-                        m.leaving = Leaving::Release;
+                        m.send_back("did not come up");
                     } else if quiet > patience && unlisted && m.tasks.is_empty() {
                         forget.push(id.clone());
                     }
@@ -350,11 +390,11 @@
                     if !m.tasks.is_empty() {
                         tracing::info!(machine = %id, "silent and not listed, released");
                     }
-                    m.leaving = Leaving::Release;
+                    m.send_back("silent and not listed");
                 }
                 _ if quiet > Span::secs(self.policy.silent_release_s) => {
                     tracing::info!(machine = %id, "silent for long, released");
-                    m.leaving = Leaving::Release;
+                    m.send_back("silent for long");
                 }
                 _ => {}
             }
@@ -364,6 +404,13 @@
         }
     }
 
+    /// Whether a new leader can tell what is missing from what it has not heard
+    /// of yet: once it has a whole list, or every worker has had time to report.
+    fn knows_its_fleet(&self, now: Time) -> bool {
+        let reports = self.settings.workers.report.scaled(1.5) + Span::secs(1.0);
+        self.rental.listed.is_some() || now.since(self.office) > reports
+    }
+
     /// How many idle machines to keep for classes whose starts are wanted
     /// sooner than a machine boots.
     fn reserve(&self, now_wall: crate::types::Wall) -> u32 {
@@ -409,7 +456,7 @@
             .filter(|(_, m)| !matches!(m.listed, Some((MachineStage::Failed, _))))
             .filter_map(|(id, m)| self.row(now, id, m))
             .collect();
-        let on_the_way = booting.len() as u32 + self.rental.orders.values().sum::<u32>();
+        let on_the_way = booting.len() as u32 + self.rental.intents.coming();
         let mut room = (self.policy.most_booting as u32).saturating_sub(on_the_way);
         let rent_after = Span::secs(self.policy.rent_after_s);
         let mut left: Vec<Want> = wants
@@ -432,7 +479,7 @@
         Cycle::new(pace, &mut booting, &mut teams, &estimates).run(&mut left);
         left.retain(|w| !w.tasks.is_empty());
         self.rental.paused.retain(|_, until| *until > now);
-        if self.rental.orders.is_empty() && self.rental.unanswered.is_none() {
+        if !self.rental.intents.is_hiring() && self.knows_its_fleet(now) {
             let crowds = self.crowds();
             let mut orders: BTreeMap<Market, f64> = BTreeMap::new();
             for w in &left {
@@ -462,7 +509,8 @@
                 let n = (n.ceil() as u32).min(room);
                 room -= n;
                 if n > 0 {
-                    self.rental.orders.insert(market, n);
+                    let count = n.min(MOST_RENTED);
+                    self.rental.intents.hire(market, count, io.now.wall);
                 }
             }
         }
@@ -571,7 +619,7 @@
         for (_, id, _) in go {
             if let Some(m) = self.machines.get_mut(&id) {
                 tracing::info!(machine = %id, "idle, returned");
-                m.leaving = Leaving::Release;
+                m.send_back("idle");
             }
         }
     }
@@ -581,6 +629,7 @@
 mod tests {
     use super::*;
     use crate::testing::{io_at, leader};
+    use crate::types::Wall;
     use crate::wire::cloud::ListedMachine;
 
     fn list(names: &[&str]) -> Reply {
@@ -609,14 +658,21 @@
         leader.on_cloud(
             &mut io_at(1.0),
             CloudCall::List,
+            None,
             list(&["host-1", "host-2"]),
         );
         assert_eq!(leader.machines.len(), 2);
         let release = CloudCall::Release(vec!["host-1".into()]);
-        leader.on_cloud(&mut io_at(2.0), release, Reply::Answer(200, Vec::new()));
+        leader.on_cloud(
+            &mut io_at(2.0),
+            release,
+            None,
+            Reply::Answer(200, Vec::new()),
+        );
         leader.on_cloud(
             &mut io_at(9.0),
             CloudCall::List,
+            None,
             list(&["host-1", "host-2"]),
         );
         let left: Vec<_> = leader.machines.keys().map(|m| m.to_string()).collect();
@@ -629,18 +685,25 @@
     fn releases_leave_turns_to_renting_and_listing() {
         let mut leader = leader();
         let market: Market = ("g4".into(), "z0".into(), true);
-        leader.rental.orders.insert(market, 3);
+        leader.rental.intents.hire(market, 3, Wall(0));
         let mut made = Vec::new();
         for n in 0..6 {
-            let mut m = Machine::new(Time(0));
-            m.leaving = Leaving::Release;
-            leader.machines.insert(format!("host-{n}").into(), m);
+            let id = MachineId::from(format!("host-{n}"));
+            leader.meet(Time(0), &id).send_back("idle");
+            leader.mean_releases(Wall(0));
+            for (key, _) in leader.rental.intents.book.take_puts(9) {
+                leader.rental.intents.stored(&key);
+            }
             made.push(match leader.next_call(Time(1)) {
                 Some(CloudCall::Release(names)) => {
+                    leader.rental.intents.released(&names, Time(1));
                     names.iter().for_each(|m| drop(leader.machines.remove(m)));
                     "release"
                 }
-                Some(CloudCall::Rent(_)) => "rent",
+                Some(CloudCall::Rent(r)) => {
+                    leader.rental.intents.filled(&r.request, &[], Time(1));
+                    "rent"
+                }
                 Some(CloudCall::List) => "list",
                 _ => "other",
             });
--- a/crates/pebblefold/src/core/weak.rs
+++ b/crates/pebblefold/src/core/weak.rs
@@ -11,6 +11,14 @@
     LeaseBeforeWriteOff,
     /// Without contact, reports are answered only for a bounded time.
     BoundedHold,
+    /// The cloud is asked only for what is stored.
+    IntentBeforeAct,
+    /// A successor repeats its predecessors' hires under their names.
+    HiresAreRepeated,
+    /// A successor starts nothing on machines that a predecessor released.
+    ReleasesStand,
+    /// A key is swept only while its job's submission is not there.
+    OrphansOnly,
 }
 
 #[cfg(feature = "weaken")]
--- a/crates/pebblefold/src/core/writing.rs
+++ b/crates/pebblefold/src/core/writing.rs
@@ -9,6 +9,8 @@
 use crate::wire;
 use crate::wire::state::{Condition, Op, Revision, Txn};
 
+/// Settled intents deleted in one transaction.
+const MOST_SETTLED: usize = 8;
 /// Least time between two commits.
 const COMMIT_GAP: Span = Span::millis(40);
 
@@ -56,6 +58,21 @@
                 value_bytes: limits.value_bytes,
             },
         );
+        // Acts wait for these; they are few.
+        for (key, value) in self.rental.intents.book.take_puts(b.room() / 2) {
+            let op = Op::Put {
+                key: key.clone(),
+                value: value.clone(),
+                lease: None,
+            };
+            if !b.add(
+                Item::Note(key.clone(), Some(value.clone())),
+                Vec::new(),
+                vec![op],
+            ) {
+                self.rental.intents.book.again(key, Some(value));
+            }
+        }
         for id in std::mem::take(&mut self.finishing) {
             let Some(job) = self.jobs.get(&id) else {
                 continue;
@@ -126,6 +143,21 @@
                 self.dropping.insert(id);
             }
         }
+        for key in self
+            .rental
+            .intents
+            .book
+            .take_deletes(b.room().min(MOST_SETTLED))
+        {
+            let op = Op::Delete { key: key.clone() };
+            b.add(Item::Note(key, None), Vec::new(), vec![op]);
+        }
+        if b.is_empty() {
+            // Nothing else is to be written: time to clean up.
+            for (orphan, conditions, op) in self.sweep.next(b.room()) {
+                b.add(Item::Sweep(orphan), conditions, vec![op]);
+            }
+        }
         let built = b.finish()?;
         self.writes.take(now, built.0.ops.len() as f64);
         Some(built)
@@ -164,13 +196,16 @@
                 if failed.iter().any(|k| k == ledger::LEADER) {
                     return Fate::StepDown("a commit found another leader");
                 }
-                if failed.iter().any(|k| k.starts_with(ledger::RECORDS)) {
+                let swept = items.iter().any(|i| matches!(i, Item::Sweep(_)));
+                if !swept && failed.iter().any(|k| k.starts_with(ledger::RECORDS)) {
                     return Fate::StepDown("a record was changed by somebody else");
                 }
                 for item in items {
-                    // A job cancelled in the meantime is told by the watch.
+                    // A job cancelled in the meantime is told by the watch. An
+                    // orphan that is none after all, or has changed, stays.
                     let raced = matches!(&item, Item::Finish(id)
-                        if failed.contains(&ledger::head_key(id)));
+                        if failed.contains(&ledger::head_key(id)))
+                        || matches!(&item, Item::Sweep(_));
                     if !raced {
                         self.again(now, item);
                     }
@@ -203,6 +238,8 @@
             Item::Drop(id, _) => {
                 self.dropping.insert(id);
             }
+            Item::Note(key, value) => self.rental.intents.book.again(key, value),
+            Item::Sweep(orphan) => self.sweep.again(orphan),
         }
     }
 
@@ -233,6 +270,9 @@
                     self.dropping.insert(id);
                 }
             }
+            Item::Note(key, Some(_)) => self.rental.intents.stored(&key),
+            Item::Note(_, None) => {}
+            Item::Sweep(_) => self.sweep.deleted += 1,
             Item::Drop(id, true) => {
                 self.jobs.remove(&id);
                 self.told.remove(&id);
