Check every order of a holder's, its successors' and the cloud's steps; group hires

Change: an explicit-state checker steps the real intents through every order of commits, late calls, lost answers and up to two successors; each decision switched off gives its counter-example. Hires on their way count as rows in the plan, and no more are decided while one waits to be asked for.

--- a/crates/pebblefold/src/core/duty/intents.rs
+++ b/crates/pebblefold/src/core/duty/intents.rs
@@ -28,7 +28,7 @@
 const STALE: Span = Span::millis(120_000);
 /// Releases decided and not yet answered that may stand beside one another;
 /// what comes later is grouped.
-const MOST_OPEN: usize = 2;
+const MOST_OPEN: usize = 6;
 
 /// How far a hire has come.
 #[derive(Clone, Debug, PartialEq)]
@@ -37,6 +37,8 @@
     Decided,
     /// Stored; nobody can have asked for it yet.
     Stored,
+    /// Asked for, for the first time.
+    Asked,
     /// It may have been asked for: only its own name may ask again.
     Doubtful,
     /// Answered; these machines were not heard of yet.
@@ -205,9 +207,25 @@
         self.unfilled().next().is_some()
     }
 
-    /// Machines of hires whose answer is still to come.
-    pub fn coming(&self) -> u32 {
-        self.unfilled().map(|h| h.rent.count).sum()
+    /// Whether more hires may be decided: once all there are have been asked
+    /// for. Calls to the cloud are scarce; what is wanted meanwhile is grouped.
+    pub fn may_hire(&self) -> bool {
+        let unasked = |h: &Hire| matches!(h.stage, Stage::Decided | Stage::Stored);
+        !self.unfilled().any(unasked)
+    }
+
+    /// A hire is being asked for.
+    pub fn hire_asked(&mut self, name: &str) {
+        if let Some(h) = self.hires.get_mut(name)
+            && matches!(h.stage, Stage::Decided | Stage::Stored)
+        {
+            h.stage = Stage::Asked;
+        }
+    }
+
+    /// The hires whose answer is still to come.
+    pub fn coming(&self) -> impl Iterator<Item = &Rent> {
+        self.unfilled().map(|h| &h.rent)
     }
 
     /// The next hire to ask for, those that may have been asked for first.
--- a/crates/pebblefold/src/core/rental.rs
+++ b/crates/pebblefold/src/core/rental.rs
@@ -6,7 +6,7 @@
 use super::fleet::Leaving;
 use super::io::Io;
 use super::leader::{Awaits, Fate, Leader};
-use super::tables::Row;
+use super::tables::{Cache, Row};
 use super::{Reply, Target};
 use crate::settings::{ObjectiveKind, Settings};
 use crate::types::{Label, MachineId, Span, Time, Token, Zone};
@@ -132,6 +132,7 @@
             }
             CloudCall::Rent(r) => {
                 tracing::info!(kind = %r.kind, zone = %r.zone, spot = r.spot, count = r.count, "renting");
+                self.rental.intents.hire_asked(&r.request);
                 ("POST", "/machines".to_string(), wire::encode(r))
             }
             CloudCall::Release(names) => (
@@ -404,6 +405,27 @@
         }
     }
 
+    /// The machines that a hire will bring, as rows: what they will take needs
+    /// no further ones.
+    fn expected(&self, now: Time, r: &Rent) -> Vec<Row> {
+        let Some(t) = self.types.get(&r.kind) else {
+            return Vec::new();
+        };
+        let row = |n: u32| Row {
+            id: format!("{}#{n}", r.request).into(),
+            kind: r.kind.clone(),
+            zone: r.zone.clone(),
+            spot: r.spot,
+            whole: t.has(),
+            free: t.has(),
+            available: now,
+            last_high: None,
+            cache: Cache::default(),
+            fetch_rate: t.fetch_gb_per_s,
+        };
+        (0..r.count).map(row).collect()
+    }
+
     /// Whether a new leader can tell what is missing from what it has not heard
     /// of yet: once it has a whole list, or every worker has had time to report.
     fn knows_its_fleet(&self, now: Time) -> bool {
@@ -456,7 +478,13 @@
             .filter(|(_, m)| !matches!(m.listed, Some((MachineStage::Failed, _))))
             .filter_map(|(id, m)| self.row(now, id, m))
             .collect();
-        let on_the_way = booting.len() as u32 + self.rental.intents.coming();
+        booting.extend(
+            self.rental
+                .intents
+                .coming()
+                .flat_map(|r| self.expected(now, r)),
+        );
+        let on_the_way = booting.len() as u32;
         let mut room = (self.policy.most_booting as u32).saturating_sub(on_the_way);
         let rent_after = Span::secs(self.policy.rent_after_s);
         let mut left: Vec<Want> = wants
@@ -479,7 +507,7 @@
         Cycle::new(pace, &mut booting, &mut teams, &estimates).run(&mut left);
         left.retain(|w| !w.tasks.is_empty());
         self.rental.paused.retain(|_, until| *until > now);
-        if !self.rental.intents.is_hiring() && self.knows_its_fleet(now) {
+        if self.rental.intents.may_hire() && self.knows_its_fleet(now) {
             let crowds = self.crowds();
             let mut orders: BTreeMap<Market, f64> = BTreeMap::new();
             for w in &left {
@@ -506,10 +534,12 @@
                 *orders.entry(market).or_default() += (reserve - idle) as f64;
             }
             for (market, n) in orders {
-                let n = (n.ceil() as u32).min(room);
+                let mut n = (n.ceil() as u32).min(room);
                 room -= n;
-                if n > 0 {
+                while n > 0 {
                     let count = n.min(MOST_RENTED);
+                    n -= count;
+                    let market = market.clone();
                     self.rental.intents.hire(market, count, io.now.wall);
                 }
             }
--- /dev/null
+++ b/crates/rehearsal/tests/duties.rs
@@ -0,0 +1,402 @@
+//! An explicit-state checker over the intents of the renting duty: a holder,
+//! its successors, a cloud that carries requests out late, and the state
+//! service, every order of their steps up to a bound. What it steps through is
+//! the controllers' own code; what it checks is told from the cloud's side.
+
+use pebblefold::core::duty::intents::Intents;
+use pebblefold::core::duty::sweep::Sweep;
+use pebblefold::core::ledger;
+use pebblefold::core::weak::{Decision, weaken};
+use pebblefold::types::{JobId, MachineId, Span, Time, Token, Version, Wall};
+use pebblefold::wire::cloud::Rent;
+use pebblefold::wire::state::Op;
+use serde_json::Value;
+use std::collections::hash_map::DefaultHasher;
+use std::collections::{BTreeMap, BTreeSet, HashSet};
+use std::hash::{Hash, Hasher};
+
+/// A process that leads, or thinks so.
+#[derive(Clone, Debug)]
+struct Holder {
+    token: u64,
+    intents: Intents,
+    known: BTreeSet<MachineId>,
+    /// Whether it waits for a commit, and for the cloud.
+    commits: bool,
+    calls: bool,
+    /// Whether it has decided to return the machine that was there first.
+    returns: bool,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Sent {
+    /// Records to store, by a token.
+    Commit(u64, Vec<(String, String)>),
+    Hire(String),
+    Release(Vec<MachineId>),
+}
+
+/// A message under way, and whether its sender still waits for the answer.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Message {
+    from: usize,
+    awaited: bool,
+    sent: Sent,
+}
+
+#[derive(Clone, Debug)]
+struct World {
+    holders: Vec<Holder>,
+    store: BTreeMap<String, Value>,
+    /// Machines that are paid, and whether lists show them.
+    machines: BTreeMap<MachineId, bool>,
+    /// What each hire brought.
+    hired: BTreeMap<String, MachineId>,
+    under_way: Vec<Message>,
+    /// Work of the current holder.
+    work: BTreeSet<MachineId>,
+    losses: u32,
+}
+
+const FIRST: &str = "host-0";
+
+fn rent_of(name: &str) -> MachineId {
+    format!("host-{name}").into()
+}
+
+impl Holder {
+    fn new(token: u64, store: &BTreeMap<String, Value>, listed: BTreeSet<MachineId>) -> Holder {
+        let mut intents = Intents::new(Token(token), Span::secs(4.0), 8192);
+        for (key, value) in store {
+            intents.load(key, value, Wall(0));
+        }
+        Holder {
+            token,
+            intents,
+            known: listed,
+            commits: false,
+            calls: false,
+            returns: false,
+        }
+    }
+
+    /// Whether new work may go to a machine.
+    fn uses(&self, m: &MachineId) -> bool {
+        self.known.contains(m) && !self.intents.is_leaving(m)
+    }
+}
+
+impl World {
+    fn new() -> World {
+        let first = MachineId::from(FIRST);
+        World {
+            holders: vec![Holder::new(1, &BTreeMap::new(), [first.clone()].into())],
+            store: BTreeMap::new(),
+            machines: [(first, true)].into(),
+            hired: BTreeMap::new(),
+            under_way: Vec::new(),
+            work: BTreeSet::new(),
+            losses: 0,
+        }
+    }
+
+    fn listed(&self) -> BTreeSet<MachineId> {
+        let all = self.machines.iter().filter(|(_, listed)| **listed);
+        all.map(|(m, _)| m.clone()).collect()
+    }
+
+    /// Everything that may happen next.
+    fn next(&self, takeovers: usize, losses: u32) -> Vec<World> {
+        let mut out = Vec::new();
+        let mut step = |act: &dyn Fn(&mut World)| {
+            let mut w = self.clone();
+            act(&mut w);
+            w.under_way.sort();
+            out.push(w);
+        };
+        for (i, h) in self.holders.iter().enumerate() {
+            let holds = i + 1 == self.holders.len();
+            // One want, for one machine beside the first.
+            let has = h.known.iter().any(|m| m.as_str() != FIRST);
+            if !has && !h.intents.is_hiring() && h.intents.unheard().is_empty() {
+                step(&|w| {
+                    let market = ("g4".into(), "z".into(), true);
+                    w.holders[i].intents.hire(market, 1, Wall(0));
+                });
+            }
+            let first = MachineId::from(FIRST);
+            if !h.returns && h.uses(&first) && !self.work.contains(&first) {
+                step(&|w| {
+                    let h = &mut w.holders[i];
+                    h.returns = true;
+                    h.intents
+                        .release([(FIRST.into(), "idle")].into_iter(), Wall(0));
+                });
+            }
+            // Work needs a commit, which only the holder gets through.
+            for m in h.known.iter().filter(|m| holds && h.uses(m)) {
+                if self.machines.contains_key(m) && !self.work.contains(m) {
+                    step(&|w| w.work.extend([m.clone()]));
+                }
+            }
+            if !h.commits && !h.intents.book.is_empty() {
+                step(&|w| {
+                    let h = &mut w.holders[i];
+                    let puts = h.intents.book.take_puts(9);
+                    let text = |(k, v): (String, Value)| (k, v.to_string());
+                    let mut ops: Vec<_> = puts.into_iter().map(text).collect();
+                    let gone = h.intents.book.take_deletes(9);
+                    ops.extend(gone.into_iter().map(|k| (k, String::new())));
+                    h.commits = true;
+                    let sent = Sent::Commit(h.token, ops);
+                    w.send(i, sent);
+                });
+            }
+            if !h.calls {
+                if let Some(Rent { request, .. }) = h.intents.next_hire() {
+                    step(&|w| w.call(i, Sent::Hire(request.clone())));
+                }
+                let names = h.intents.next_release();
+                if !names.is_empty() {
+                    step(&|w| w.call(i, Sent::Release(names.clone())));
+                }
+            }
+        }
+        for (n, m) in self.under_way.iter().enumerate() {
+            step(&|w| w.deliver(n, true));
+            if self.losses < losses && m.awaited && !matches!(m.sent, Sent::Commit(..)) {
+                // The answer is lost, or the sender gives up and the request
+                // is carried out later.
+                step(&|w| {
+                    w.losses += 1;
+                    w.deliver(n, false);
+                });
+                step(&|w| {
+                    w.losses += 1;
+                    w.give_up(n);
+                });
+            }
+        }
+        for (m, _) in self.machines.iter().filter(|(_, listed)| !**listed) {
+            step(&|w| {
+                // A list shows it, and its worker has reported.
+                w.machines.insert(m.clone(), true);
+                for h in &mut w.holders {
+                    if !h.intents.is_gone(m) {
+                        h.known.insert(m.clone());
+                    }
+                    h.intents.tend(Time(0), |_| true);
+                }
+            });
+        }
+        if self.holders.len() <= takeovers {
+            step(&|w| {
+                let token = w.holders.len() as u64 + 1;
+                let listed = w.listed();
+                // Old work is done or started anew: only the new holder's counts.
+                w.work.clear();
+                w.holders.push(Holder::new(token, &w.store, listed));
+            });
+        }
+        out
+    }
+
+    fn send(&mut self, from: usize, sent: Sent) {
+        let awaited = true;
+        self.under_way.push(Message {
+            from,
+            awaited,
+            sent,
+        });
+    }
+
+    fn call(&mut self, from: usize, sent: Sent) {
+        self.holders[from].calls = true;
+        self.send(from, sent);
+    }
+
+    /// The sender takes a call for lost, while it is still under way.
+    fn give_up(&mut self, n: usize) {
+        let m = &mut self.under_way[n];
+        m.awaited = false;
+        let h = &mut self.holders[m.from];
+        h.calls = false;
+        if let Sent::Hire(name) = &m.sent {
+            h.intents.hire_lost(name);
+        }
+    }
+
+    fn deliver(&mut self, n: usize, answers: bool) {
+        let m = self.under_way.remove(n);
+        let holders = self.holders.len() as u64;
+        let h = &mut self.holders[m.from];
+        match m.sent {
+            Sent::Commit(token, ops) => {
+                h.commits = false;
+                // The state service compares the token.
+                if token == holders {
+                    for (key, text) in ops {
+                        if text.is_empty() {
+                            self.store.remove(&key);
+                        } else {
+                            let value = serde_json::from_str(&text).unwrap();
+                            self.store.insert(key.clone(), value);
+                            h.intents.stored(&key);
+                        }
+                    }
+                }
+            }
+            Sent::Hire(name) => {
+                let new = rent_of(&name);
+                if !self.hired.contains_key(&name) {
+                    self.hired.insert(name.clone(), new.clone());
+                    self.machines.insert(new.clone(), false);
+                }
+                if m.awaited {
+                    h.calls = false;
+                    if answers {
+                        h.intents.filled(&name, std::slice::from_ref(&new), Time(0));
+                        h.known.insert(new);
+                    } else {
+                        h.intents.hire_lost(&name);
+                    }
+                }
+            }
+            Sent::Release(names) => {
+                for m in &names {
+                    self.machines.remove(m);
+                }
+                if m.awaited {
+                    h.calls = false;
+                    if answers {
+                        h.intents.released(&names, Time(0));
+                        h.known.retain(|m| !names.contains(m));
+                    }
+                }
+            }
+        }
+    }
+
+    /// What must never be, as the cloud sees it.
+    fn breach(&self) -> Option<&'static str> {
+        if self.work.iter().any(|m| !self.machines.contains_key(m)) {
+            return Some("a machine with work of the holder was released");
+        }
+        if self.hired.len() > 1 {
+            return Some("a want was rented for twice");
+        }
+        let holder = self.holders.last()?;
+        let lost = |(m, listed): (&MachineId, &bool)| {
+            !listed && !holder.known.contains(m) && !holder.intents.is_hiring()
+        };
+        let unknown = self.machines.iter().any(lost);
+        unknown.then_some("a machine is paid and nobody will ask for it")
+    }
+}
+
+/// Steps through everything; the first breach, and how many states there are.
+fn explore(takeovers: usize, losses: u32) -> (usize, Option<&'static str>) {
+    let print = |w: &World| {
+        let mut h = DefaultHasher::new();
+        format!("{w:?}").hash(&mut h);
+        h.finish()
+    };
+    let mut seen: HashSet<u64> = HashSet::new();
+    let mut todo = vec![World::new()];
+    seen.insert(print(&todo[0]));
+    while let Some(w) = todo.pop() {
+        for n in w.next(takeovers, losses) {
+            if let Some(breach) = n.breach() {
+                return (seen.len(), Some(breach));
+            }
+            if seen.insert(print(&n)) {
+                todo.push(n);
+            }
+        }
+    }
+    (seen.len(), None)
+}
+
+#[test]
+fn no_order_of_steps_breaks_what_successors_rely_on() {
+    let (states, breach) = explore(1, 1);
+    println!("{states} states with one successor and one loss");
+    assert_eq!(breach, None);
+    let (states, breach) = explore(2, 0);
+    println!("{states} states with two successors");
+    assert_eq!(breach, None);
+}
+
+/// With a decision switched off there is a counter-example.
+fn missed(d: Decision) -> &'static str {
+    weaken(Some(d));
+    let (states, breach) = explore(1, 1);
+    weaken(None);
+    println!("{d:?}: {breach:?} after {states} states");
+    breach.unwrap_or("")
+}
+
+#[test]
+fn asking_before_storing_is_caught() {
+    assert_ne!(missed(Decision::IntentBeforeAct), "");
+}
+
+#[test]
+fn forgetting_a_predecessors_hires_is_caught() {
+    assert_ne!(missed(Decision::HiresAreRepeated), "");
+}
+
+#[test]
+fn using_what_a_predecessor_released_is_caught() {
+    let breach = missed(Decision::ReleasesStand);
+    assert_eq!(breach, "a machine with work of the holder was released");
+}
+
+/// A leader reads its records page by page while a job is accepted, and sweeps;
+/// whether a key of the live job was removed, in any order.
+fn sweeps_a_live_key() -> bool {
+    let job = JobId::from("wk-1");
+    let accepted = [ledger::job_key(&job), format!("{}{job}/1", ledger::PARTS)];
+    // The acceptance lands before the first page, before the second, or
+    // before the sweep.
+    (0..3).any(|at| {
+        let mut store: BTreeMap<String, Version> = BTreeMap::new();
+        store.insert(ledger::chunk_key(&"wk-0".into(), 0), Version(3));
+        let accept = |store: &mut BTreeMap<String, Version>, now: usize| {
+            if now == at {
+                store.extend(accepted.iter().map(|k| (k.clone(), Version(9))));
+            }
+        };
+        accept(&mut store, 0);
+        let jobs: BTreeSet<String> = store
+            .keys()
+            .filter(|k| k.starts_with(ledger::JOBS))
+            .cloned()
+            .collect();
+        accept(&mut store, 1);
+        let mut sweep = Sweep::default();
+        for (key, version) in &store {
+            sweep.look(key, *version, |id| jobs.contains(&ledger::job_key(id)));
+        }
+        accept(&mut store, 2);
+        for (_, conditions, op) in sweep.next(9) {
+            let version = |key: &String| store.get(key).copied().unwrap_or_default();
+            if conditions.iter().all(|c| version(&c.key) == c.version)
+                && let Op::Delete { key } = op
+            {
+                store.remove(&key);
+            }
+        }
+        assert!(!store.contains_key(&ledger::chunk_key(&"wk-0".into(), 0)));
+        !accepted.iter().all(|k| store.contains_key(k))
+    })
+}
+
+#[test]
+fn sweeping_removes_no_key_of_a_live_job() {
+    assert!(!sweeps_a_live_key());
+    weaken(Some(Decision::OrphansOnly));
+    let caught = sweeps_a_live_key();
+    weaken(None);
+    assert!(caught, "sweeping without conditions was not missed");
+}
