Record what is stopped for other work before it is told; a successor goes on with it

Need: stops for a priority or a guarantee died with the leader that decided them. Its successor found a start that waited for room nobody made, or made room a second time elsewhere; a gang half told was never told whole. Change: a chunk's record names the tasks being stopped; stops for other work are told once that is stored, those for a notice along with it. A successor tells them again, directly as soon as a list shows where. A recorded start that proves never to have arrived keeps its machine under a new attempt, a gang once all of it is known.

--- a/crates/pebblefold/src/core/commands.rs
+++ b/crates/pebblefold/src/core/commands.rs
@@ -3,13 +3,37 @@
 use super::RequestId;
 use super::io::Io;
 use super::leader::Leader;
-use super::ledger::End;
-use super::presence::{Phase, Placement};
+use super::ledger::{ChunkSize, End, Job};
+use super::presence::{Phase, Placement, Stop};
 use super::weak::{self, Decision};
 use crate::types::{Attempt, JobId, MachineId, Span, TaskId, Time};
 use crate::wire;
 use crate::wire::workers::{Command, ReportAnswer, TaskState, Why};
 
+/// Whether a stop is recorded, for a successor to go on with.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Record {
+    /// No: whoever leads finds the reason anew.
+    No,
+    /// Yes, while it is told: there is no time to wait.
+    Along,
+    /// Yes, before it is told.
+    First,
+}
+
+impl Job {
+    /// The stop that a task may be told of now. One whose record goes first
+    /// waits for it; records of an ended job are not written any more.
+    fn stop_to_tell(&self, size: ChunkSize, index: u32) -> Option<Stop> {
+        let stop = self.places.get(&index)?.stop?;
+        let told = stop
+            .change
+            .is_none_or(|c| !self.is_open() || self.is_stored(size, index, c))
+            || !weak::holds(Decision::StopsAreStored);
+        told.then_some(stop)
+    }
+}
+
 impl Leader {
     /// Orders tasks of a job to stop; unsent starts are dropped at once.
     pub fn stop_tasks(
@@ -20,13 +44,27 @@
         grace_s: f64,
         why: &'static str,
     ) {
+        self.order_stops(now, id, tasks, grace_s, why, Record::No);
+    }
+
+    /// Orders tasks to stop, on the record or not.
+    pub(super) fn order_stops(
+        &mut self,
+        now: Time,
+        id: &JobId,
+        tasks: &[u32],
+        grace_s: f64,
+        why: &'static str,
+        record: Record,
+    ) {
+        let size = self.chunk_size;
         let mut unsent = Vec::new();
         let Some(job) = self.jobs.get_mut(id) else {
             return;
         };
         job.notes.last_stop = Some(why);
         for index in tasks {
-            let Some(p) = job.places.get_mut(index) else {
+            let Some(p) = job.places.get(index) else {
                 continue;
             };
             if p.unsent() {
@@ -36,7 +74,22 @@
                 // tasks has ended, saved, before the others.
                 let saving = p.stop.is_some() && job.end != Some(End::Cancelled);
                 if !saving {
-                    p.stop = Some(super::presence::Stop { grace_s, at: now });
+                    let change = (record != Record::No).then(|| job.touch(size, *index));
+                    if change.is_some() {
+                        self.dirty.note((id.clone(), size.of(*index)), now, true);
+                    }
+                    let Some(p) = job.places.get_mut(index) else {
+                        continue;
+                    };
+                    p.stop = Some(Stop {
+                        grace_s,
+                        at: now,
+                        change: change.filter(|_| record == Record::First),
+                    });
+                    if record == Record::First && weak::holds(Decision::StopsAreStored) {
+                        // Told once it is stored.
+                        continue;
+                    }
                     self.direct
                         .entry(p.machine.clone())
                         .or_default()
@@ -86,7 +139,8 @@
             } else {
                 vec![task.index]
             };
-            self.stop_tasks(now, &task.job, &tasks, grace, "its machine is being taken");
+            let why = "its machine is being taken";
+            self.order_stops(now, &task.job, &tasks, grace, why, Record::Along);
         }
     }
 
@@ -142,11 +196,12 @@
                 continue;
             }
             match place {
-                Some(p) => {
+                Some(_) => {
                     if let Some(j) = job {
                         busy += j.spec.needs();
                     }
-                    if let Some(stop) = p.stop {
+                    let stop = job.and_then(|j| j.stop_to_tell(self.chunk_size, task.index));
+                    if let Some(stop) = stop {
                         stops.push(Command::Stop {
                             task: text,
                             attempt,
@@ -216,11 +271,16 @@
                 continue;
             };
             let Some(addr) = m.addr else { continue };
+            // A machine that only a list has shown so far has its session in
+            // the records.
+            let mut session = m.session;
             let commands: Vec<Command> = tasks
                 .iter()
                 .filter_map(|t| {
-                    let p = self.jobs.get(&t.job)?.places.get(&t.index)?;
-                    let grace_s = p.stop?.grace_s;
+                    let job = self.jobs.get(&t.job)?;
+                    let p = job.places.get(&t.index)?;
+                    let grace_s = job.stop_to_tell(self.chunk_size, t.index)?.grace_s;
+                    session = session.max(p.session);
                     Some(Command::Stop {
                         task: t.to_string(),
                         attempt: p.attempt,
@@ -229,7 +289,7 @@
                 })
                 .collect();
             if !commands.is_empty() {
-                io.direct(addr, self.token, m.session, commands);
+                io.direct(addr, self.token, session, commands);
             }
         }
     }
--- a/crates/pebblefold/src/core/fleet.rs
+++ b/crates/pebblefold/src/core/fleet.rs
@@ -6,7 +6,9 @@
 use super::presence::{Phase, Placement, Verdict};
 use super::tables::Cache;
 use super::{Now, RequestId};
-use crate::types::{Amounts, JobId, Kind, MachineId, Session, Span, Tally, TaskId, Time, Zone};
+use crate::types::{
+    Amounts, Attempt, JobId, Kind, MachineId, Session, Span, Tally, TaskId, Time, Zone,
+};
 use crate::wire::cloud::MachineStage;
 use crate::wire::workers::{Report, ReportedTask, TaskState, Why};
 use std::collections::{BTreeMap, BTreeSet};
@@ -386,6 +388,13 @@
                 continue;
             };
             match p.judge(report.session, report.tally, report.token, self.token, seen) {
+                Verdict::Absent if p.phase == Phase::Inherited && p.stop.is_none() && open => {
+                    freed = true;
+                    p.phase = Phase::Kept;
+                    self.go_on(now, &task);
+                }
+                // It waits for the rest of its gang.
+                Verdict::Absent if p.phase == Phase::Kept && p.stop.is_none() && open => {}
                 Verdict::Absent => {
                     freed = true;
                     self.gone(now, &task, "its machine no longer has it");
@@ -420,6 +429,7 @@
         let Some(p) = job.places.get_mut(&task.index) else {
             return false;
         };
+        let inherited = p.phase == Phase::Inherited;
         p.phase = Phase::Seen(t.state);
         if t.state == TaskState::Running && p.running.is_none() {
             p.running = Some(now);
@@ -438,9 +448,63 @@
                 }
             }
         }
+        if inherited {
+            self.go_on(now, task);
+        }
         false
     }
 
+    /// Goes on with a start that an earlier leader recorded, once it is known
+    /// that it never got there: on the same machine, so that room that was made
+    /// for it stays its own, under a new attempt. A gang goes on once all of it
+    /// is known about; one of which a part did start, not at all.
+    fn go_on(&mut self, now: Time, task: &TaskId) {
+        let Some(job) = self.jobs.get(&task.job) else {
+            return;
+        };
+        let kept = |p: &&Placement| p.phase == Phase::Kept;
+        let indices: Vec<u32> = if job.is_gang() {
+            if !job.places.values().any(|p| kept(&p)) {
+                return;
+            }
+            let open = |p: &Placement| matches!(p.phase, Phase::Inherited | Phase::Kept);
+            if job.places.values().any(|p| !open(p) || p.stop.is_some()) {
+                let all = job.places.iter().filter(|(_, p)| kept(p));
+                let all: Vec<u32> = all.map(|(i, _)| *i).collect();
+                for index in all {
+                    let job = task.job.clone();
+                    self.gone(now, &TaskId { job, index }, "its machine no longer has it");
+                }
+                return;
+            }
+            let whole = job.places.len() == job.spec.tasks as usize;
+            if !whole || !job.places.values().all(|p| kept(&p)) {
+                return;
+            }
+            job.places.keys().copied().collect()
+        } else {
+            let all = job.places.get(&task.index).filter(kept);
+            all.map(|_| task.index).into_iter().collect()
+        };
+        let stays = |p: &Placement| {
+            self.machines
+                .get(&p.machine)
+                .is_some_and(|m| m.usable(now, self.silence()) && m.session == p.session)
+        };
+        // A gang stays whole or goes whole.
+        let all_stay = indices.iter().all(|i| stays(&job.places[i]));
+        let attempt = Attempt(job.attempt.0 + 1);
+        for index in indices {
+            let job = task.job.clone();
+            let task = TaskId { job, index };
+            let id = self.jobs[&task.job].places[&index].machine.clone();
+            self.remove_place(now, &task, "never started");
+            if all_stay {
+                self.put(now, &task, &id, attempt);
+            }
+        }
+    }
+
     /// Expected remaining time of a task on its machine.
     pub fn remaining(&self, now: Time, job: &Job, p: &Placement) -> Span {
         let run = Span::secs(job.spec.estimate_s);
--- a/crates/pebblefold/src/core/ledger.rs
+++ b/crates/pebblefold/src/core/ledger.rs
@@ -14,7 +14,8 @@
 //! Everything below `w/` is watched by the leader.
 
 use super::duty::sweep::Orphan;
-use super::presence::Placement;
+use super::presence::{Placement, Stop};
+use super::weak::{self, Decision};
 use crate::types::{Attempt, JobId, Label, MachineId, Session, Span, Time, Token, Version, Wall};
 use crate::wire::state::{Condition, Op, Txn};
 use crate::wire::users::{Shape, Submission};
@@ -102,6 +103,9 @@
     n: u64,
     d: Vec<(u32, u32)>,
     p: Vec<(u32, u64, MachineId, u64)>,
+    /// Tasks that are being stopped with time to save.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    x: Vec<(u32, u32)>,
 }
 
 fn value<T: Serialize>(v: &T) -> Value {
@@ -421,6 +425,14 @@
     pub fn chunk_value(&self, size: ChunkSize, chunk: u32) -> Value {
         let low = chunk * size.0;
         let high = low + size.0;
+        let mut stops = Ranges::default();
+        if weak::holds(Decision::StopsAreStored) {
+            let stopped = self.places.range(low..high);
+            let stopped = stopped.filter(|(_, p)| p.stop.is_some());
+            for (&i, _) in stopped {
+                stops.insert(i);
+            }
+        }
         value(&ChunkValue {
             n: self.attempt.0,
             d: self.done.within(low, high),
@@ -429,6 +441,7 @@
                 .range(low..high)
                 .map(|(&i, p)| (i, p.attempt.0, p.machine.clone(), p.session.0))
                 .collect(),
+            x: stops.within(low, high),
         })
     }
 
@@ -460,6 +473,16 @@
                 Placement::inherited(machine, Session(session), Attempt(attempt)),
             );
         }
+        let grace_s = self.spec.save_s;
+        for (a, b) in v.x {
+            for (_, p) in self.places.range_mut(a..b) {
+                p.stop = Some(Stop {
+                    grace_s,
+                    at: Time(0),
+                    change: None,
+                });
+            }
+        }
         true
     }
 
--- a/crates/pebblefold/src/core/placing.rs
+++ b/crates/pebblefold/src/core/placing.rs
@@ -1,6 +1,7 @@
 //! The leader's cycle: from its tables and what waits to starts, stops and
 //! orders for machines.
 
+use super::commands::Record;
 use super::cycle::{Cycle, Pace, TeamUse, Want};
 use super::fleet::Machine;
 use super::io::Io;
@@ -324,7 +325,8 @@
             };
             let grace = job.spec.save_s;
             tracing::info!(job = %id, team = %job.spec.team, tasks = tasks.len(), "stopped for more urgent work");
-            self.stop_tasks(now, &id, &tasks, grace, "stopped for more urgent work");
+            let why = "stopped for more urgent work";
+            self.order_stops(now, &id, &tasks, grace, why, Record::First);
         }
         for job in self.jobs.values_mut().filter(|j| j.waiting.is_empty()) {
             job.notes.waiting_since = None;
--- a/crates/pebblefold/src/core/presence.rs
+++ b/crates/pebblefold/src/core/presence.rs
@@ -11,6 +11,9 @@
     pub grace_s: f64,
     /// When it was ordered.
     pub at: Time,
+    /// The change of its chunk that records it, if it is told only once that is
+    /// stored: a successor then knows what was stopped, and for what.
+    pub change: Option<u64>,
 }
 
 /// How far a start has come.
@@ -23,6 +26,9 @@
     Sent(Tally),
     /// Recorded by an earlier leader, which may or may not have sent it.
     Inherited,
+    /// Recorded by an earlier leader and proved not to be there: its room is
+    /// kept until the rest of its gang is known about.
+    Kept,
     /// Seen in a report.
     Seen(TaskState),
 }
@@ -110,7 +116,7 @@
             Phase::Unsent => Verdict::Present,
             Phase::Sent(at) if tally > at => Verdict::Undelivered,
             Phase::Sent(_) => Verdict::Present,
-            Phase::Inherited | Phase::Seen(_) => Verdict::Absent,
+            Phase::Inherited | Phase::Kept | Phase::Seen(_) => Verdict::Absent,
         }
     }
 }
--- a/crates/pebblefold/src/core/rental.rs
+++ b/crates/pebblefold/src/core/rental.rs
@@ -331,14 +331,21 @@
             m.kind.get_or_insert(l.kind);
             m.zone.get_or_insert(l.zone);
             m.spot = l.spot;
+            let mut stopping = Vec::new();
             if m.addr.is_none() {
                 m.addr = l.addr.parse().ok();
+                stopping.extend(m.tasks.iter().cloned());
             }
             m.listed = Some((l.stage, Span::secs(l.age_s)));
             m.listed_at = Some(now);
             if l.stage == MachineStage::Failed && m.tasks.is_empty() {
                 m.send_back("failed");
             }
+            if !stopping.is_empty() {
+                // What an earlier leader had half told to stop is told whole;
+                // the rest is left out when it is sent.
+                self.direct.entry(l.id).or_default().extend(stopping);
+            }
         }
     }
 
--- a/crates/pebblefold/src/core/weak.rs
+++ b/crates/pebblefold/src/core/weak.rs
@@ -17,6 +17,8 @@
     HiresAreRepeated,
     /// A successor starts nothing on machines that a predecessor released.
     ReleasesStand,
+    /// What is stopped for other work is recorded before it is told.
+    StopsAreStored,
     /// A key is swept only while its job's submission is not there.
     OrphansOnly,
 }
--- a/crates/pebblefold/src/core/writing.rs
+++ b/crates/pebblefold/src/core/writing.rs
@@ -5,7 +5,7 @@
 use super::leader::{Awaits, Fate, Leader};
 use super::ledger::{self, End, Item, TxnBuilder, TxnLimits};
 use super::{Reply, Target};
-use crate::types::{Span, Time, Version};
+use crate::types::{Span, TaskId, Time, Version};
 use crate::wire;
 use crate::wire::state::{Condition, Op, Revision, Txn};
 
@@ -247,13 +247,23 @@
         match item {
             Item::Chunk(id, chunk, change) => {
                 if let Some(job) = self.jobs.get_mut(&id) {
+                    let mut before = change;
                     if let Some(c) = job.chunks.get_mut(&chunk) {
+                        before = c.stored;
                         c.version = revision;
                         c.stored = c.stored.max(change);
                     }
                     let size = self.chunk_size;
                     let low = chunk * size.0;
                     let here = job.places.range(low..low + size.0);
+                    let now_stored = |c: u64| before < c && c <= change;
+                    for (&index, p) in here.clone() {
+                        if p.stop.and_then(|s| s.change).is_some_and(now_stored) {
+                            let job = id.clone();
+                            let stopped = self.direct.entry(p.machine.clone()).or_default();
+                            stopped.push(TaskId { job, index });
+                        }
+                    }
                     let unsent = here.filter(|(_, p)| p.unsent() && p.change <= change);
                     self.stored.extend(unsent.map(|(_, p)| p.machine.clone()));
                     job.unsaved
--- a/crates/rehearsal/tests/duties.rs
+++ b/crates/rehearsal/tests/duties.rs
@@ -3,6 +3,8 @@
 //! service, every order of their steps up to a bound. What it steps through is
 //! the controllers' own code; what it checks is told from the cloud's side.
 
+mod common;
+use common::{cluster, jobs, rehearse, sound};
 use pebblefold::core::duty::intents::Intents;
 use pebblefold::core::duty::sweep::Sweep;
 use pebblefold::core::ledger;
@@ -10,6 +12,10 @@
 use pebblefold::types::{JobId, MachineId, Span, Time, Token, Version, Wall};
 use pebblefold::wire::cloud::Rent;
 use pebblefold::wire::state::Op;
+use pebblefold_rehearsal::report::Verdict;
+use pebblefold_rehearsal::script::{
+    CutMode, Fault, JobPriority, JobShape, Moment, Nodes, Side, Spread, What, When,
+};
 use serde_json::Value;
 use std::collections::hash_map::DefaultHasher;
 use std::collections::{BTreeMap, BTreeSet, HashSet};
@@ -400,3 +406,61 @@
     weaken(None);
     assert!(caught, "sweeping without conditions was not missed");
 }
+
+/// Low work fills all machines but one; an urgent gang of two comes, and the leader dies when
+/// it has recorded what it stops for it and has told nobody.
+fn decider_dies(seed: u64) -> Verdict {
+    let mut s = cluster(3, 3, 6, 6, 300.0);
+    let mut low = jobs(JobShape::Array, 4, 8.0);
+    (low.class, low.priority) = ("long".into(), JobPriority::Low);
+    (low.run_s, low.team) = (Spread::Fixed(120.0), "blue".into());
+    (low.checkpoint_s, low.save_s) = (5.0, 1.0);
+    let mut urgent = jobs(JobShape::Gang, 1, 2.0);
+    (urgent.gpus, urgent.priority, urgent.from_s) = (4.0, JobPriority::High, 40.0);
+    s.jobs = vec![low, urgent];
+    // Nothing of what it says reaches the machines.
+    s.faults.push(common::at(
+        39.0,
+        What::Cut {
+            a: Side::Leader,
+            b: Side::Machines,
+            one_way: true,
+            mode: CutMode::Lose,
+            for_s: 10.0,
+        },
+    ));
+    let when = Some(When {
+        moment: Moment::StartCommitted,
+        class: Some("urgent".into()),
+        nth: 1,
+        after_s: 0.0,
+    });
+    let (nodes, for_s) = (Nodes::That, 5.0);
+    s.faults.push(Fault {
+        at_s: None,
+        when,
+        what: What::Kill { nodes, for_s },
+    });
+    rehearse(s, seed)
+}
+
+// A leader that died between deciding what to stop and telling it left its
+// successor a start that waited for room nobody made, or room made a second
+// time elsewhere.
+#[test]
+fn what_a_dead_leader_stopped_is_stopped_for_the_same_work() {
+    for seed in 0..4 {
+        let v = decider_dies(seed);
+        sound(&v, seed);
+        assert_eq!(v.not_struck, Vec::<String>::new());
+        let [_, _, start] = v.classes["urgent"].start_s;
+        // Four tasks had to go, and no other one was started twice.
+        assert_eq!((start < 25.0, v.starts), (true, 32 + 2 + 4), "{start} s");
+    }
+    weaken(Some(Decision::StopsAreStored));
+    let starts: Vec<f64> = (0..4)
+        .map(|seed| decider_dies(seed).classes["urgent"].start_s[2])
+        .collect();
+    weaken(None);
+    assert!(starts.iter().any(|s| *s > 40.0), "not missed: {starts:?}");
+}
