A floor for every class and team; guarantees take back no more than was lent

Change: core/teams keeps one exact account of what teams hold and are losing; all victims of all claims of a cycle are checked against it together, gangs whole. A class or team whose work waits too long goes first up to a share of what came (floor_share, floor_window_s), from at most half of the machines, and is not stopped for priority below that. Rows with room are listed once for each need.

--- a/crates/pebblefold/benches/cycle.rs
+++ b/crates/pebblefold/benches/cycle.rs
@@ -5,6 +5,7 @@
 use pebblefold::core::cycle::{Cycle, Pace, TeamUse, Want};
 use pebblefold::core::preempt::{Victim, Victims, evict};
 use pebblefold::core::tables::{Cache, Estimates, Row};
+use pebblefold::core::teams::Bounds;
 use pebblefold::settings::TeamShare;
 use pebblefold::types::{Amounts, Image, Span, Time};
 use pebblefold::wire::users::Priority;
@@ -69,6 +70,7 @@
             Want {
                 job: format!("wk-{i:06}").into(),
                 team: "team".into(),
+                class: "class".into(),
                 image: image(rng.random_range(0..24)),
                 image_gb: 6.0,
                 need: if gang {
@@ -104,6 +106,8 @@
             job: format!("old-{:04}", row / 10).into(),
             task: (row % 10 * 8 + n) as u32,
             team: "team".into(),
+            class: "class".into(),
+            machines: 0.125,
             priority: Priority::Low,
             need: amounts(5.0, 1.0, 27.0),
             gang: false,
@@ -161,8 +165,10 @@
         let start = Instant::now();
         let victims = Victims::new(found, rows.len());
         let cycle = Cycle::new(pace, &mut rows, &mut teams, &estimates);
+        let bounds = Bounds::default();
         let gangs = wants.iter().filter(|w| w.gang).take(16);
-        let room = gangs.filter(|w| evict(&cycle, w, &victims, &BTreeSet::new(), 16).is_some());
+        let room =
+            gangs.filter(|w| evict(&cycle, w, &victims, &BTreeSet::new(), &bounds, 16).is_some());
         std::hint::black_box(room.count());
         times.saturating_record(start.elapsed().as_micros() as u64);
     }
--- a/crates/pebblefold/policy.lua
+++ b/crates/pebblefold/policy.lua
@@ -46,6 +46,11 @@
   -- second goes this many seconds later: when not all can be on time, small
   -- ones first let more of them be.
   small_first = 60.0,
+  -- However much more urgent work there is, every class and team gets this share of
+  -- the work that came for it served, from at most half of the machines; 0: none does.
+  floor_share = 0.6,
+  -- The time over which that is judged.
+  floor_window_s = 600.0,
   -- A machine silent for this long is released for good.
   silent_release_s = 120.0,
 }
--- a/crates/pebblefold/src/core/cycle.rs
+++ b/crates/pebblefold/src/core/cycle.rs
@@ -7,8 +7,9 @@
 //! image's estimate.
 
 use super::tables::{Estimates, Row};
+use super::teams::floor::{Floors, Group};
 use crate::settings::TeamShare;
-use crate::types::{Amounts, Image, JobId, Kind, MachineId, Span, Team, Time, Zone};
+use crate::types::{Amounts, Class, Image, JobId, Kind, MachineId, Span, Team, Time, Zone};
 use crate::wire::users::Priority;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
@@ -19,6 +20,8 @@
     pub job: JobId,
     /// Its team.
     pub team: Team,
+    /// Its class.
+    pub class: Class,
     /// Its image.
     pub image: Image,
     /// The image's size.
@@ -104,6 +107,9 @@
     /// Rows that had room for the smallest want when last looked at. Where
     /// most machines are full, looking at the others is what a cycle costs.
     open: Vec<usize>,
+    /// Of these, the ones with room for each need that was looked for: rows
+    /// only lose room until the next look, and needs are few.
+    roomy: Vec<(Amounts, Vec<usize>)>,
     /// Zones with machines.
     zones: BTreeSet<Zone>,
     /// How many rows hold each image, or are fetching it.
@@ -205,6 +211,7 @@
             pace,
             zones: rows.iter().map(|r| r.zone.clone()).collect(),
             open: Vec::new(),
+            roomy: Vec::new(),
             holders,
             rows,
             teams,
@@ -223,6 +230,7 @@
     fn look(&mut self, wants: &[Want]) {
         let least = wants.iter().filter(|w| !w.tasks.is_empty()).map(|w| w.need);
         let least = least.reduce(|a, b| a.least(&b));
+        self.roomy.clear();
         self.open = match least {
             Some(need) => (0..self.rows.len())
                 .filter(|&i| need.fits(&self.rows[i].free))
@@ -246,16 +254,55 @@
         self.high(wants, Reach::Warm);
     }
 
+    /// Before the cycle: classes and teams below their floor, up to it.
+    pub fn run_floors(&mut self, wants: &mut [Want], floors: &mut Floors) {
+        if floors.is_empty() {
+            return;
+        }
+        wants.sort_by_cached_key(Want::rank);
+        self.look(wants);
+        let Some(whole) = self.rows.iter().map(|r| r.whole).reduce(|a, b| a.most(&b)) else {
+            return;
+        };
+        for want in wants.iter_mut().filter(|w| !w.tasks.is_empty()) {
+            let groups = Group::both(&want.class, &want.team);
+            let lacks = groups.iter().map(|g| floors.lacks(g)).fold(0.0, f64::max);
+            let each = want.need.share_of(&whole);
+            // The last task may go a little above the floor, a gang whole.
+            let most = if lacks <= 0.0 {
+                continue;
+            } else if want.gang {
+                want.tasks.len()
+            } else {
+                ((lacks / each).ceil() as usize).min(want.tasks.len())
+            };
+            let rest = want.tasks.split_off(most);
+            self.place(want, Reach::Any);
+            let placed = (most - want.tasks.len()) as f64 * each;
+            want.tasks.extend(rest);
+            groups.iter().for_each(|g| floors.gain(g, placed));
+        }
+    }
+
     /// The rest of the cycle.
     pub fn run_rest(&mut self, wants: &mut [Want]) {
         self.look(wants);
         self.high(wants, Reach::Any);
         // Without this a gang that needs several machines at once would wait
         // for ever behind smaller work that takes each one as it comes free.
+        // What finds too few machines to hold leaves none to a larger one like
+        // it: in a rush there are hundreds.
+        let mut failed: Vec<Want> = Vec::new();
         for want in wants.iter_mut().filter(|w| w.aged) {
             self.place(want, Reach::Any);
-            if want.gang && !want.tasks.is_empty() {
-                self.hold(want);
+            let hopeless = |f: &Want| want.tasks.len() >= f.tasks.len() && want.is_like(f);
+            if want.gang
+                && !want.tasks.is_empty()
+                && self.held.len() < self.rows.len()
+                && !failed.iter().any(hopeless)
+                && !self.hold(want)
+            {
+                failed.push(want.clone());
             }
         }
         for level in [Priority::Normal, Priority::Low] {
@@ -312,8 +359,9 @@
         self.held.get(&row).is_none_or(|j| j == job)
     }
 
-    /// Holds the machines that should soonest be free together.
-    fn hold(&mut self, want: &Want) {
+    /// Holds the machines that should soonest be free together; false if there
+    /// are not enough.
+    fn hold(&mut self, want: &Want) -> bool {
         let zones: Vec<Option<Zone>> = if want.one_zone {
             self.zones.iter().cloned().map(Some).collect()
         } else {
@@ -350,9 +398,11 @@
                 best = Some((last, picked));
             }
         }
+        let found = best.is_some();
         for i in best.map(|(_, rows)| rows).unwrap_or_default() {
             self.held.insert(i, want.job.clone());
         }
+        found
     }
 
     fn holders(&self, image: &Image) -> usize {
@@ -386,9 +436,15 @@
 
     /// Rows with room for a task, best first: the cheapest fetch, then the
     /// tightest fit, so that whole machines stay free for gangs.
-    fn candidates(&self, want: &Want, reach: Reach, zone: Option<&Zone>) -> Vec<usize> {
-        let mut rows: Vec<(Span, i64, bool, usize)> = self
-            .open
+    fn candidates(
+        &self,
+        want: &Want,
+        roomy: usize,
+        reach: Reach,
+        zone: Option<&Zone>,
+    ) -> Vec<usize> {
+        let mut rows: Vec<(Span, i64, bool, usize)> = self.roomy[roomy]
+            .1
             .iter()
             .map(|&i| (i, &self.rows[i]))
             .filter(|(_, r)| want.need.fits(&r.free))
@@ -404,17 +460,35 @@
         rows.into_iter().map(|(_, _, _, i)| i).collect()
     }
 
+    /// Which list of rows has room for a need.
+    fn roomy(&mut self, need: Amounts) -> usize {
+        if let Some(n) = self.roomy.iter().position(|(of, _)| *of == need) {
+            // What has filled up since is not looked at again.
+            let (rows, list) = (&self.rows, &mut self.roomy[n].1);
+            list.retain(|&i| need.fits(&rows[i].free));
+            return n;
+        }
+        let open = self.open.iter().copied();
+        let list = open.filter(|&i| need.fits(&self.rows[i].free)).collect();
+        self.roomy.push((need, list));
+        self.roomy.len() - 1
+    }
+
     /// Places as many tasks as fit, or for a gang all or none.
     fn place(&mut self, want: &mut Want, reach: Reach) {
         if want.tasks.is_empty() {
             return;
         }
+        let roomy = self.roomy(want.need);
+        if self.roomy[roomy].1.is_empty() {
+            return;
+        }
         let allowed = self.team_room(want);
         if want.gang && (allowed as usize) < want.tasks.len() {
             return;
         }
         if !want.one_zone {
-            let rows = self.candidates(want, reach, None);
+            let rows = self.candidates(want, roomy, reach, None);
             self.fill(want, &rows, allowed);
             return;
         }
@@ -428,7 +502,7 @@
         let best = zones
             .iter()
             .filter_map(|z| {
-                let rows = self.candidates(want, reach, Some(z));
+                let rows = self.candidates(want, roomy, reach, Some(z));
                 let (picked, worst) = self.trial(want, &rows, allowed);
                 let enough = !want.gang || picked == want.tasks.len();
                 (picked > 0 && enough).then_some((std::cmp::Reverse(picked), worst, z, rows))
@@ -576,6 +650,7 @@
         (image, priority, team, gang, one_zone, spot, tasks, gpus, entitled): Drawn,
     ) -> Want {
         Want {
+            class: "class".into(),
             job: format!("wk-{i}").into(),
             team: format!("t{team}").into(),
             image: format!("i{image}").into(),
--- a/crates/pebblefold/src/core/leader.rs
+++ b/crates/pebblefold/src/core/leader.rs
@@ -12,7 +12,8 @@
 use crate::policy::Policy;
 use crate::settings::Settings;
 use crate::types::{
-    Attempt, Class, Image, JobId, Kind, Label, MachineId, Span, TaskId, Time, Token, Version, Wall,
+    Attempt, Class, Image, JobId, Kind, Label, MachineId, Span, TaskId, Team, Time, Token, Version,
+    Wall,
 };
 use crate::wire;
 use crate::wire::cloud::{MachineType, MachineTypes};
@@ -44,7 +45,17 @@
 /// Without contact for this long, nothing is started.
 const START_CONTACT: Span = Span::millis(4000);
 /// Arrivals kept per class.
-const MOST_ARRIVALS: usize = 256;
+const MOST_ARRIVALS: usize = 2048;
+
+/// A job's arrival, for what is to be expected.
+#[derive(Clone, Debug)]
+pub(super) struct Arrival {
+    pub at: Wall,
+    pub team: Team,
+    /// Machines that its tasks fill, and for how long.
+    pub machines: f64,
+    pub run_s: f64,
+}
 
 type Listed = Vec<(String, Attempt, TaskState, Option<Why>)>;
 
@@ -126,7 +137,7 @@
     pub(super) reclaimed: Option<Time>,
     /// Submissions that were read, whether or not they could be understood.
     submitted: BTreeSet<JobId>,
-    pub(super) arrivals: BTreeMap<Class, VecDeque<(Wall, f64, u32)>>,
+    pub(super) arrivals: BTreeMap<Class, VecDeque<Arrival>>,
     pub(super) told: BTreeMap<JobId, (u32, u32)>,
     pub(super) told_caches: BTreeMap<MachineId, Vec<(Image, f64)>>,
 }
@@ -435,7 +446,12 @@
             .max(1);
         let machines = f64::from(job.spec.tasks) / f64::from(per_machine);
         let all = self.arrivals.entry(job.spec.class.clone()).or_default();
-        all.push_back((job.at, machines, job.spec.tasks));
+        all.push_back(Arrival {
+            at: job.at,
+            team: job.spec.team.clone(),
+            machines,
+            run_s: job.spec.estimate_s,
+        });
         if all.len() > MOST_ARRIVALS {
             all.pop_front();
         }
--- a/crates/pebblefold/src/core/mod.rs
+++ b/crates/pebblefold/src/core/mod.rs
@@ -18,6 +18,7 @@
 pub mod presence;
 pub mod rental;
 pub mod tables;
+pub mod teams;
 mod telling;
 pub mod weak;
 mod writing;
--- a/crates/pebblefold/src/core/placing.rs
+++ b/crates/pebblefold/src/core/placing.rs
@@ -10,8 +10,11 @@
 use super::preempt::{self, Victim, Victims};
 use super::presence::Phase;
 use super::tables::Row;
+use super::teams::Bounds;
+use super::teams::account::{Account, Units};
+use super::teams::floor::{Floors, Group, Service};
 use crate::settings::ObjectiveKind;
-use crate::types::{Amounts, Attempt, JobId, MachineId, Span, TaskId, Team, Time, Wall};
+use crate::types::{Amounts, Attempt, Class, JobId, MachineId, Span, TaskId, Team, Time, Wall};
 use crate::wire::users::{Priority, Shape};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -31,6 +34,8 @@
     victims: Option<Victims>,
     /// Those that are to be.
     taken: BTreeSet<usize>,
+    /// How much may be taken in all.
+    bounds: Bounds,
 }
 
 impl Leader {
@@ -106,6 +111,70 @@
         teams
     }
 
+    /// What teams hold, and what of that is being stopped.
+    pub(super) fn account(&self) -> Account {
+        let mut account = Account::new(&self.settings.teams);
+        for job in self.jobs.values().filter(|j| !j.places.is_empty()) {
+            let stopping = job.places.values().filter(|p| p.stop.is_some()).count();
+            let each = Units::of(&job.spec.needs());
+            account.hold(&job.spec.team, each, job.places.len(), stopping);
+        }
+        account
+    }
+
+    /// How classes and teams are served, by the work that came of late and the
+    /// work that has waited too long for it.
+    pub(super) fn services(&self, wall: Wall) -> BTreeMap<Group, Service> {
+        let window = Span::secs(self.policy.floor_window_s);
+        let late = window.scaled(1.0 - self.policy.floor_share);
+        let age = |at: Wall| Span::millis(wall.0.saturating_sub(at.0));
+        let waits = |j: &Job| j.is_open() && !j.waiting.is_empty() && age(j.at) >= late;
+        let whole = self.types.values().map(|t| t.has());
+        let Some(whole) = whole.reduce(|a, b| a.most(&b)) else {
+            return BTreeMap::new();
+        };
+        // On most days nothing waits for so long.
+        if self.policy.floor_share <= 0.0 || !self.jobs.values().any(waits) {
+            return BTreeMap::new();
+        }
+        // Classes and teams are few, jobs are many.
+        let mut pairs: Vec<(&Class, &Team, Service)> = Vec::new();
+        fn pair<'a, 'b>(
+            pairs: &'b mut Vec<(&'a Class, &'a Team, Service)>,
+            class: &'a Class,
+            team: &'a Team,
+        ) -> &'b mut Service {
+            let found = pairs.iter().position(|(c, t, _)| *c == class && *t == team);
+            let n = found.unwrap_or_else(|| {
+                pairs.push((class, team, Service::default()));
+                pairs.len() - 1
+            });
+            &mut pairs[n].2
+        }
+        for (class, arrivals) in &self.arrivals {
+            for a in arrivals.iter().filter(|a| age(a.at) < window) {
+                pair(&mut pairs, class, &a.team).arrived += a.machines * a.run_s;
+            }
+        }
+        for job in self.jobs.values().filter(|j| j.is_open()) {
+            let s = pair(&mut pairs, &job.spec.class, &job.spec.team);
+            let each = job.spec.needs().share_of(&whole);
+            let staying = job.places.values().filter(|p| p.stop.is_none()).count();
+            s.used += staying as f64 * each;
+            if waits(job) {
+                s.overdue += f64::from(job.waiting.len()) * each * job.spec.estimate_s;
+                s.priority = s.priority.max(Some(job.spec.priority));
+            }
+        }
+        let mut all: BTreeMap<Group, Service> = BTreeMap::new();
+        for (class, team, s) in pairs {
+            for g in Group::both(class, team) {
+                all.entry(g).or_default().add(&s);
+            }
+        }
+        all
+    }
+
     /// Marks the open jobs that lie within their team's guarantee: together
     /// with the team's earlier unfinished jobs they fit into it.
     fn mark_entitled(&mut self) {
@@ -243,6 +312,7 @@
             wants.push(Want {
                 job: id,
                 team: spec.team.clone(),
+                class: spec.class.clone(),
                 image: spec.image.clone(),
                 image_gb: spec.image_gb,
                 need: spec.needs(),
@@ -290,8 +360,17 @@
         };
         let estimates = self.estimates.clone();
         let mut cycle = Cycle::new(pace, &mut rows, &mut teams, &estimates);
+        let (account, services) = (self.account(), self.services(io.now.wall));
+        let share = self.policy.floor_share;
+        let machines = cycle.rows.len() as f64;
+        let floors = Floors::new(&services, machines, share, self.policy.floor_window_s);
+        let mut bounds = Bounds { account, floors };
+        cycle.run_floors(&mut wants, &mut bounds.floors);
         cycle.run_warm(&mut wants);
-        let mut stops = Stops::default();
+        let mut stops = Stops {
+            bounds,
+            ..Stops::default()
+        };
         self.make_room(&mut cycle, &mut wants, Priority::High, &mut stops);
         cycle.run_rest(&mut wants);
         self.make_room(&mut cycle, &mut wants, Priority::Low, &mut stops);
@@ -381,13 +460,19 @@
             let victims = stops
                 .victims
                 .get_or_insert_with(|| self.victims(cycle.pace.now, cycle.rows));
-            let Some(e) = preempt::evict(cycle, want, victims, &stops.taken, 16) else {
+            let Some(e) = preempt::evict(cycle, want, victims, &stops.taken, &stops.bounds, 16)
+            else {
                 failed.push((i, if want.gang { want.tasks.len() } else { 1 }));
                 continue;
             };
             failed.clear();
+            let mut gangs: BTreeSet<&JobId> = BTreeSet::new();
             for &n in &e.victims {
-                cycle.rows[victims[n].row].free += victims[n].need;
+                let v = &victims[n];
+                cycle.rows[v.row].free += v.need;
+                if !v.gang || gangs.insert(&v.job) {
+                    stops.bounds.take(&victims.loss(n, want));
+                }
             }
             stops.taken.extend(e.victims);
             for row in e.rows {
@@ -439,6 +524,8 @@
                     job: id.clone(),
                     task,
                     team: job.spec.team.clone(),
+                    class: job.spec.class.clone(),
+                    machines: share,
                     priority: job.spec.priority,
                     need: job.spec.needs(),
                     gang: job.is_gang(),
--- a/crates/pebblefold/src/core/preempt.rs
+++ b/crates/pebblefold/src/core/preempt.rs
@@ -1,8 +1,9 @@
 //! Making room: which running tasks to stop for work that cannot be placed.
 //! Pure, as the cycle.
 
-use super::cycle::{Cycle, TeamUse, Want};
-use crate::types::{Amounts, JobId, Team};
+use super::cycle::{Cycle, Want};
+use super::teams::{Bounds, Loss, Spent};
+use crate::types::{Amounts, Class, JobId, Team};
 use crate::wire::users::Priority;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
@@ -15,6 +16,10 @@
     pub task: u32,
     /// Its team.
     pub team: Team,
+    /// Its class.
+    pub class: Class,
+    /// The share of its machine that it takes.
+    pub machines: f64,
     /// Its priority.
     pub priority: Priority,
     /// What it takes.
@@ -54,6 +59,22 @@
         Victims { all, by_row, gangs }
     }
 
+    /// What is lost with one of them: with a gang's task all the gang.
+    pub fn loss(&self, n: usize, want: &Want) -> Loss<'_> {
+        let v = &self.all[n];
+        let tasks = match self.gangs.get(&v.job) {
+            Some((members, _)) if v.gang => members.len() as f64,
+            _ => 1.0,
+        };
+        Loss {
+            team: &v.team,
+            class: &v.class,
+            takes: v.need.times(tasks),
+            machines: v.machines * tasks,
+            for_guarantee: v.priority >= want.priority,
+        }
+    }
+
     /// What stopping one of them costs: with a gang's task all the gang.
     fn cost(&self, n: usize) -> f64 {
         let v = &self.all[n];
@@ -80,23 +101,14 @@
     pub rows: Vec<usize>,
 }
 
-/// Whether `want` may have `v` stopped, given what teams use. Only the two
-/// reasons that the platform names count: a higher priority, or a guarantee
-/// against what another team runs beyond its own.
-pub fn may_stop(want: &Want, v: &Victim, teams: &BTreeMap<Team, TeamUse>) -> bool {
-    if v.priority < want.priority {
-        return true;
-    }
+/// Whether `want` has a reason to have `v` stopped. Only the two that the
+/// platform names count: a higher priority, or a guarantee against what another
+/// team runs beyond its own. How much may be taken is for [`Bounds`] to say.
+fn has_reason(want: &Want, v: &Victim) -> bool {
     // A guarantee could also take from higher priorities; stopping urgent work
     // for work that can wait serves nobody.
-    if !want.entitled || v.team == want.team || !v.settled || v.priority > want.priority {
-        return false;
-    }
-    teams.get(&v.team).is_some_and(|t| {
-        let without = t.used - v.need;
-        let kept = |guarantee: Option<f64>, rest: f64| guarantee.is_none_or(|g| rest + 1e-6 >= g);
-        kept(t.share.gpus, without.gpus) && kept(t.share.cpus, without.cpus)
-    })
+    v.priority < want.priority
+        || (want.entitled && v.team != want.team && v.settled && v.priority == want.priority)
 }
 
 /// What a second of fetching weighs against a machine's second of lost work.
@@ -119,6 +131,7 @@
     want: &Want,
     victims: &Victims,
     taken: &BTreeSet<usize>,
+    bounds: &Bounds,
     most: u32,
 ) -> Option<Eviction> {
     let wanted = (want.tasks.len() as u32).min(if want.gang { u32::MAX } else { most });
@@ -135,7 +148,7 @@
         let mut here: Vec<(f64, usize)> = victims.by_row[i]
             .iter()
             .copied()
-            .filter(|n| !taken.contains(n) && may_stop(want, &victims[*n], cycle.teams))
+            .filter(|n| !taken.contains(n) && has_reason(want, &victims[*n]))
             .map(|n| (victims.cost(n), n))
             .collect();
         here.sort_by(|a, b| a.0.total_cmp(&b.0));
@@ -146,10 +159,20 @@
             victims: Vec::new(),
             cost: 0.0,
         };
+        let mut spent = Spent::default();
+        let mut gangs: BTreeSet<&JobId> = BTreeSet::new();
         for (cost, n) in here {
             if want.need.fits(&free) {
                 break;
             }
+            let v = &victims[n];
+            if !v.gang || gangs.insert(&v.job) {
+                let loss = victims.loss(n, want);
+                if !bounds.allows(&spent, &loss) {
+                    continue;
+                }
+                bounds.spend(&mut spent, &loss);
+            }
             free += victims[n].need;
             plan.victims.push(n);
             plan.cost += cost;
@@ -179,6 +202,9 @@
         let mut cost = 0.0;
         let mut left = wanted;
         let mut in_zone: BTreeMap<_, u32> = BTreeMap::new();
+        // What each machine's plan may take alone, all may not take together.
+        let mut spent = Spent::default();
+        let mut gangs: BTreeSet<&JobId> = BTreeSet::new();
         for p in &plans {
             let row = &cycle.rows[p.row];
             if left == 0 || zone.as_ref().is_some_and(|z| z != &row.zone) {
@@ -192,6 +218,23 @@
             if n == 0 {
                 continue;
             }
+            let mut after = spent.clone();
+            let mut more: BTreeSet<&JobId> = BTreeSet::new();
+            let covered = p.victims.iter().all(|&n| {
+                let v = &victims[n];
+                if v.gang && (gangs.contains(&v.job) || !more.insert(&v.job)) {
+                    return true;
+                }
+                let loss = victims.loss(n, want);
+                let covered = bounds.allows(&after, &loss);
+                bounds.spend(&mut after, &loss);
+                covered
+            });
+            if !covered {
+                continue;
+            }
+            spent = after;
+            gangs.extend(more);
             *used += n;
             left -= n;
             cost += p.cost;
--- a/crates/pebblefold/src/core/rental.rs
+++ b/crates/pebblefold/src/core/rental.rs
@@ -458,15 +458,15 @@
             let window = 240_000;
             let recent: Vec<_> = arrivals
                 .iter()
-                .filter(|(at, _, _)| now_wall.0.saturating_sub(at.0) < window)
+                .filter(|a| now_wall.0.saturating_sub(a.at.0) < window)
                 .collect();
-            let oldest = recent.iter().map(|(at, _, _)| at.0).min();
+            let oldest = recent.iter().map(|a| a.at.0).min();
             let span = oldest.map_or(1.0, |o| {
                 (now_wall.0.saturating_sub(o) as f64 / 1000.0).max(60.0)
             });
-            let sum: f64 = recent.iter().map(|(_, m, _)| m).sum();
+            let sum: f64 = recent.iter().map(|a| a.machines).sum();
             machines += sum / span * boot;
-            largest = recent.iter().map(|(_, m, _)| *m).fold(largest, f64::max);
+            largest = recent.iter().map(|a| a.machines).fold(largest, f64::max);
         }
         (machines * self.policy.reserve)
             .max(largest)
--- a/crates/pebblefold/src/policy.rs
+++ b/crates/pebblefold/src/policy.rs
@@ -97,6 +97,10 @@
     patience_s: 1.0, 86400.0;
     /// Seconds that a job goes later for each second it would take the fleet.
     small_first: 0.0, 1000.0;
+    /// Share of a class's or team's work that is served however urgent the rest is.
+    floor_share: 0.0, 0.9;
+    /// Time over which that is judged.
+    floor_window_s: 30.0, 86400.0;
     /// Silence after which a machine is released.
     silent_release_s: 1.0, 86400.0;
 }
--- a/crates/rehearsal/tests/duties.rs
+++ b/crates/rehearsal/tests/duties.rs
@@ -506,12 +506,14 @@
     assert!(ends.iter().all(|e| *e == (0, ends[0].1)), "{ends:?}");
 }
 
-/// The same for a week: `cargo test --release -p pebblefold-rehearsal --test
-/// duties a_week -- --ignored --nocapture`.
+/// The same for a week of simulated time: `cargo test --release -p
+/// pebblefold-rehearsal --test duties a_week -- --ignored --nocapture`.
 #[test]
 #[ignore = "takes minutes"]
 fn a_week_of_nights_leaves_nothing_behind() {
-    let ends = nights(1500, 2);
-    println!("first {:?}, last {:?}", ends[0], ends.last());
-    assert!(ends.iter().all(|e| *e == (0, ends[0].1)), "{ends:?}");
+    for day in 0..7 {
+        let ends = nights(215, day);
+        println!("day {day}: first {:?}, last {:?}", ends[0], ends.last());
+        assert!(ends.iter().all(|e| *e == (0, ends[0].1)), "{ends:?}");
+    }
 }
--- a/crates/wire/src/types.rs
+++ b/crates/wire/src/types.rs
@@ -241,6 +241,14 @@
             memory_gb: self.memory_gb * n,
         }
     }
+    /// The larger of both, amount by amount.
+    pub fn most(&self, other: &Amounts) -> Amounts {
+        Amounts {
+            cpus: self.cpus.max(other.cpus),
+            gpus: self.gpus.max(other.gpus),
+            memory_gb: self.memory_gb.max(other.memory_gb),
+        }
+    }
     /// The smaller of both, amount by amount.
     pub fn least(&self, other: &Amounts) -> Amounts {
         Amounts {
