--- a/crates/pebblefold/src/core/teams/mod.rs
+++ b/crates/pebblefold/src/core/teams/mod.rs
@@ -4,6 +4,7 @@
 pub mod account;
 pub mod floor;
 
+use crate::core::weak::{self, Decision};
 use crate::types::{Amounts, Class, Team};
 use account::{Account, Units};
 use floor::{Floors, Group};
@@ -43,7 +44,7 @@
 impl Bounds {
     /// Whether this may be stopped too, after all that was taken and spent.
     pub fn allows(&self, spent: &Spent, loss: &Loss<'_>) -> bool {
-        if loss.for_guarantee {
+        if loss.for_guarantee && weak::holds(Decision::ClaimsAreBounded) {
             let before = spent.teams.get(loss.team).copied().unwrap_or_default();
             if !self
                 .account
--- a/crates/pebblefold/src/core/telling.rs
+++ b/crates/pebblefold/src/core/telling.rs
@@ -4,6 +4,8 @@
 use super::fleet::{Leaving, Machine};
 use super::leader::Leader;
 use super::presence::Phase;
+use super::teams::account::Units;
+use super::teams::floor::{Floors, Group};
 use crate::types::{Image, JobId, MachineId, Time, Zone};
 use crate::wire::workers::TaskState;
 use std::collections::BTreeMap;
@@ -112,6 +114,43 @@
         ])
     }
 
+    /// What teams hold, and how teams and classes are served, for operators.
+    fn teams(&self, at: Now) -> serde_json::Value {
+        let services = self.services(at.wall);
+        let machines = self.rows(at.time).len() as f64;
+        let (share, window) = (self.policy.floor_share, self.policy.floor_window_s);
+        let floors = Floors::new(&services, machines, share, window);
+        let served = |g: &Group| services.get(g).map_or(1.0, |s| s.share());
+        let gpus = |u: Units| u.gpus as f64 / 1000.0;
+        let cpus = |u: Units| u.cpus as f64 / 1000.0;
+        let account = self.account();
+        let teams: Vec<_> = account
+            .teams()
+            .map(|(team, h)| {
+                let g = Group::Team(team.clone());
+                serde_json::json!({
+                    "team": team, "guaranteed": {"cpus": h.share.cpus, "gpus": h.share.gpus},
+                    "limit": {"cpus": h.share.cpus_max, "gpus": h.share.gpus_max},
+                    "used": {"cpus": cpus(h.used), "gpus": gpus(h.used)},
+                    "stopping": {"cpus": cpus(h.stopping), "gpus": gpus(h.stopping)},
+                    "lent": {"cpus": cpus(h.lent()), "gpus": gpus(h.lent())},
+                    "served": served(&g), "floor_machines": floors.of(&g),
+                })
+            })
+            .collect();
+        let classes: Vec<_> = self
+            .arrivals
+            .keys()
+            .map(|class| {
+                let g = Group::Class(class.clone());
+                serde_json::json!({
+                    "class": class, "served": served(&g), "floor_machines": floors.of(&g),
+                })
+            })
+            .collect();
+        serde_json::json!({ "teams": teams, "classes": classes })
+    }
+
     /// Everything an operator may ask for, of machines and jobs whose names
     /// begin like this; of each at most `MOST_SHOWN`, after the totals.
     pub fn inspect(&self, at: Now, machine: &str, job: &str) -> serde_json::Value {
@@ -181,6 +220,7 @@
             "token": self.token, "in_office_s": now.since(self.office).as_secs(),
             "contact_s_ago": now.since(self.contact).as_secs(), "loaded": self.is_loaded(),
             "cycles": self.cycles, "duties": self.duties(at),
+            "shares": self.teams(at),
             "totals": {"machines": self.machines.len(), "jobs": self.jobs.len()},
             "zones": zones, "machines": machines, "jobs": jobs,
         })
--- a/crates/pebblefold/src/core/weak.rs
+++ b/crates/pebblefold/src/core/weak.rs
@@ -19,6 +19,8 @@
     ReleasesStand,
     /// What is stopped for other work is recorded before it is told.
     StopsAreStored,
+    /// All claims of guarantees together take no more than was lent.
+    ClaimsAreBounded,
     /// A key is swept only while its job's submission is not there.
     OrphansOnly,
 }
