Group releases until they are asked for; tests of a successor and of a peer's hands

Change: no further release is decided while one waits to be asked for, but for machines whose tasks wait for the proof that they are gone.

--- a/crates/pebblefold/src/core/duty/intents.rs
+++ b/crates/pebblefold/src/core/duty/intents.rs
@@ -26,9 +26,9 @@
 const KEPT: Span = Span::millis(60_000);
 /// Hires older than this are not repeated: what they brought is listed.
 const STALE: Span = Span::millis(120_000);
-/// Releases decided and not yet answered that may stand beside one another;
-/// what comes later is grouped.
-const MOST_OPEN: usize = 6;
+/// Releases decided and not yet asked for that may stand beside one another
+/// where work waits for the proof that it is gone.
+const MOST_UNASKED: usize = 4;
 
 /// How far a hire has come.
 #[derive(Clone, Debug, PartialEq)]
@@ -55,6 +55,7 @@
 struct Release {
     machines: Vec<MachineId>,
     stored: bool,
+    asked: bool,
     answered: Option<Time>,
 }
 
@@ -151,6 +152,7 @@
                 let release = Release {
                     machines: machines.clone(),
                     stored: true,
+                    asked: true,
                     answered: None,
                 };
                 self.releases.insert(name.into(), release);
@@ -290,11 +292,19 @@
         }
     }
 
-    /// Whether one more release may be decided; until then machines that are
-    /// to go are collected.
-    pub fn may_release(&self) -> bool {
-        let open = self.releases.values().filter(|r| r.answered.is_none());
-        open.count() < MOST_OPEN
+    /// Whether one more release may be decided: once all there are have been
+    /// asked for. What is to go meanwhile is grouped, as calls and writes are
+    /// scarce; work that waits for the proof is not kept waiting so long.
+    pub fn may_release(&self, presses: bool) -> bool {
+        let unasked = self.releases.values().filter(|r| !r.asked);
+        unasked.count() < if presses { MOST_UNASKED } else { 1 }
+    }
+
+    /// The release of these machines is being asked for.
+    pub fn release_asked(&mut self, machines: &[MachineId]) {
+        for r in self.releases.values_mut() {
+            r.asked |= r.machines.iter().any(|m| machines.contains(m));
+        }
     }
 
     /// Decides to release machines, each with why, as many as one record
@@ -327,6 +337,7 @@
         let release = Release {
             machines: names,
             stored: false,
+            asked: false,
             answered: None,
         };
         self.releases.insert(name, release);
--- a/crates/pebblefold/src/core/leader.rs
+++ b/crates/pebblefold/src/core/leader.rs
@@ -504,7 +504,7 @@
     }
 
     /// Takes over what earlier leaders meant to have done.
-    fn load_duties(&mut self, now: super::Now, entries: Vec<Entry>) {
+    pub(super) fn load_duties(&mut self, now: super::Now, entries: Vec<Entry>) {
         for e in entries {
             let go = self.rental.intents.load(&e.key, &e.value, now.wall);
             for id in go {
--- a/crates/pebblefold/src/core/rental.rs
+++ b/crates/pebblefold/src/core/rental.rs
@@ -135,13 +135,12 @@
                 self.rental.intents.hire_asked(&r.request);
                 ("POST", "/machines".to_string(), wire::encode(r))
             }
-            CloudCall::Release(names) => (
-                "POST",
-                "/machines/release".to_string(),
-                wire::encode(&MachineNames {
-                    machines: names.clone(),
-                }),
-            ),
+            CloudCall::Release(names) => {
+                self.rental.intents.release_asked(names);
+                let machines = names.clone();
+                let body = wire::encode(&MachineNames { machines });
+                ("POST", "/machines/release".to_string(), body)
+            }
         };
         let by = self.rental.hands.peer(now).cloned();
         let peer = by
@@ -157,17 +156,16 @@
         self.waits.add(id, Awaits::Cloud(call, by));
     }
 
-    /// Writes down which machines are to go. What comes while two releases are
-    /// under way is grouped.
+    /// Writes down which machines are to go.
     pub(super) fn mean_releases(&mut self, wall: crate::types::Wall) {
-        if !self.rental.intents.may_release() {
+        let intents = &self.rental.intents;
+        let (any, pressing) = (intents.may_release(false), intents.may_release(true));
+        if !pressing {
             return;
         }
-        let intents = &self.rental.intents;
-        let new = self
-            .machines
-            .iter()
-            .filter(|(id, m)| m.leaving == Leaving::Release && !intents.is_leaving(id));
+        let new = self.machines.iter().filter(|(id, m)| {
+            m.leaving == Leaving::Release && (any || !m.tasks.is_empty()) && !intents.is_leaving(id)
+        });
         let new: Vec<_> = new.map(|(id, m)| (id.clone(), m.why)).collect();
         if !new.is_empty() {
             self.rental.intents.release(new.into_iter(), wall);
@@ -733,6 +731,7 @@
             }
             made.push(match leader.next_call(Time(1)) {
                 Some(CloudCall::Release(names)) => {
+                    leader.rental.intents.release_asked(&names);
                     leader.rental.intents.released(&names, Time(1));
                     names.iter().for_each(|m| drop(leader.machines.remove(m)));
                     "release"
@@ -747,4 +746,55 @@
         }
         assert_eq!(made[..4], ["release", "rent", "release", "list"]);
     }
+
+    // What a leader had under way with the cloud once died with its process.
+    #[test]
+    fn a_successor_finishes_what_was_meant() {
+        let now = crate::core::Now {
+            time: Time(1),
+            wall: Wall(5000),
+        };
+        let mut first = leader();
+        first
+            .rental
+            .intents
+            .hire(("g4".into(), "z0".into(), true), 3, Wall(0));
+        first.meet(Time(0), &"host-1".into()).send_back("idle");
+        first.mean_releases(Wall(0));
+        assert!(
+            first
+                .next_call(Time(1))
+                .is_some_and(|c| matches!(c, CloudCall::List))
+        );
+        let stored = first.rental.intents.book.take_puts(9);
+        let mut next = leader();
+        let entries = stored
+            .into_iter()
+            .map(|(key, value)| crate::wire::state::Entry {
+                key,
+                value,
+                version: crate::types::Version(7),
+            });
+        next.load_duties(now, entries.collect());
+        // It starts nothing there, whatever brings the machine up again.
+        assert_eq!(
+            next.meet(Time(2), &"host-1".into()).leaving,
+            Leaving::Release
+        );
+        let Some(CloudCall::Release(names)) = next.next_call(Time(2)) else {
+            panic!("the release is not asked for")
+        };
+        next.on_cloud(
+            &mut io_at(2.0),
+            CloudCall::Release(names),
+            None,
+            Reply::Answer(200, Vec::new()),
+        );
+        next.on_cloud(&mut io_at(2.0), CloudCall::List, None, list(&["host-1"]));
+        assert!(next.machines.is_empty(), "a late list brought it back");
+        let Some(CloudCall::Rent(rent)) = next.next_call(Time(3)) else {
+            panic!("the hire is not repeated")
+        };
+        assert_eq!((rent.request.as_str(), rent.count), ("5-1", 3));
+    }
 }
--- a/crates/rehearsal/tests/duties.rs
+++ b/crates/rehearsal/tests/duties.rs
@@ -517,3 +517,33 @@
         assert!(ends.iter().all(|e| *e == (0, ends[0].1)), "{ends:?}");
     }
 }
+
+// A leader that alone did not reach the cloud rented and returned nothing for as
+// long as that lasted.
+#[test]
+fn a_leader_cut_from_the_cloud_rents_through_a_peer() {
+    for mode in [CutMode::Lose, CutMode::Hold] {
+        let mut s = cluster(3, 3, 6, 30, 300.0);
+        let mut work = jobs(JobShape::Array, 8, 4.0);
+        (work.from_s, work.gpus, work.run_s) = (30.0, 2.0, Spread::Fixed(30.0));
+        work.team = "blue".into();
+        let mut more = work.clone();
+        more.team = "red".into();
+        s.jobs = vec![work, more];
+        s.faults.push(common::at(
+            20.0,
+            What::Cut {
+                a: Side::Leader,
+                b: Side::Cloud,
+                one_way: false,
+                mode,
+                for_s: 200.0,
+            },
+        ));
+        let v = rehearse(s, 3);
+        sound(&v, 3);
+        assert!(v.renting.hired > 4, "{} hired", v.renting.hired);
+        assert!(v.length_s < 200.0, "{} s", v.length_s);
+        assert_eq!(v.renting.lost_to_replaced, 0);
+    }
+}
