Only 200 proves that released machines are gone, not a 400

Cause: a release answered with 400 was taken like one that was carried out: its machines were forgotten and their tasks written off, though they may run on. Calls now pass through peers, whose servers may give a 400 or 404 of their own. Change: a release needs 200; 400, 404 and 405 from a peer count as no answer, and the next way is tried.

--- a/crates/pebblefold/src/core/rental.rs
+++ b/crates/pebblefold/src/core/rental.rs
@@ -222,8 +222,10 @@
         let now = io.now.time;
         self.rental.calling = false;
         let (status, body) = match reply {
-            // What a peer says when it got no answer itself.
-            Reply::Answer(GATEWAY_TIMEOUT | BAD_GATEWAY, _) if by.is_some() => (0, Vec::new()),
+            // What a peer says when it got no answer itself, or did not ask.
+            Reply::Answer(400 | 404 | 405 | BAD_GATEWAY | GATEWAY_TIMEOUT, _) if by.is_some() => {
+                (0, Vec::new())
+            }
             Reply::Answer(CONFLICT, _) if by.is_some() => {
                 return Fate::StepDown("a peer knows a later leader");
             }
@@ -238,7 +240,9 @@
         let no_capacity = status == 503
             && wire::decode::<crate::wire::users::Refusal>(&body)
                 .is_some_and(|r| r.error == "no capacity");
-        if status != 200 && !no_capacity && status != 400 {
+        // Only 200 proves that released machines are gone.
+        let malformed = status == 400 && !matches!(call, CloudCall::Release(_));
+        if status != 200 && !no_capacity && !malformed {
             let jitter = io.jitter();
             self.rental.not_before = now
                 + self
@@ -797,4 +801,20 @@
         };
         assert_eq!((rent.request.as_str(), rent.count), ("5-1", 3));
     }
+
+    // Only 200 proves that released machines are gone. A 400 once did too, and a
+    // peer that calls for us may give one, or a 404, of its own.
+    #[test]
+    fn a_release_that_is_refused_proves_nothing() {
+        for (status, by) in [(400, None), (400, Some("node-1")), (404, Some("node-1"))] {
+            let mut leader = leader();
+            let id = MachineId::from("host-1");
+            leader.meet(Time(0), &id).send_back("idle");
+            let call = CloudCall::Release(vec![id.clone()]);
+            let reply = Reply::Answer(status, Vec::new());
+            leader.on_cloud(&mut io_at(2.0), call, by.map(Label::from), reply);
+            assert!(leader.machines.contains_key(&id), "{status} by {by:?}");
+            assert!(!leader.rental.intents.is_gone(&id));
+        }
+    }
 }
