Hold machines for gangs from lists put in order once a cycle

Cause: in a flood hundreds of gangs have waited long enough to have machines held for them, and each looked through and sorted every machine of every zone. Change: rows are put in order of when they should be free once a cycle, held ones are skipped from the front; a gang larger than all the room there is is not tried. Decisions are the same as before; the plain model's test holds.

--- a/crates/pebblefold/src/core/cycle.rs
+++ b/crates/pebblefold/src/core/cycle.rs
@@ -109,13 +109,36 @@
     open: Vec<usize>,
     /// Of these, the ones with room for each need that was looked for: rows
     /// only lose room until the next look, and needs are few.
-    roomy: Vec<(Amounts, Vec<usize>)>,
+    roomy: Vec<Roomy>,
+    /// Rows by when they should be free, all and of each zone, for holding:
+    /// made when first asked for, void once a row's time changes.
+    soonest: Vec<Soonest>,
     /// Zones with machines.
     zones: BTreeSet<Zone>,
     /// How many rows hold each image, or are fetching it.
     holders: HashMap<Image, usize>,
 }
 
+/// Rows with room for a need.
+#[derive(Debug)]
+struct Roomy {
+    need: Amounts,
+    rows: Vec<usize>,
+    /// How many tasks they took when they were looked for: no more will fit.
+    most: u64,
+    /// And those of the zone that took most.
+    most_in_zone: u64,
+}
+
+/// Rows of a zone, or all, that should be free soonest first.
+#[derive(Debug)]
+struct Soonest {
+    zone: Option<Zone>,
+    rows: Vec<usize>,
+    /// All before this one are held.
+    from: usize,
+}
+
 /// A fetch that is over within this time hardly delays a start.
 const WARM: Span = Span::millis(3000);
 
@@ -212,6 +235,7 @@
             zones: rows.iter().map(|r| r.zone.clone()).collect(),
             open: Vec::new(),
             roomy: Vec::new(),
+            soonest: Vec::new(),
             holders,
             rows,
             teams,
@@ -362,35 +386,28 @@
     /// Holds the machines that should soonest be free together; false if there
     /// are not enough.
     fn hold(&mut self, want: &Want) -> bool {
-        let zones: Vec<Option<Zone>> = if want.one_zone {
-            self.zones.iter().cloned().map(Some).collect()
-        } else {
-            vec![None]
-        };
         let mut best: Option<(Time, Vec<usize>)> = None;
-        for zone in zones {
-            let mut rows: Vec<(Time, usize)> = self
-                .rows
-                .iter()
-                .enumerate()
-                .filter(|(i, r)| want.allows(r) && self.may_use(*i, &want.job))
-                .filter(|(_, r)| zone.as_ref().is_none_or(|z| z == &r.zone))
-                .map(|(i, r)| (r.available, i))
-                .collect();
-            rows.sort();
+        for list in self.soonest_for(want) {
             let mut left = want.tasks.len() as u32;
             let mut picked = Vec::new();
             let mut last = self.pace.now;
             let mut in_zones: BTreeMap<&Zone, u32> = BTreeMap::new();
-            for (at, i) in rows {
+            let list = &self.soonest[list];
+            for &i in &list.rows[list.from..] {
                 let r = &self.rows[i];
+                if left == 0 {
+                    break;
+                }
+                if !self.may_use(i, &want.job) || !want.allows(r) {
+                    continue;
+                }
                 let used = in_zones.entry(&r.zone).or_default();
                 let room = want.zone_room(&r.zone).saturating_sub(*used);
                 let n = want.need.count_in(&r.whole, left.min(room));
                 if n > 0 {
                     *used += n;
                     left -= n;
-                    last = at;
+                    last = r.available;
                     picked.push(i);
                 }
             }
@@ -405,6 +422,36 @@
         found
     }
 
+    /// The lists from which rows are held for a want, one a zone if all its
+    /// tasks must be in one. In a rush hundreds of gangs look for rows to hold,
+    /// so the rows are put in order once for all of them.
+    fn soonest_for(&mut self, want: &Want) -> Vec<usize> {
+        if self.soonest.is_empty() {
+            let mut all: Vec<usize> = (0..self.rows.len()).collect();
+            all.sort_by_key(|&i| (self.rows[i].available, i));
+            let zones = self.zones.iter().cloned().map(Some);
+            self.soonest = zones
+                .chain([None])
+                .map(|zone| {
+                    let here = |i: &usize| zone.as_ref().is_none_or(|z| *z == self.rows[*i].zone);
+                    let rows = all.iter().copied().filter(here).collect();
+                    let from = 0;
+                    Soonest { zone, rows, from }
+                })
+                .collect();
+        }
+        let held = &self.held;
+        let mut of = Vec::new();
+        for (n, list) in self.soonest.iter_mut().enumerate() {
+            if list.zone.is_some() == want.one_zone {
+                let left = &list.rows[list.from..];
+                list.from += left.iter().take_while(|i| held.contains_key(i)).count();
+                of.push(n);
+            }
+        }
+        of
+    }
+
     fn holders(&self, image: &Image) -> usize {
         self.holders.get(image).copied().unwrap_or(0)
     }
@@ -444,7 +491,7 @@
         zone: Option<&Zone>,
     ) -> Vec<usize> {
         let mut rows: Vec<(Span, i64, bool, usize)> = self.roomy[roomy]
-            .1
+            .rows
             .iter()
             .map(|&i| (i, &self.rows[i]))
             .filter(|(_, r)| want.need.fits(&r.free))
@@ -462,15 +509,28 @@
 
     /// Which list of rows has room for a need.
     fn roomy(&mut self, need: Amounts) -> usize {
-        if let Some(n) = self.roomy.iter().position(|(of, _)| *of == need) {
+        if let Some(n) = self.roomy.iter().position(|of| of.need == need) {
             // What has filled up since is not looked at again.
-            let (rows, list) = (&self.rows, &mut self.roomy[n].1);
+            let (rows, list) = (&self.rows, &mut self.roomy[n].rows);
             list.retain(|&i| need.fits(&rows[i].free));
             return n;
         }
         let open = self.open.iter().copied();
-        let list = open.filter(|&i| need.fits(&self.rows[i].free)).collect();
-        self.roomy.push((need, list));
+        let list: Vec<usize> = open.filter(|&i| need.fits(&self.rows[i].free)).collect();
+        let mut by_zone: HashMap<&Zone, u64> = HashMap::new();
+        for row in list.iter().map(|&i| &self.rows[i]) {
+            *by_zone.entry(&row.zone).or_default() += u64::from(need.count_in(&row.free, u32::MAX));
+        }
+        let (most, most_in_zone) = (
+            by_zone.values().sum(),
+            by_zone.values().copied().max().unwrap_or(0),
+        );
+        self.roomy.push(Roomy {
+            need,
+            rows: list,
+            most,
+            most_in_zone,
+        });
         self.roomy.len() - 1
     }
 
@@ -480,7 +540,12 @@
             return;
         }
         let roomy = self.roomy(want.need);
-        if self.roomy[roomy].1.is_empty() {
+        let Roomy {
+            most, most_in_zone, ..
+        } = self.roomy[roomy];
+        // Where rooms are few, most gangs need not be tried.
+        let enough = if want.one_zone { most_in_zone } else { most };
+        if self.roomy[roomy].rows.is_empty() || (want.gang && enough < want.tasks.len() as u64) {
             return;
         }
         let allowed = self.team_room(want);
@@ -585,6 +650,7 @@
         r.free -= want.need;
         let work = want.run.scaled(want.need.share_of(&r.whole).min(1.0));
         r.available = r.available.max(self.pace.now) + work + cost;
+        self.soonest.clear();
         if r.cache.remaining(&want.image, self.pace.now).is_none() {
             *self.holders.entry(want.image.clone()).or_default() += 1;
         }
