Spend nothing on what cannot be done now; a leader behind leaves users to others

Cause: profiles of a flood (simulated) had a fifth of a leader's time in listing the keys of ended jobs that there was no room to delete, asked for at every input, and 8 % in looking through all jobs at every report. A server that is behind handled requests whose senders had given up, and users stayed with it. Change: deletions are looked at only while there is room; whether work waits is asked only when room came free; predictions look machines up by hash. While ticks come late, a request whose sender has closed its connection is dropped unhandled; a leader under strain says 503 on /ready while a peer is fit.

--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -10,4 +10,4 @@
 mod server;
 
 pub use client::{Client, Sent};
-pub use server::{Next, answer_connections, next_request};
+pub use server::{Next, answer_connections, next_request, sender_is_gone};
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -1,7 +1,9 @@
 //! Requests from one connection, and a plain server for many.
 
 use pebblefold_wire::http::{self, HttpError, Request, Response};
+use socket2::SockRef;
 use std::future::Future;
+use std::mem::MaybeUninit;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -28,6 +30,16 @@
     Bad(HttpError),
 }
 
+/// Whether the other side has closed the connection since it sent its request,
+/// so that nobody waits for the answer any more. A server that is behind saves
+/// itself what nobody wants. It costs one system call; where it fails, somebody
+/// is taken to wait.
+pub fn sender_is_gone(stream: &TcpStream) -> bool {
+    let mut byte = [MaybeUninit::uninit()];
+    // The socket never blocks.
+    matches!(SockRef::from(stream).peek(&mut byte), Ok(0))
+}
+
 /// Reads the next request; `data` holds what has arrived beyond it.
 pub async fn next_request(stream: &mut TcpStream, data: &mut Vec<u8>) -> Next {
     loop {
@@ -102,6 +114,39 @@
     use std::cell::Cell;
     use tokio::task::LocalSet;
 
+    // Requests whose senders had given up were handled all the same, which kept
+    // a server that was behind from ever catching up.
+    #[test]
+    fn a_sender_that_closed_its_connection_is_gone() {
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()
+            .unwrap();
+        runtime.block_on(async {
+            let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+            let mut client = TcpStream::connect(listener.local_addr().unwrap())
+                .await
+                .unwrap();
+            let (mut server, _) = listener.accept().await.unwrap();
+            let request = http::write_request("GET", "here", "/", &[]);
+            client.write_all(&request).await.unwrap();
+            let mut data = Vec::new();
+            let next = next_request(&mut server, &mut data).await;
+            assert!(matches!(next, Next::Request(_)));
+            assert!(!sender_is_gone(&server));
+            // A further request is no end.
+            client.write_all(&request).await.unwrap();
+            server.readable().await.unwrap();
+            assert!(!sender_is_gone(&server));
+            let next = next_request(&mut server, &mut data).await;
+            assert!(matches!(next, Next::Request(_)));
+            drop(client);
+            while !sender_is_gone(&server) {
+                tokio::task::yield_now().await;
+            }
+        });
+    }
+
     // A connection that the server closed between two requests must not make a
     // read fail, and must never send a change twice.
     #[test]
--- a/crates/pebblefold/src/core/duty/pulse.rs
+++ b/crates/pebblefold/src/core/duty/pulse.rs
@@ -13,6 +13,11 @@
 /// The longest such time.
 const LONGEST: Span = Span::millis(960_000);
 
+/// How soon strain is forgotten, and from which on it counts, and no more does.
+const FORGETS_S: f64 = 5.0;
+const STRAINED: f64 = 2.0;
+const RELIEVED: f64 = 0.3;
+
 /// The holder's pulse.
 #[derive(Clone, Debug)]
 pub struct Pulse {
@@ -24,6 +29,10 @@
     pub share: f64,
     patience: Span,
     since: Option<Time>,
+    /// Seconds spent in late ticks, the older ones forgotten by and by.
+    strain: f64,
+    /// Whether there has lately been more to do than could be done.
+    pub strained: bool,
 }
 
 impl Default for Pulse {
@@ -35,11 +44,24 @@
             share: 0.0,
             patience: FIRST,
             since: None,
+            strain: 0.0,
+            strained: false,
         }
     }
 }
 
 impl Pulse {
+    fn note_strain(&mut self, gap: Span) {
+        let late = if gap > LATE { gap.as_secs() } else { 0.0 };
+        self.strain = self.strain * (-gap.as_secs() / FORGETS_S).exp() + late;
+        // One long stop is forgotten at once; it says nothing of what is to come.
+        if gap > WINDOW {
+            self.strain = 0.0;
+        }
+        let most = if self.strained { RELIEVED } else { STRAINED };
+        self.strained = self.strain > most;
+    }
+
     /// A tick; `holds`: this node holds duties. Whether it is to hand them over.
     pub fn beat(&mut self, now: Time, holds: bool) -> bool {
         let gap = self.last.map_or(Span::ZERO, |t| now.since(t));
@@ -47,6 +69,7 @@
         if !holds {
             self.since = None;
         }
+        self.note_strain(gap);
         let since = *self.since.get_or_insert(now);
         if gap > WINDOW {
             // A process that was stopped altogether says nothing on its share
@@ -100,6 +123,27 @@
         assert!((4..8).contains(&slow.len()), "{slow:?}");
     }
 
+    // Users stayed with a leader that was behind, and waited, while others had
+    // time for them.
+    #[test]
+    fn strain_shows_within_seconds_and_passes_slowly() {
+        let mut pulse = Pulse::default();
+        let mut t = Time(0);
+        let mut beat = |gap: f64, times: u32| {
+            for _ in 0..times {
+                t = t + Span::secs(gap);
+                pulse.beat(t, true);
+            }
+            pulse.strained
+        };
+        assert!(!beat(0.05, 100));
+        assert!(!beat(0.9, 2), "a busy moment is none");
+        assert!(beat(0.9, 2));
+        assert!(beat(0.05, 100), "it lasts a while");
+        assert!(!beat(0.05, 200));
+        assert!(!beat(60.0, 1));
+    }
+
     #[test]
     fn one_long_stop_is_no_sign() {
         let mut pulse = Pulse::default();
--- a/crates/pebblefold/src/core/fleet.rs
+++ b/crates/pebblefold/src/core/fleet.rs
@@ -242,10 +242,6 @@
         if report.notice_s.is_some() {
             self.drain_noticed(io, &report.machine);
         }
-        let waits = self
-            .jobs
-            .values()
-            .any(|j| j.is_open() && !j.waiting.is_empty());
         let id = &report.machine;
         if may_hold && self.idles(now, id, &report) {
             // A long poll: an idle machine's next work reaches it at once
@@ -259,7 +255,7 @@
                     cycles: None,
                 },
             );
-        } else if freed && waits && self.may_start(now) {
+        } else if freed && self.may_start(now) && self.any_waits() {
             // Placing and committing takes a moment; the answer that carries
             // the starts need not wait for the next report.
             self.cycle_soon(now);
@@ -277,6 +273,12 @@
         Fate::Stay
     }
 
+    /// Whether any work waits for room.
+    fn any_waits(&self) -> bool {
+        let mut open = self.jobs.values().filter(|j| j.is_open());
+        open.any(|j| !j.waiting.is_empty())
+    }
+
     /// Answers held reports whose moment has come. Only machines for which a
     /// start was stored are looked at closely, and after a cycle those that
     /// wait for one.
--- a/crates/pebblefold/src/core/node/peers.rs
+++ b/crates/pebblefold/src/core/node/peers.rs
@@ -24,14 +24,17 @@
 
     /// Ready while the state service answers, or while it answers no node
     /// that can be asked: an outage that all share must not take every node
-    /// out of service.
+    /// out of service. A leader with more to do than it can leaves users to the
+    /// others, who have less.
     pub(super) fn is_ready(&self) -> bool {
         let now = self.io.now.time;
         let better = self
             .peers
             .values()
             .any(|p| p.state_ok && now.since(p.heard) < PEER_FRESH);
-        self.state_ok() || (self.election.contact.is_some() && !better)
+        let busy = self.leader.is_some() && self.pulse.strained;
+        let fit = self.state_ok() && !busy;
+        fit || (self.election.contact.is_some() && !better)
     }
 
     pub(super) fn greeting(&self, counts: Vec<(JobId, u32, u32)>) -> Greeting {
--- a/crates/pebblefold/src/core/placing.rs
+++ b/crates/pebblefold/src/core/placing.rs
@@ -150,17 +150,18 @@
 
     /// Predicts when each row's machine will be free altogether.
     fn predict(&self, now: Time, rows: &mut [Row]) {
-        for row in rows {
-            let tasks = self.machines.get(&row.id).map(|m| &m.tasks);
-            let mut work = 0.0;
-            for task in tasks.into_iter().flatten() {
-                if let Some(job) = self.jobs.get(&task.job)
-                    && let Some(p) = job.places.get(&task.index)
-                {
-                    let share = job.spec.needs().share_of(&row.whole).min(1.0);
-                    work += self.remaining(now, job, p).as_secs() * share;
+        let index: HashMap<&MachineId, usize> =
+            rows.iter().enumerate().map(|(i, r)| (&r.id, i)).collect();
+        let mut work = vec![0.0; rows.len()];
+        for job in self.jobs.values() {
+            for p in job.places.values() {
+                if let Some(&i) = index.get(&p.machine) {
+                    let share = job.spec.needs().share_of(&rows[i].whole).min(1.0);
+                    work[i] += self.remaining(now, job, p).as_secs() * share;
                 }
             }
+        }
+        for (row, work) in rows.iter_mut().zip(work) {
             row.available = now + Span::secs(work);
         }
     }
--- a/crates/pebblefold/src/core/writing.rs
+++ b/crates/pebblefold/src/core/writing.rs
@@ -131,15 +131,18 @@
             }
             self.dirty.forget(&due);
         }
-        for id in std::mem::take(&mut self.dropping) {
+        // In a rush hundreds of ended jobs wait to be deleted: only those that
+        // there is room for are looked at.
+        let mut again = Vec::new();
+        while b.room() > 1
+            && let Some(id) = self.dropping.pop_first()
+        {
             let Some(job) = self.jobs.get(&id) else {
                 continue;
             };
+            // It comes back here once its end is stored, or its last task gone.
             let over = matches!(job.end, Some(End::Cancelled | End::Done { written: true }));
             if !over || !job.places.is_empty() {
-                if !job.is_open() && !over {
-                    self.dropping.insert(id);
-                }
                 continue;
             }
             let keys = job.keys();
@@ -155,9 +158,11 @@
                 .map(|k| Op::Delete { key: k.clone() })
                 .collect();
             if n == 0 || !b.add(Item::Drop(id.clone(), last), Vec::new(), ops) {
-                self.dropping.insert(id);
+                again.push(id);
+                break;
             }
         }
+        self.dropping.extend(again);
         for key in self
             .rental
             .intents
--- a/crates/pebblefold/src/driver.rs
+++ b/crates/pebblefold/src/driver.rs
@@ -6,7 +6,7 @@
 use crate::policy::Policy;
 use crate::settings::Settings;
 use crate::types::{Time, Wall};
-use pebblefold_net::{Client, Next, Sent, next_request};
+use pebblefold_net::{Client, Next, Sent, next_request, sender_is_gone};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddrV4;
@@ -25,6 +25,8 @@
 /// Time between ticks of the core.
 const TICK: Duration = Duration::from_millis(50);
 
+/// A tick that comes so late says that there is more to do than can be done.
+const BEHIND: Duration = Duration::from_millis(500);
 /// Stack of the thread that keeps leases.
 const KEEPER_STACK: usize = 256 * 1024;
 
@@ -41,6 +43,8 @@
     most_api: u32,
     most_internal: u32,
     keep: watch::Sender<Option<Keep>>,
+    /// Whether ticks come late: requests then wait long for their turn.
+    behind: Cell<bool>,
 }
 
 impl Shared {
@@ -125,6 +129,9 @@
                     return;
                 }
             };
+            if self.behind.get() && sender_is_gone(&stream) {
+                return;
+            }
             // Under pressure users' connections are closed after each answer,
             // so that workers always find a socket.
             let crowded = side == Side::Api
@@ -262,6 +269,7 @@
             most_api,
             most_internal,
             keep,
+            behind: Cell::new(false),
         });
         spawn_local(Rc::clone(&shared).listen(api, Side::Api));
         spawn_local(Rc::clone(&shared).listen(internal, Side::Internal));
@@ -270,7 +278,9 @@
                 shared.feed(Input::Over(lease));
             }
             shared.feed(Input::Tick);
+            let ticked = Instant::now();
             sleep(TICK).await;
+            shared.behind.set(ticked.elapsed() > BEHIND);
         }
     })
 }
