Ready unless a peer would serve better; opinions about the leader, pure

Cause: nodes started again during an outage of the state service said 503 on /ready for all of it. The load balancer gave all of them up and came back after a pause that doubles: users found no node. Change: a node is ready unless a fresh peer has the state service while it has not, or it leads and is behind.

--- a/crates/pebblefold/src/core/mod.rs
+++ b/crates/pebblefold/src/core/mod.rs
@@ -17,6 +17,7 @@
 pub mod preempt;
 pub mod presence;
 pub mod rental;
+pub mod suspicion;
 pub mod tables;
 pub mod teams;
 mod telling;
--- a/crates/pebblefold/src/core/node.rs
+++ b/crates/pebblefold/src/core/node.rs
@@ -338,6 +338,36 @@
     use crate::testing;
     use crate::wire::peers::Greeting;
 
+    // Nodes that were started again during an outage said for all of it that they
+    // were not ready, and were left out for seconds to a minute after its end.
+    #[test]
+    fn a_node_is_ready_unless_a_peer_would_serve_better() {
+        let settings = testing::settings(0);
+        let policy = Policy::from_script(DEFAULT_SCRIPT, &settings).unwrap();
+        let mut node = Node::new(settings, policy, 1);
+        assert!(node.is_ready(), "nobody else is known");
+        let peer = |state_ok| Greeting {
+            label: "node-1".into(),
+            token: Token(0),
+            leads: false,
+            state_ok,
+            counts: Vec::new(),
+            caches: Vec::new(),
+        };
+        node.heard(peer(false));
+        assert!(node.is_ready(), "the outage is everybody's");
+        node.heard(peer(true));
+        assert!(!node.is_ready(), "a peer has the state service");
+        node.election.contact = Some(Time(0));
+        assert!(node.is_ready());
+        node.pulse.strained = true;
+        assert!(node.is_ready(), "a follower stays");
+        node.leader = Some(testing::leader());
+        assert!(!node.is_ready(), "a leader that is behind does not");
+        node.heard(peer(false));
+        assert!(node.is_ready(), "unless nobody is better");
+    }
+
     // While one peer was down everything was told from the beginning again
     // every second, and the others never heard of more than the first machines.
     #[test]
--- a/crates/pebblefold/src/core/node/peers.rs
+++ b/crates/pebblefold/src/core/node/peers.rs
@@ -22,10 +22,11 @@
             .is_some_and(|t| now.since(t) < STATE_FRESH)
     }
 
-    /// Ready while the state service answers, or while it answers no node
-    /// that can be asked: an outage that all share must not take every node
-    /// out of service. A leader with more to do than it can leaves users to the
-    /// others, who have less.
+    /// Ready unless a peer would serve better: one that has the state service
+    /// while this node has not, or has time while this one, leading, has more to
+    /// do than it can. An outage that all share takes nobody out of service, nor
+    /// does a start in the middle of one: a load balancer that has once given all
+    /// nodes up comes back to them late, and a refusal costs users less.
     pub(super) fn is_ready(&self) -> bool {
         let now = self.io.now.time;
         let better = self
@@ -33,8 +34,7 @@
             .values()
             .any(|p| p.state_ok && now.since(p.heard) < PEER_FRESH);
         let busy = self.leader.is_some() && self.pulse.strained;
-        let fit = self.state_ok() && !busy;
-        fit || (self.election.contact.is_some() && !better)
+        (self.state_ok() && !busy) || !better
     }
 
     pub(super) fn greeting(&self, counts: Vec<(JobId, u32, u32)>) -> Greeting {
--- /dev/null
+++ b/crates/pebblefold/src/core/suspicion/accrual.rs
@@ -0,0 +1,121 @@
+//! How unlikely a silence is, by the spread of the intervals before it.
+
+use crate::types::{Span, Time};
+
+/// An old interval counts this much less with each one after it.
+const FORGETS: f64 = 0.1;
+/// No spread is taken to be smaller: what is regular for a while need not stay so.
+const LEAST_SPREAD_S: f64 = 0.07;
+/// Intervals that must have been seen before a silence says anything.
+const LEAST_SEEN: u32 = 4;
+/// The largest value given; beyond it numbers mean nothing.
+const MOST: f64 = 30.0;
+
+/// The accrual of suspicion about one source of signs of life.
+#[derive(Clone, Debug, Default)]
+pub struct Accrual {
+    last: Option<Time>,
+    mean: f64,
+    variance: f64,
+    seen: u32,
+}
+
+impl Accrual {
+    /// A sign of life.
+    pub fn heard(&mut self, now: Time) {
+        if let Some(last) = self.last.replace(now) {
+            let interval = now.since(last).as_secs();
+            if self.seen == 0 {
+                self.mean = interval;
+            }
+            self.seen += 1;
+            let off = interval - self.mean;
+            self.mean += FORGETS * off;
+            self.variance = (1.0 - FORGETS) * (self.variance + FORGETS * off * off);
+        }
+    }
+
+    /// A time in which nothing could be heard, whatever was said: it must not
+    /// count as silence, nor as an interval.
+    pub fn excuse(&mut self, now: Time) {
+        if self.last.is_some() {
+            self.last = Some(now);
+        }
+    }
+
+    /// How long nothing was heard.
+    pub fn silence(&self, now: Time) -> Option<Span> {
+        self.last.map(|t| now.since(t))
+    }
+
+    /// Minus the decimal logarithm of the chance that a source that is well is
+    /// silent for so long; 0 while too little was heard. (Hayashibara and others,
+    /// "The phi accrual failure detector", with the logistic approximation of the
+    /// normal distribution.)
+    pub fn phi(&self, now: Time) -> f64 {
+        let Some(silence) = self.silence(now).filter(|_| self.seen >= LEAST_SEEN) else {
+            return 0.0;
+        };
+        let spread = self.variance.sqrt().max(LEAST_SPREAD_S);
+        let y = (silence.as_secs() - self.mean) / spread;
+        let e = (-y * (1.5976 + 0.070566 * y * y)).exp();
+        let later = if y > 0.0 {
+            e / (1.0 + e)
+        } else {
+            1.0 - 1.0 / (1.0 + e)
+        };
+        (-later.log10()).clamp(0.0, MOST)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn after(intervals: impl IntoIterator<Item = f64>) -> (Accrual, f64) {
+        let (mut a, mut t) = (Accrual::default(), 1.0);
+        a.heard(Time(0) + Span::secs(t));
+        for i in intervals {
+            t += i;
+            a.heard(Time(0) + Span::secs(t));
+        }
+        (a, t)
+    }
+
+    fn phi(a: &Accrual, t: f64) -> f64 {
+        a.phi(Time(0) + Span::secs(t))
+    }
+
+    // One time-out for all would be too long where signs come regularly, and
+    // too short where they do not.
+    #[test]
+    fn suspicion_grows_by_what_was_usual() {
+        let (regular, t) = after([0.25; 40]);
+        assert!(phi(&regular, t + 0.3) < 1.0);
+        assert!(phi(&regular, t + 0.7) > 8.0);
+        let (ragged, t) = after((0..40).map(|i| if i % 5 == 0 { 1.4 } else { 0.25 }));
+        assert!(phi(&ragged, t + 1.5) < 8.0);
+        assert!(phi(&ragged, t + 6.0) > 8.0);
+    }
+
+    #[test]
+    fn nothing_is_said_of_what_was_hardly_heard_or_could_not_be() {
+        let (young, t) = after([0.25, 0.25]);
+        assert_eq!(phi(&young, t + 60.0), 0.0);
+        let (mut a, t) = after([0.25; 40]);
+        a.excuse(Time(0) + Span::secs(t + 60.0));
+        assert!(phi(&a, t + 60.3) < 1.0);
+    }
+
+    // However long the silence was, and however odd the intervals.
+    #[test]
+    fn it_is_always_a_number() {
+        let (mut a, t) = after([0.0, 0.0, 1e6, 0.0, 0.25, 3e5]);
+        for later in [0.0, 1e-6, 1.0, 1e9] {
+            let p = phi(&a, t + later);
+            assert!((0.0..=MOST).contains(&p), "{p}");
+        }
+        a.heard(Time(0));
+        assert!(phi(&a, 0.0).is_finite());
+    }
+}
--- /dev/null
+++ b/crates/pebblefold/src/core/suspicion/judge.rs
@@ -0,0 +1,502 @@
+//! What a node holds of the leader, and when that is enough to replace it.
+//!
+//! The leader's beats are the signs of life; each says how long ago the state
+//! service last answered it. A doubt is looked into before it is acted on: the
+//! leader is asked directly, the other nodes for their opinion, the state service
+//! for the key. A verdict is only ever a commit on the key's version, so nothing
+//! here has to be right for the rules to hold; it has to be right for nobody to
+//! be replaced in vain.
+
+use super::accrual::Accrual;
+use crate::types::{Label, Span, Time, Token};
+use crate::wire::peers::Beat;
+use std::collections::BTreeSet;
+
+/// Beats come this often.
+pub const BEAT_EVERY: Span = Span::millis(250);
+/// How long what is looked into may take.
+pub const LOOKED_INTO: Span = Span::millis(400);
+
+/// Silence that one in so many powers of ten would be chance is a doubt.
+const DOUBT: f64 = 8.0;
+/// And what an asked node agrees to: it may have heard a beat a moment later.
+const AGREES: f64 = 5.0;
+/// However regular the beats are, less than this is none.
+const LEAST_SILENCE: Span = Span::millis(500);
+/// A leader that the state service has not answered for so long may have lost it:
+/// its renewals go out twice as often.
+const STATE_SILENCE: Span = Span::millis(1150);
+/// A judge whose own ticks came later than this was itself not there.
+const LATE: Span = Span::millis(300);
+/// And for so long after that it says nothing.
+const SETTLES: Span = Span::millis(1000);
+/// Time between two looks into the same doubt.
+const LOOK_AGAIN: Span = Span::millis(200);
+/// A later successor leaves so much time to each earlier one.
+const RANK: Span = Span::millis(150);
+/// Pause after a verdict; it doubles with each one.
+const PAUSE: Span = Span::millis(5_000);
+const LONGEST_PAUSE: Span = Span::millis(160_000);
+/// After so long without a verdict the pauses begin anew.
+const FORGIVES: Span = Span::millis(600_000);
+/// After a direct answer or a refused connection nothing is held for so long.
+const EXCUSED: Span = Span::millis(1000);
+
+/// What is doubted of the leader.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Doubt {
+    /// Nothing is heard of it.
+    Silent,
+    /// The state service does not answer it.
+    NoState,
+}
+
+/// What came of asking the leader directly.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Probe {
+    /// It answered.
+    Answered,
+    /// The connection was refused, which says nothing.
+    Refused,
+    /// No answer in time.
+    Silent,
+}
+
+/// What is to be done.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// Nothing.
+    None,
+    /// Ask the leader, the others and the state service.
+    LookInto(Doubt),
+    /// Replace the holder of this token.
+    Depose(Token, Doubt),
+}
+
+/// A doubt that is being looked into.
+#[derive(Clone, Debug)]
+struct Case {
+    doubt: Doubt,
+    looked: Time,
+    /// Whether the leader was asked and did not answer.
+    silent: bool,
+    /// Whether the state service answered this node since.
+    state: bool,
+    agree: BTreeSet<Label>,
+    /// Since when all is there that a verdict takes.
+    ripe: Option<Time>,
+}
+
+/// What a node holds of the leader.
+#[derive(Clone, Debug)]
+pub struct Judge {
+    /// Nodes that agree for a verdict, this one among them.
+    quorum: usize,
+    subject: Option<(Label, Token)>,
+    alive: Accrual,
+    /// As the last beat said: how long the state service had not answered, and
+    /// how late the leader's own work was.
+    state_age: Span,
+    late: Span,
+    beat: Time,
+    ticked: Option<Time>,
+    steady_since: Time,
+    case: Option<Case>,
+    pause: Span,
+    not_before: Time,
+    judged: Option<Time>,
+    /// Verdicts come to, and doubts that were refuted.
+    pub verdicts: u64,
+    /// Doubts that came to nothing.
+    pub refuted: u64,
+}
+
+impl Judge {
+    /// A judge among so many nodes. With two there is nobody to agree with, and
+    /// only the leader's lease decides.
+    pub fn new(nodes: usize) -> Judge {
+        let others = nodes.saturating_sub(1);
+        Judge {
+            quorum: (others / 2 + 1).max(2),
+            subject: None,
+            alive: Accrual::default(),
+            state_age: Span::ZERO,
+            late: Span::ZERO,
+            beat: Time(0),
+            ticked: None,
+            steady_since: Time(0),
+            case: None,
+            pause: PAUSE,
+            not_before: Time(0),
+            judged: None,
+            verdicts: 0,
+            refuted: 0,
+        }
+    }
+
+    /// Who leads, as far as known; nobody while this node does.
+    pub fn follow(&mut self, leader: Option<&(Label, Token)>) {
+        if self.subject.as_ref() != leader {
+            self.subject = leader.cloned();
+            self.alive = Accrual::default();
+            (self.state_age, self.late) = (Span::ZERO, Span::ZERO);
+            self.case = None;
+        }
+    }
+
+    /// This node's own time goes on. One that was not there heard nothing, and
+    /// what waits for it unread may be what it misses: it doubts nobody until it
+    /// has caught up.
+    pub fn tick(&mut self, now: Time) {
+        let gap = self.ticked.map_or(Span::ZERO, |t| now.since(t));
+        self.ticked = Some(now);
+        if gap > LATE {
+            self.steady_since = now;
+            self.alive.excuse(now);
+            (self.beat, self.case) = (now, None);
+        }
+        if self.judged.is_some_and(|t| now.since(t) > FORGIVES) {
+            self.pause = PAUSE;
+        }
+    }
+
+    /// A beat of the leader.
+    pub fn heard(&mut self, now: Time, beat: &Beat) {
+        let of = |(label, token): &(Label, Token)| *label == beat.label && *token == beat.token;
+        if !self.subject.as_ref().is_some_and(of) {
+            return;
+        }
+        self.alive.heard(now);
+        self.beat = now;
+        self.state_age = Span::millis(beat.state_ms);
+        self.late = Span::millis(beat.late_ms);
+        if self.case.as_ref().is_some_and(|c| c.doubt == Doubt::Silent) {
+            self.refute();
+        }
+    }
+
+    fn refute(&mut self) {
+        self.case = None;
+        self.refuted += 1;
+    }
+
+    fn is_steady(&self, now: Time) -> bool {
+        now.since(self.steady_since) >= SETTLES && self.ticked.is_some()
+    }
+
+    fn doubt(&self, now: Time, phi: f64) -> Option<Doubt> {
+        let silence = self.alive.silence(now)?;
+        if silence >= LEAST_SILENCE && self.alive.phi(now) >= phi {
+            return Some(Doubt::Silent);
+        }
+        // Its word is as old as its last beat.
+        let age = self.state_age + now.since(self.beat);
+        let said = self.state_age >= STATE_SILENCE;
+        (said && age >= STATE_SILENCE).then_some(Doubt::NoState)
+    }
+
+    /// This node's word for another that doubts the holder of a token. `state`:
+    /// the state service has lately answered it.
+    pub fn agrees(&self, now: Time, token: Token, doubt: Doubt, state: bool) -> bool {
+        let same = self.subject.as_ref().is_some_and(|(_, t)| *t == token);
+        let own = self.doubt(now, AGREES);
+        let holds = match doubt {
+            Doubt::Silent => own == Some(Doubt::Silent),
+            Doubt::NoState => own.is_some() && state,
+        };
+        same && self.is_steady(now) && holds
+    }
+
+    /// What is to be done now; `rank`: how many of the nodes fit to succeed come
+    /// before this one.
+    pub fn step(&mut self, now: Time, rank: u32) -> Step {
+        let Some((_, token)) = &self.subject else {
+            return Step::None;
+        };
+        let token = *token;
+        if !self.is_steady(now) || now < self.not_before {
+            return Step::None;
+        }
+        let Some(doubt) = self.doubt(now, DOUBT) else {
+            if self.case.is_some() {
+                self.refute();
+            }
+            return Step::None;
+        };
+        if let Some(c) = self.case.as_mut().filter(|c| c.doubt == doubt) {
+            let seen = doubt == Doubt::NoState || c.silent;
+            if seen && c.state && c.agree.len() + 1 >= self.quorum {
+                let ripe = *c.ripe.get_or_insert(now);
+                if now.since(ripe) >= Span(RANK.0 * u64::from(rank)) {
+                    self.convict(now);
+                    return Step::Depose(token, doubt);
+                }
+            }
+            if now.since(c.looked) < LOOK_AGAIN {
+                return Step::None;
+            }
+            c.looked = now;
+        } else {
+            self.case = Some(Case {
+                doubt,
+                looked: now,
+                silent: false,
+                state: false,
+                agree: BTreeSet::new(),
+                ripe: None,
+            });
+        }
+        Step::LookInto(doubt)
+    }
+
+    fn convict(&mut self, now: Time) {
+        self.case = None;
+        self.verdicts += 1;
+        self.judged = Some(now);
+        self.not_before = now + self.pause;
+        self.pause = Span(self.pause.0 * 2).min(LONGEST_PAUSE);
+    }
+
+    /// The leader was asked directly.
+    pub fn probed(&mut self, now: Time, token: Token, probe: Probe) {
+        if self.subject.as_ref().is_none_or(|(_, t)| *t != token) {
+            return;
+        }
+        let Some(case) = &mut self.case else { return };
+        match probe {
+            Probe::Silent => case.silent = true,
+            // Only its beats are lost, or nobody can tell.
+            Probe::Answered | Probe::Refused if case.doubt == Doubt::Silent => {
+                self.alive.excuse(now);
+                self.not_before = self.not_before.max(now + EXCUSED);
+                self.refute();
+            }
+            Probe::Answered | Probe::Refused => {}
+        }
+    }
+
+    /// Another node said what it holds.
+    pub fn told(&mut self, label: Label, token: Token, agrees: bool) {
+        let same = self.subject.as_ref().is_some_and(|(_, t)| *t == token);
+        if let Some(case) = self.case.as_mut().filter(|_| same) {
+            if agrees {
+                case.agree.insert(label);
+            } else {
+                case.agree.remove(&label);
+                case.ripe = None;
+            }
+        }
+    }
+
+    /// The state service answered what was asked while a doubt was looked into.
+    pub fn reached_state(&mut self) {
+        if let Some(case) = &mut self.case {
+            case.state = true;
+        }
+    }
+
+    /// What it holds, for operators.
+    pub fn inspect(&self, now: Time) -> serde_json::Value {
+        serde_json::json!({
+            "of": self.subject.as_ref().map(|(label, _)| label),
+            "silent_s": self.alive.silence(now).map(Span::as_secs),
+            "suspicion": self.alive.phi(now),
+            "its_state_s_ago": self.state_age.as_secs(), "its_work_late_s": self.late.as_secs(),
+            "doubt": self.case.as_ref().map(|c| format!("{:?}", c.doubt)),
+            "agree": self.case.as_ref().map_or(0, |c| c.agree.len() + 1), "needed": self.quorum,
+            "verdicts": self.verdicts, "refuted": self.refuted,
+            "none_for_s": self.not_before.since(now).as_secs(),
+        })
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const TOKEN: Token = Token(7);
+
+    fn at(secs: f64) -> Time {
+        Time(0) + Span::secs(secs)
+    }
+
+    fn beat(state_ms: u64) -> Beat {
+        Beat {
+            label: "a".into(),
+            token: TOKEN,
+            state_ms,
+            late_ms: 0,
+        }
+    }
+
+    /// A judge among five that has heard beats for ten seconds.
+    fn judge() -> Judge {
+        let mut j = Judge::new(5);
+        j.follow(Some(&("a".into(), TOKEN)));
+        for n in 0..200 {
+            let now = at(f64::from(n) * 0.05);
+            j.tick(now);
+            if n % 5 == 0 {
+                j.heard(now, &beat(200));
+            }
+            assert_eq!(j.step(now, 0), Step::None);
+        }
+        j
+    }
+
+    /// Ticks on without beats until there is something to do.
+    fn until_step(j: &mut Judge, from: f64, to: f64, rank: u32) -> Option<(f64, Step)> {
+        let mut t = from;
+        while t < to {
+            t += 0.05;
+            j.tick(at(t));
+            let step = j.step(at(t), rank);
+            if step != Step::None {
+                return Some((t, step));
+            }
+        }
+        None
+    }
+
+    #[test]
+    fn a_silent_leader_is_replaced_once_it_was_asked_and_others_agree() {
+        let mut j = judge();
+        let (t, step) = until_step(&mut j, 9.95, 12.0, 0).unwrap();
+        assert_eq!(step, Step::LookInto(Doubt::Silent));
+        assert!(t < 10.65, "{t}");
+        j.reached_state();
+        j.told("b".into(), TOKEN, true);
+        j.probed(at(t), TOKEN, Probe::Silent);
+        // Two of four are no majority.
+        let (t, step) = until_step(&mut j, t, 12.0, 0).unwrap();
+        assert_eq!(step, Step::LookInto(Doubt::Silent));
+        j.told("c".into(), TOKEN, true);
+        let mut other = j.clone();
+        let (t, step) = until_step(&mut j, t, 12.0, 0).unwrap();
+        assert_eq!(step, Step::Depose(TOKEN, Doubt::Silent));
+        assert!(t < 11.2, "{t}");
+        // One that comes later in rank leaves it to the first.
+        let (later, _) = until_step(&mut other, t, 12.0, 2).unwrap();
+        assert!(later > t + 0.1);
+    }
+
+    // Each of these once is enough against a verdict.
+    #[test]
+    fn a_doubt_can_be_refuted() {
+        let ripe = || {
+            let mut j = judge();
+            let (t, _) = until_step(&mut j, 9.95, 12.0, 0).unwrap();
+            j.reached_state();
+            for l in ["b", "c", "d"] {
+                j.told(l.into(), TOKEN, true);
+            }
+            j.probed(at(t), TOKEN, Probe::Silent);
+            (j, t)
+        };
+        let deposes = |mut j: Judge, t: f64| {
+            matches!(
+                until_step(&mut j, t, t + 0.15, 0),
+                Some((_, Step::Depose(..)))
+            )
+        };
+        let (j, t) = ripe();
+        assert!(deposes(j, t));
+        let (mut j, t) = ripe();
+        j.heard(at(t), &beat(0));
+        assert!(!deposes(j, t), "a beat came after all");
+        for probe in [Probe::Answered, Probe::Refused] {
+            let (mut j, t) = ripe();
+            j.probed(at(t), TOKEN, probe);
+            assert!(!deposes(j, t), "{probe:?}");
+        }
+        let (mut j, t) = ripe();
+        for l in ["c", "d"] {
+            j.told(l.into(), TOKEN, false);
+        }
+        assert!(!deposes(j, t), "others hear it");
+        let (mut j, t) = ripe();
+        j.follow(Some(&("b".into(), Token(9))));
+        assert!(!deposes(j, t), "another leads by now");
+    }
+
+    // A judge that was frozen, or is behind, misses what waits for it unread.
+    #[test]
+    fn who_was_not_there_doubts_nobody() {
+        let mut j = judge();
+        j.tick(at(70.0));
+        assert_eq!(j.step(at(70.0), 0), Step::None);
+        assert!(!j.agrees(at(70.0), TOKEN, Doubt::Silent, true));
+        let (t, _) = until_step(&mut j, 70.0, 75.0, 0).unwrap();
+        assert!(t > 71.0, "{t}");
+    }
+
+    #[test]
+    fn a_leader_without_the_state_service_is_replaced_by_one_that_has_it() {
+        let mut j = judge();
+        let mut t = 10.0;
+        let mut deposed = None;
+        for n in 0..60 {
+            t += 0.05;
+            j.tick(at(t));
+            if n % 5 == 0 {
+                j.heard(at(t), &beat(50 * n));
+            }
+            match j.step(at(t), 0) {
+                Step::LookInto(doubt) => {
+                    assert_eq!(doubt, Doubt::NoState);
+                    j.probed(at(t), TOKEN, Probe::Answered);
+                    for l in ["b", "c"] {
+                        j.told(l.into(), TOKEN, true);
+                    }
+                    // In an outage nobody is answered, and nothing follows.
+                    if n > 40 {
+                        j.reached_state();
+                    }
+                }
+                Step::Depose(..) => {
+                    deposed = Some(n);
+                    break;
+                }
+                Step::None => {}
+            }
+        }
+        assert!(deposed.is_some_and(|n| n > 40), "{deposed:?}");
+    }
+
+    // Two that suspect one another in turn must not pass the key to and fro.
+    #[test]
+    fn verdicts_get_rarer() {
+        let mut j = judge();
+        let mut verdicts = Vec::new();
+        let mut t = 10.0;
+        while t < 200.0 {
+            t += 0.05;
+            j.tick(at(t));
+            match j.step(at(t), 0) {
+                Step::LookInto(_) => {
+                    j.reached_state();
+                    j.probed(at(t), TOKEN, Probe::Silent);
+                    for l in ["b", "c"] {
+                        j.told(l.into(), TOKEN, true);
+                    }
+                }
+                Step::Depose(..) => verdicts.push(t),
+                Step::None => {}
+            }
+        }
+        let gaps: Vec<f64> = verdicts.windows(2).map(|w| w[1] - w[0]).collect();
+        assert!(gaps.windows(2).all(|g| g[1] > 1.7 * g[0]), "{gaps:?}");
+        assert!((4..8).contains(&verdicts.len()), "{verdicts:?}");
+    }
+
+    #[test]
+    fn two_nodes_have_the_lease_alone() {
+        let mut j = judge();
+        j.quorum = Judge::new(2).quorum;
+        let (t, _) = until_step(&mut j, 9.95, 12.0, 0).unwrap();
+        j.reached_state();
+        j.probed(at(t), TOKEN, Probe::Silent);
+        let depose = |s| matches!(s, Some((_, Step::Depose(..))));
+        assert!(!depose(until_step(&mut j, t, t + 0.15, 0)));
+    }
+}
--- a/crates/wire/src/peers.rs
+++ b/crates/wire/src/peers.rs
@@ -3,6 +3,41 @@
 use crate::types::{Image, JobId, Label, MachineId, Token};
 use serde::{Deserialize, Serialize};
 
+/// A leader's sign of life, sent to each peer a few times a second beside all
+/// that it does.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Beat {
+    /// Who leads.
+    pub label: Label,
+    /// By which token.
+    pub token: Token,
+    /// How long ago, in milliseconds, the state service last answered it.
+    pub state_ms: u64,
+    /// How long ago it last had time for anything else.
+    pub late_ms: u64,
+}
+
+/// A node's question to another: does it doubt the leader too?
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Ask {
+    /// The leader's token.
+    pub token: Token,
+    /// Whether it is the state service that does not answer the leader, rather
+    /// than the leader that is silent.
+    pub no_state: bool,
+}
+
+/// The answer.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Opinion {
+    /// Whose.
+    pub label: Label,
+    /// Of the holder of this token.
+    pub token: Token,
+    /// Whether it does.
+    pub agrees: bool,
+}
+
 /// A node's word about itself, sent to each peer about once a second and
 /// answered in kind.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
