Suspicion before verdict: beats, opinions, a leader replaced by most; hand-over

Cause: a leader that froze or was cut off was noticed only by its lease, after 2.7 s; one whose processor was slow after 18 s, when the lease ran out by itself. Users that were refused kept their connections to the same few nodes. Change: the thread that keeps the lease also sends each peer a beat four times a second, with how long ago the state service answered it and how late its work is. Peers accrue suspicion by the spread of past intervals; a doubt is looked into (the leader asked directly, the others for their opinion, the state service for the key) and, if most agree, the first in rank claims the key on the leader's version. Refused connections excuse; who was itself not there doubts nobody; verdicts pause ever longer. A leader whose processor takes three times what the others' take for a fixed piece of work, and that is behind, hands over to the best of them without a gap. A 503 to a user closes its connection. policy: doubt = 8.0; 0 leaves the lease alone.

--- a/crates/pebblefold/policy.lua
+++ b/crates/pebblefold/policy.lua
@@ -16,6 +16,10 @@
   cycle_s = 0.5,
   -- Life of the leader's lease in the state service.
   leader_lease_s = 3.0,
+  -- Before that time the other nodes replace a leader that is silent or has lost
+  -- the state service, if most of them find its silence so unlikely, in powers
+  -- of ten, by what was usual. 0: only the lease decides.
+  doubt = 8.0,
   -- Fetch estimate for an image while nothing is known yet.
   first_fetch_s = 30.0,
 
--- a/crates/pebblefold/src/core/duty/pulse.rs
+++ b/crates/pebblefold/src/core/duty/pulse.rs
@@ -1,6 +1,9 @@
 //! Whether the holder still does what it holds. One that renews its lease and
 //! has no processor time left does nothing in time; it hands its duties over
-//! by itself, once, and is the more patient the next time.
+//! by itself, and is the more patient the next time. Where it is the processor
+//! that is slow, not the work that is much, others would do better: then it does
+//! so within seconds. Where there is too much to do, each successor would have
+//! as much, so it takes half a minute of that, and longer each time.
 
 use crate::types::{Span, Time};
 
@@ -12,6 +15,10 @@
 const FIRST: Span = Span::millis(30_000);
 /// The longest such time.
 const LONGEST: Span = Span::millis(960_000);
+/// Least time in office before a slow processor is reason enough, the first time.
+const FIRST_SLOW: Span = Span::millis(3_000);
+/// A processor that takes so many times what the others' take is slow.
+const SLOW: u64 = 3;
 
 /// How soon strain is forgotten, and from which on it counts, and no more does.
 const FORGETS_S: f64 = 5.0;
@@ -28,7 +35,12 @@
     /// The share of the last whole window that was.
     pub share: f64,
     patience: Span,
+    patience_slow: Span,
     since: Option<Time>,
+    /// What a fixed piece of work takes here, in microseconds; 0: not known.
+    pub effort_us: u64,
+    /// Whether that is much more than it takes elsewhere.
+    pub slow: bool,
     /// Seconds spent in late ticks, the older ones forgotten by and by.
     strain: f64,
     /// Whether there has lately been more to do than could be done.
@@ -43,7 +55,10 @@
             late: Span::ZERO,
             share: 0.0,
             patience: FIRST,
+            patience_slow: FIRST_SLOW,
             since: None,
+            effort_us: 0,
+            slow: false,
             strain: 0.0,
             strained: false,
         }
@@ -62,6 +77,14 @@
         self.strained = self.strain > most;
     }
 
+    /// What the fixed piece of work takes on the other nodes, where they said so.
+    pub fn compare(&mut self, others: impl Iterator<Item = u64>) {
+        let mut known: Vec<u64> = others.filter(|us| *us > 0).collect();
+        known.sort_unstable();
+        let usual = known.get(known.len() / 2).copied();
+        self.slow = usual.is_some_and(|us| self.effort_us > us.saturating_mul(SLOW));
+    }
+
     /// A tick; `holds`: this node holds duties. Whether it is to hand them over.
     pub fn beat(&mut self, now: Time, holds: bool) -> bool {
         let gap = self.last.map_or(Span::ZERO, |t| now.since(t));
@@ -80,6 +103,11 @@
         if gap > LATE {
             self.late = self.late + gap;
         }
+        if holds && self.slow && self.strained && now.since(since) >= self.patience_slow {
+            self.patience_slow = Span(self.patience_slow.0 * 4).min(LONGEST);
+            self.since = None;
+            return true;
+        }
         let window = now.since(self.began);
         if window < WINDOW {
             return false;
@@ -144,6 +172,31 @@
         assert!(!beat(60.0, 1));
     }
 
+    // A leader whose processor was six times slower kept office for 18 s, until
+    // its lease ran out by itself. One with much to do must not go as soon.
+    #[test]
+    fn a_slow_processor_is_reason_enough_and_much_work_is_not() {
+        let over = |effort_us: u64| {
+            let mut pulse = Pulse {
+                effort_us,
+                ..Pulse::default()
+            };
+            pulse.compare([60, 0, 50, 45].into_iter());
+            let mut times = (1..2000).map(|n| f64::from(n) * 0.8);
+            times.find(|t| pulse.beat(Time(0) + Span::secs(*t), true))
+        };
+        assert!(over(300).is_some_and(|t| t < 5.0));
+        assert!(over(120).is_some_and(|t| t > 30.0));
+        assert!(over(0).is_some_and(|t| t > 30.0));
+        // Alone it knows no better.
+        let mut pulse = Pulse {
+            effort_us: 10_000,
+            ..Pulse::default()
+        };
+        pulse.compare(std::iter::empty());
+        assert!(!pulse.slow);
+    }
+
     #[test]
     fn one_long_stop_is_no_sign() {
         let mut pulse = Pulse::default();
--- a/crates/pebblefold/src/core/election.rs
+++ b/crates/pebblefold/src/core/election.rs
@@ -16,6 +16,9 @@
 /// How long the lease is kept for a leader that says nothing meanwhile.
 const KEPT_FOR: Span = Span::millis(10_000);
 
+/// Renewals are at most so far apart: they show whether the state service answers.
+const RENEWED: Span = Span::millis(250);
+
 /// How long a node that handed its duties over waits for others to take them.
 const OTHERS_FIRST: Span = Span::millis(3000);
 
@@ -120,6 +123,18 @@
         self.not_before = now + Span::millis(50);
     }
 
+    /// Takes the key from its holder, if it still has this version: the claim
+    /// compares it. What the holder has written by then stands, what it writes
+    /// later fails.
+    pub fn depose(&mut self, version: Version) {
+        if self.standing == Standing::Following(version) {
+            // The watch under way has nothing more to say.
+            self.waits = Waits::default();
+            self.calling = false;
+            self.standing = Standing::Vacant(version);
+        }
+    }
+
     /// Leaves it to others to claim the key first. If nobody does, this node
     /// stands again.
     pub fn let_others_go_first(&mut self, now: Time) {
@@ -201,7 +216,7 @@
     /// Has the leader's lease kept alive for as long as this is called at least
     /// every few seconds: a leader that is behind must not lose office for it,
     /// as the next one would have as much to do; one that does nothing must.
-    pub fn keep(&mut self, io: &mut Io, lease: u64) {
+    pub fn keep(&mut self, io: &mut Io, lease: u64, token: Token) {
         let now = io.now.time;
         if now < self.keep_due {
             return;
@@ -209,8 +224,9 @@
         self.keep_due = now + KEPT_FOR.scaled(0.25);
         io.keep(Keep {
             lease,
-            every: self.ttl.scaled(0.25),
+            every: self.ttl.scaled(0.25).min(RENEWED),
             until: now + KEPT_FOR,
+            token,
         });
     }
 
--- a/crates/pebblefold/src/core/leader.rs
+++ b/crates/pebblefold/src/core/leader.rs
@@ -246,6 +246,12 @@
         self.is_loaded() && now.since(self.contact) < START_CONTACT
     }
 
+    /// Machines that it knows of, and those that have reported under its token.
+    pub fn machines_heard(&self) -> (usize, usize) {
+        let heard = self.machines.values().filter(|m| m.ours_since.is_some());
+        (self.machines.len(), heard.count())
+    }
+
     /// Whether it knows of a machine.
     pub fn knows(&self, machine: &MachineId) -> bool {
         self.machines.contains_key(machine)
--- a/crates/pebblefold/src/core/mod.rs
+++ b/crates/pebblefold/src/core/mod.rs
@@ -24,7 +24,8 @@
 pub mod weak;
 mod writing;
 
-use crate::types::{Span, Time, Wall};
+use crate::types::{Label, Span, Time, Token, Wall};
+use crate::wire::peers::Beat;
 use std::net::SocketAddrV4;
 
 /// The time an input arrives at, on both clocks.
@@ -64,6 +65,8 @@
     Reply(CallId, Reply),
     /// A lease that was to be kept is over.
     Over(u64),
+    /// A fixed piece of work took so long here.
+    Effort(Span),
 }
 
 /// What became of a call.
@@ -137,6 +140,8 @@
     pub every: Span,
     /// Until when, if nothing else is said.
     pub until: Time,
+    /// The token that hangs on it, which the beats to the peers carry.
+    pub token: Token,
 }
 
 impl Keep {
@@ -145,6 +150,17 @@
         format!("/leases/{}/touch", self.lease)
     }
 
+    /// What tells a peer that the leader is there: how long ago the state service
+    /// last renewed the lease, and how long ago the core had time.
+    pub fn beat(&self, label: &Label, state: Span, late: Span) -> Beat {
+        Beat {
+            label: label.clone(),
+            token: self.token,
+            state_ms: state.as_millis(),
+            late_ms: late.as_millis(),
+        }
+    }
+
     /// How long one may take.
     pub fn timeout(&self) -> Span {
         self.every.scaled(1.6).max(Span::millis(500))
--- a/crates/pebblefold/src/core/node.rs
+++ b/crates/pebblefold/src/core/node.rs
@@ -5,6 +5,7 @@
 mod kinds;
 mod peers;
 mod reports;
+mod verdict;
 
 use super::duty::pulse::Pulse;
 use super::election::{Election, Outcome};
@@ -12,6 +13,7 @@
 use super::io::{Io, Timed, Waits};
 use super::leader::{Fate, Leader};
 use super::ledger;
+use super::suspicion::judge::Judge;
 use super::{CallId, Input, Now, Output, Reply, RequestId, Side, Target};
 use crate::http;
 use crate::policy::Policy;
@@ -39,6 +41,17 @@
         /// The request.
         request: RequestId,
     },
+    /// The leader, asked directly because it is doubted.
+    Probe {
+        /// Its token.
+        token: Token,
+        /// When it was asked.
+        sent: Time,
+    },
+    /// Another node's opinion of it.
+    Opinion,
+    /// The leader's key, while it is doubted.
+    Key,
 }
 
 #[derive(Clone, Debug)]
@@ -47,6 +60,8 @@
     token: Token,
     leads: bool,
     state_ok: bool,
+    strained: bool,
+    effort_us: u64,
 }
 
 /// A worker whose reports are passed on, or lately were.
@@ -81,6 +96,9 @@
     types_calling: bool,
     greet_due: Time,
     pulse: Pulse,
+    judge: Judge,
+    /// Until when a peer that was told to may take this node's place.
+    handing: Option<Time>,
 }
 
 /// Time between greetings.
@@ -120,6 +138,8 @@
             types_calling: false,
             greet_due: Time(0),
             pulse: Pulse::default(),
+            judge: Judge::new(settings.peers.len() + 1, policy.doubt),
+            handing: None,
             policy: Rc::new(policy),
             settings,
         }
@@ -132,6 +152,7 @@
             Input::Tick => self.tick(),
             Input::Request(id, side, request) => self.request(id, side, request),
             Input::Reply(id, reply) => self.reply(id, reply),
+            Input::Effort(took) => self.pulse.effort_us = took.0.max(1),
             Input::Over(lease) => {
                 if self.leader.as_ref().is_some_and(|l| l.lease == lease) {
                     self.end_leadership(Fate::StepDown("the lease ran out"));
@@ -154,6 +175,12 @@
         self.leader.as_ref().map(|l| l.token)
     }
 
+    /// While it leads: machines that it knows of, and those that have reported to
+    /// it under its token.
+    pub fn machines(&self) -> Option<(usize, usize)> {
+        self.leader.as_ref().map(Leader::machines_heard)
+    }
+
     /// Whether it leads and knows of a machine, for rehearsals to count those
     /// that nobody does.
     pub fn knows(&self, machine: &MachineId) -> bool {
@@ -162,17 +189,11 @@
 
     fn tick(&mut self) {
         let now = self.io.now.time;
-        let others = self
-            .peers
-            .values()
-            .any(|p| p.state_ok && now.since(p.heard) < PEER_FRESH);
-        if self.pulse.beat(now, self.leader.is_some()) && others {
-            self.end_leadership(Fate::StepDown("out of processor time"));
-            self.election.let_others_go_first(now);
-        }
+        self.look_at_pace();
+        self.judge_leader();
         self.election.tick(&mut self.io);
         if let Some(leader) = &mut self.leader {
-            self.election.keep(&mut self.io, leader.lease);
+            self.election.keep(&mut self.io, leader.lease, leader.token);
             leader.tick(&mut self.io);
         }
         self.intake.compare(&mut self.io);
@@ -226,6 +247,9 @@
                 self.io.answer_status(id, status);
             }
             (Side::Internal, "POST", ["greet"]) => self.greeted(id, &r.body),
+            (Side::Internal, "POST", ["beat"]) => self.on_beat(id, &r.body),
+            (Side::Internal, "POST", ["opinion"]) => self.asked(id, &r.body),
+            (Side::Internal, "POST", ["take"]) => self.take_over(id, &r.body),
             (Side::Internal, "GET" | "POST", ["cloud", token, ..]) => self.hand(id, token, &r),
             (Side::Internal, "GET", ["inspect"]) => {
                 let body = wire::encode(&self.inspect(&r.query));
@@ -233,9 +257,11 @@
             }
             (Side::Api, _, ["submissions"] | ["submissions", _] | ["submissions", _, "cancel"])
             | (Side::Api, _, ["checkin"] | ["ready"])
-            | (Side::Internal, _, ["greet"] | ["inspect"] | ["checkin"]) => {
-                self.io.answer_status(id, 405)
-            }
+            | (
+                Side::Internal,
+                _,
+                ["greet" | "beat" | "opinion" | "take" | "inspect" | "checkin"],
+            ) => self.io.answer_status(id, 405),
             _ => self.io.answer_status(id, 404),
         }
     }
@@ -265,6 +291,9 @@
                 Some(Awaits::Hand { request }) => return self.on_hand(request, reply),
                 Some(Awaits::Types) => self.on_types(&reply),
                 Some(Awaits::Greet(label)) => self.on_greet(label, &reply),
+                Some(Awaits::Probe { token, sent }) => self.on_probe(token, sent, &reply),
+                Some(Awaits::Opinion) => self.on_opinion(&reply),
+                Some(Awaits::Key) => self.on_key(&reply),
                 None => {}
             }
         }
@@ -291,7 +320,7 @@
                 for (id, (_, images)) in std::mem::take(&mut self.caches) {
                     leader.inherit_cache(now, &id, &images);
                 }
-                self.election.keep(&mut self.io, lease);
+                self.election.keep(&mut self.io, lease, token);
                 leader.tick(&mut self.io);
                 self.leader = Some(leader);
                 self.greet_due = now;
@@ -351,6 +380,8 @@
             token: Token(0),
             leads: false,
             state_ok,
+            strained: false,
+            effort_us: 0,
             counts: Vec::new(),
             caches: Vec::new(),
         };
--- a/crates/pebblefold/src/core/node/inspect.rs
+++ b/crates/pebblefold/src/core/node/inspect.rs
@@ -20,7 +20,7 @@
             .map(|(l, p)| {
                 serde_json::json!({
                     "node": l, "heard_s_ago": now.since(p.heard).as_secs(), "token": p.token,
-                    "leads": p.leads, "state_ok": p.state_ok,
+                    "leads": p.leads, "state_ok": p.state_ok, "strained": p.strained,
                 })
             })
             .collect();
@@ -29,7 +29,9 @@
             "state_ok": self.state_ok(), "leads": self.leads(),
             "standing": format!("{:?}", self.election.standing),
             "leader": self.election.leader.as_ref().map(|(l, _)| l),
-            "late_share": self.pulse.share,
+            "late_share": self.pulse.share, "strained": self.pulse.strained,
+            "effort_us": self.pulse.effort_us, "slow": self.pulse.slow,
+            "leader_seen": self.judge.inspect(now),
             "peers": peers, "times": times,
             "leading": self.leader.as_ref().map(|l| l.inspect(self.io.now, machine, job)),
             "standing_by": matches!(self.election.standing, Standing::Following(_)),
--- a/crates/pebblefold/src/core/node/peers.rs
+++ b/crates/pebblefold/src/core/node/peers.rs
@@ -49,6 +49,8 @@
                 .unwrap_or_default(),
             leads: self.leader.is_some(),
             state_ok: self.state_ok(),
+            strained: self.pulse.strained,
+            effort_us: self.pulse.effort_us,
             counts,
             caches: Vec::new(),
         }
@@ -127,6 +129,8 @@
                 token: g.token,
                 leads: g.leads,
                 state_ok: g.state_ok,
+                strained: g.strained,
+                effort_us: g.effort_us,
             },
         );
         if self.leader.as_ref().is_some_and(|l| g.token > l.token) {
--- /dev/null
+++ b/crates/pebblefold/src/core/node/verdict.rs
@@ -0,0 +1,184 @@
+//! Doubting the leader with the others, and replacing it.
+
+use super::{Awaits, Node, PEER_FRESH};
+use crate::core::leader::Fate;
+use crate::core::ledger;
+use crate::core::suspicion::judge::{Doubt, LOOKED_INTO, Probe, Step};
+use crate::core::{Reply, RequestId, Target};
+use crate::types::{Label, Span, Time, Token, Version};
+use crate::wire;
+use crate::wire::peers::{Ask, Beat, Opinion, Take};
+
+/// Contact with the state service that is good enough to say that it answers: a
+/// follower's watch is held for two seconds.
+const STATE_LATELY: Span = Span::millis(2600);
+
+/// How long a successor has to take the key that is handed to it.
+const HANDED_OVER: Span = Span::millis(3000);
+
+impl Node {
+    /// Looks into what is held of the leader, and acts on it.
+    pub(super) fn judge_leader(&mut self) {
+        let now = self.io.now.time;
+        let leader = self.election.leader.as_ref();
+        let other = leader.filter(|(l, _)| self.leader.is_none() && *l != self.settings.label);
+        self.judge.follow(other);
+        self.judge.tick(now);
+        let Some((leader, token)) = other.cloned() else {
+            return;
+        };
+        match self.judge.step(now, self.rank(&leader)) {
+            Step::None => {}
+            Step::LookInto(doubt) => self.look_into(&leader, token, doubt),
+            Step::Depose(token, doubt) => {
+                tracing::info!(leader = %leader, %token, ?doubt, "doubted by most; to be replaced");
+                self.election.depose(Version(token.0));
+            }
+        }
+    }
+
+    /// The nodes fit to lead but for one, best first: those short of time come
+    /// last, and the rest in the order of their names, so that all agree.
+    fn fit<'a>(&'a self, but: &Label) -> Vec<(bool, &'a Label)> {
+        let now = self.io.now.time;
+        let peers = self.peers.iter();
+        let fit = peers
+            .filter(|(label, p)| *label != but && p.state_ok && now.since(p.heard) < PEER_FRESH);
+        let mut fit: Vec<_> = fit.map(|(label, p)| (p.strained, label)).collect();
+        fit.sort();
+        fit
+    }
+
+    /// How many nodes would be better successors.
+    fn rank(&self, leader: &Label) -> u32 {
+        let ours = (self.pulse.strained, &self.settings.label);
+        let better = self.fit(leader).into_iter().filter(|p| *p < ours);
+        better.count() as u32
+    }
+
+    /// Whether this node, leading, keeps pace; if not, the best of the others is
+    /// told to take the key from it. Until that is done this one goes on, so that
+    /// there is no gap; if nobody does it, it gives the key up.
+    pub(super) fn look_at_pace(&mut self) {
+        let now = self.io.now.time;
+        let peers = self.peers.values();
+        let heard = peers.filter(|p| now.since(p.heard) < PEER_FRESH);
+        self.pulse.compare(heard.map(|p| p.effort_us));
+        let over = self.pulse.beat(now, self.leader.is_some());
+        let Some(token) = self.token() else {
+            self.handing = None;
+            return;
+        };
+        if self.handing.is_some_and(|until| now >= until) {
+            self.handing = None;
+            self.end_leadership(Fate::StepDown("out of processor time"));
+            return self.election.let_others_go_first(now);
+        }
+        let best = self.fit(&self.settings.label).first().map(|(_, l)| *l);
+        let to = best.and_then(|l| self.settings.peers.iter().find(|p| p.label == *l));
+        if let Some(peer) = to.filter(|_| over) {
+            tracing::info!(%token, to = %peer.label, slow = self.pulse.slow, "out of processor time, hands over");
+            let (target, body) = (Target::Host(peer.addr), wire::encode(&Take { token }));
+            self.io
+                .call(target, "POST", "/take".into(), body, HANDED_OVER);
+            self.handing = Some(now + HANDED_OVER);
+        }
+    }
+
+    /// The leader hands over to this node.
+    pub(super) fn take_over(&mut self, id: RequestId, body: &[u8]) {
+        let Some(Take { token }) = wire::decode(body) else {
+            return self.io.answer_status(id, 400);
+        };
+        self.election.depose(Version(token.0));
+        self.election.tick(&mut self.io);
+        self.io.answer_status(id, 200);
+    }
+
+    fn look_into(&mut self, leader: &Label, token: Token, doubt: Doubt) {
+        tracing::debug!(leader = %leader, ?doubt, "looked into");
+        let greeting = wire::encode(&self.greeting(Vec::new()));
+        let no_state = doubt == Doubt::NoState;
+        let ask = wire::encode(&Ask { token, no_state });
+        let sent = self.io.now.time;
+        for p in &self.settings.peers {
+            let (path, body, what) = if p.label == *leader {
+                let what = Awaits::Probe { token, sent };
+                ("/greet", greeting.clone(), what)
+            } else {
+                ("/opinion", ask.clone(), Awaits::Opinion)
+            };
+            let target = Target::Host(p.addr);
+            let id = self.io.call(target, "POST", path.into(), body, LOOKED_INTO);
+            self.waits.add(id, what);
+        }
+        let path = format!("/keys/{}", ledger::LEADER);
+        let call = self
+            .io
+            .call(Target::State, "GET", path, Vec::new(), LOOKED_INTO);
+        self.waits.add(call, Awaits::Key);
+    }
+
+    pub(super) fn on_beat(&mut self, id: RequestId, body: &[u8]) {
+        let Some(beat) = wire::decode::<Beat>(body) else {
+            return self.io.answer_status(id, 400);
+        };
+        self.judge.heard(self.io.now.time, &beat);
+        self.io.answer_status(id, 200);
+    }
+
+    /// Another node doubts the leader.
+    pub(super) fn asked(&mut self, id: RequestId, body: &[u8]) {
+        let Some(ask) = wire::decode::<Ask>(body) else {
+            return self.io.answer_status(id, 400);
+        };
+        let now = self.io.now.time;
+        let contact = self.election.contact;
+        let state = contact.is_some_and(|t| now.since(t) < STATE_LATELY);
+        let doubt = match ask.no_state {
+            true => Doubt::NoState,
+            false => Doubt::Silent,
+        };
+        let opinion = Opinion {
+            label: self.settings.label.clone(),
+            token: ask.token,
+            agrees: self.judge.agrees(now, ask.token, doubt, state),
+        };
+        self.io.answer_body(id, wire::encode(&opinion));
+    }
+
+    /// The leader was asked directly. A connection that is refused fails at once,
+    /// one that is not accepted takes all the time there is.
+    pub(super) fn on_probe(&mut self, token: Token, sent: Time, reply: &Reply) {
+        let now = self.io.now.time;
+        let probe = match reply {
+            Reply::Answer(200, body) => {
+                if let Some(g) = wire::decode(body) {
+                    self.heard(g);
+                }
+                Probe::Answered
+            }
+            Reply::Answer(..) => Probe::Answered,
+            Reply::NotSent | Reply::Lost if now.since(sent) >= LOOKED_INTO.scaled(0.9) => {
+                Probe::Silent
+            }
+            Reply::NotSent | Reply::Lost => Probe::Refused,
+        };
+        self.judge.probed(now, token, probe);
+    }
+
+    pub(super) fn on_opinion(&mut self, reply: &Reply) {
+        if let Reply::Answer(200, body) = reply
+            && let Some(o) = wire::decode::<Opinion>(body)
+            && self.settings.peers.iter().any(|p| p.label == o.label)
+        {
+            self.judge.told(o.label, o.token, o.agrees);
+        }
+    }
+
+    pub(super) fn on_key(&mut self, reply: &Reply) {
+        if matches!(reply, Reply::Answer(200 | 404, _)) {
+            self.judge.reached_state();
+        }
+    }
+}
--- a/crates/pebblefold/src/core/suspicion/judge.rs
+++ b/crates/pebblefold/src/core/suspicion/judge.rs
@@ -17,15 +17,14 @@
 /// How long what is looked into may take.
 pub const LOOKED_INTO: Span = Span::millis(400);
 
-/// Silence that one in so many powers of ten would be chance is a doubt.
-const DOUBT: f64 = 8.0;
-/// And what an asked node agrees to: it may have heard a beat a moment later.
-const AGREES: f64 = 5.0;
+/// What an asked node agrees to, of what it takes to doubt: it may have heard a
+/// beat a moment later.
+const AGREES: f64 = 0.6;
 /// However regular the beats are, less than this is none.
 const LEAST_SILENCE: Span = Span::millis(500);
 /// A leader that the state service has not answered for so long may have lost it:
-/// its renewals go out twice as often.
-const STATE_SILENCE: Span = Span::millis(1150);
+/// of its renewals, four a second, one or two are lost now and then.
+const STATE_SILENCE: Span = Span::millis(1600);
 /// A judge whose own ticks came later than this was itself not there.
 const LATE: Span = Span::millis(300);
 /// And for so long after that it says nothing.
@@ -92,6 +91,8 @@
 pub struct Judge {
     /// Nodes that agree for a verdict, this one among them.
     quorum: usize,
+    /// How unlikely, in powers of ten, a silence is that is doubted; 0: none is.
+    phi: f64,
     subject: Option<(Label, Token)>,
     alive: Accrual,
     /// As the last beat said: how long the state service had not answered, and
@@ -112,11 +113,13 @@
 }
 
 impl Judge {
-    /// A judge among so many nodes. With two there is nobody to agree with, and
+    /// A judge among so many nodes, which doubts a silence that is by so many
+    /// powers of ten unlikely; 0: it doubts nobody. With two there is nobody to agree with, and
     /// only the leader's lease decides.
-    pub fn new(nodes: usize) -> Judge {
+    pub fn new(nodes: usize, phi: f64) -> Judge {
         let others = nodes.saturating_sub(1);
         Judge {
+            phi,
             quorum: (others / 2 + 1).max(2),
             subject: None,
             alive: Accrual::default(),
@@ -166,6 +169,10 @@
         if !self.subject.as_ref().is_some_and(of) {
             return;
         }
+        if self.ticked.is_some_and(|t| now.since(t) > LATE) {
+            // It waited here unread: the interval says nothing of the leader.
+            self.alive.excuse(now);
+        }
         self.alive.heard(now);
         self.beat = now;
         self.state_age = Span::millis(beat.state_ms);
@@ -185,6 +192,9 @@
     }
 
     fn doubt(&self, now: Time, phi: f64) -> Option<Doubt> {
+        if self.phi <= 0.0 {
+            return None;
+        }
         let silence = self.alive.silence(now)?;
         if silence >= LEAST_SILENCE && self.alive.phi(now) >= phi {
             return Some(Doubt::Silent);
@@ -199,7 +209,7 @@
     /// the state service has lately answered it.
     pub fn agrees(&self, now: Time, token: Token, doubt: Doubt, state: bool) -> bool {
         let same = self.subject.as_ref().is_some_and(|(_, t)| *t == token);
-        let own = self.doubt(now, AGREES);
+        let own = self.doubt(now, self.phi * AGREES);
         let holds = match doubt {
             Doubt::Silent => own == Some(Doubt::Silent),
             Doubt::NoState => own.is_some() && state,
@@ -217,7 +227,7 @@
         if !self.is_steady(now) || now < self.not_before {
             return Step::None;
         }
-        let Some(doubt) = self.doubt(now, DOUBT) else {
+        let Some(doubt) = self.doubt(now, self.phi) else {
             if self.case.is_some() {
                 self.refute();
             }
@@ -331,7 +341,7 @@
 
     /// A judge among five that has heard beats for ten seconds.
     fn judge() -> Judge {
-        let mut j = Judge::new(5);
+        let mut j = Judge::new(5, 8.0);
         j.follow(Some(&("a".into(), TOKEN)));
         for n in 0..200 {
             let now = at(f64::from(n) * 0.05);
@@ -492,7 +502,7 @@
     #[test]
     fn two_nodes_have_the_lease_alone() {
         let mut j = judge();
-        j.quorum = Judge::new(2).quorum;
+        j.quorum = Judge::new(2, 8.0).quorum;
         let (t, _) = until_step(&mut j, 9.95, 12.0, 0).unwrap();
         j.reached_state();
         j.probed(at(t), TOKEN, Probe::Silent);
--- a/crates/pebblefold/src/driver.rs
+++ b/crates/pebblefold/src/driver.rs
@@ -1,16 +1,20 @@
 //! Sockets and timers around the core, on one thread.
 
 use crate::core::node::Node;
+use crate::core::suspicion::judge::BEAT_EVERY;
 use crate::core::{Call, CallId, Input, Keep, Now, Output, Reply, RequestId, Side, Target};
 use crate::http::{self, Request, Response};
 use crate::policy::Policy;
 use crate::settings::Settings;
-use crate::types::{Time, Wall};
+use crate::types::{Label, Span, Time, Wall};
+use crate::wire::encode;
 use pebblefold_net::{Client, Next, Sent, next_request, sender_is_gone};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
@@ -27,6 +31,13 @@
 
 /// A tick that comes so late says that there is more to do than can be done.
 const BEHIND: Duration = Duration::from_millis(500);
+/// How long a beat may take; the next ones say more.
+const BEAT_LIMIT: Duration = Duration::from_millis(600);
+/// The piece of work that shows how fast the processor is, and its repetitions:
+/// some tens of microseconds, every so often.
+const EFFORT_STEPS: u64 = 8_000;
+const EFFORT_TRIES: u32 = 3;
+const EFFORT_EVERY: Duration = Duration::from_secs(1);
 /// Stack of the thread that keeps leases.
 const KEEPER_STACK: usize = 256 * 1024;
 
@@ -132,15 +143,17 @@
             if self.behind.get() && sender_is_gone(&stream) {
                 return;
             }
+            let of_user = side == Side::Api && request.path != "/checkin";
             // Under pressure users' connections are closed after each answer,
             // so that workers always find a socket.
-            let crowded = side == Side::Api
-                && self.api_open.get() * 4 > self.most_api * 3
-                && request.path != "/checkin";
+            let crowded = of_user && self.api_open.get() * 4 > self.most_api * 3;
             let close = request.close || crowded;
             let Some(answer) = self.answer(side, request).await else {
                 return;
             };
+            // A user that is refused here may fare better elsewhere: its next
+            // connection goes to a node with fewer.
+            let close = close || (of_user && answer.status == 503);
             let response = http::write_response(&Response {
                 status: answer.status,
                 retry_after: answer.retry_after,
@@ -186,51 +199,125 @@
     }
 }
 
+/// What a fixed piece of work takes: more where the processor is slow. The least
+/// of a few, as other work may come between.
+fn effort() -> Span {
+    let one = || {
+        let begun = Instant::now();
+        let mut x = std::hint::black_box(1u64);
+        for n in 0..EFFORT_STEPS {
+            x = x.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(n) ^ (x >> 29);
+        }
+        std::hint::black_box(x);
+        begun.elapsed().as_nanos() as u64
+    };
+    let least = (0..EFFORT_TRIES).map(|_| one()).min().unwrap_or(0);
+    Span(least.div_ceil(1000))
+}
+
 /// The core's time, from the process's beginning.
 fn steady(started: Instant) -> Time {
     Time(started.elapsed().as_micros() as u64 + 1)
 }
 
-/// Keeps a lease alive on a thread of its own, so that a backlog of requests or
-/// a long cycle does not hold a renewal up. Leases that are over are told.
-fn keep_leases(
+/// What the thread that keeps leases works with.
+struct Keeper {
+    label: Label,
     state: SocketAddrV4,
+    peers: Vec<SocketAddrV4>,
     started: Instant,
-    mut orders: watch::Receiver<Option<Keep>>,
-    over: mpsc::UnboundedSender<u64>,
-) -> std::io::Result<()> {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()?;
-    runtime.block_on(async move {
-        let client = Client::default();
-        loop {
-            let order = *orders.borrow_and_update();
-            let Some(keep) = order.filter(|k| steady(started) < k.until) else {
-                if orders.changed().await.is_err() {
-                    return;
+    /// When the core last had time, in its microseconds.
+    ticked: Arc<AtomicU64>,
+}
+
+impl Keeper {
+    /// Keeps a lease alive on a thread of its own, so that a backlog of requests
+    /// or a long cycle does not hold a renewal up, and tells the peers that the
+    /// leader is there. Leases that are over are told.
+    fn run(
+        self,
+        mut orders: watch::Receiver<Option<Keep>>,
+        over: mpsc::UnboundedSender<u64>,
+    ) -> std::io::Result<()> {
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()?;
+        let keeper = Rc::new(self);
+        LocalSet::new().block_on(&runtime, async move {
+            let client = Rc::new(Client::default());
+            let mut renewed = steady(keeper.started);
+            let mut lease = None;
+            let beats = Rc::new(Cell::new(None));
+            spawn_local(Rc::clone(&keeper).beat(Rc::clone(&client), Rc::clone(&beats)));
+            loop {
+                let order = *orders.borrow_and_update();
+                let keep = order.filter(|k| steady(keeper.started) < k.until);
+                let Some(keep) = keep else {
+                    beats.set(None);
+                    if orders.changed().await.is_err() {
+                        return;
+                    }
+                    continue;
+                };
+                if lease.replace(keep.lease) != Some(keep.lease) {
+                    renewed = steady(keeper.started);
+                }
+                beats.set(Some((keep, renewed)));
+                let sent = steady(keeper.started);
+                let limit = Duration::from_micros(keep.timeout().0);
+                let (path, reached) = (keep.path(), Sent::default());
+                let renewal = client.exchange(keeper.state, "POST", &path, &[], &reached);
+                let status = match timeout(limit, renewal).await {
+                    Ok(Ok(r)) => r.status,
+                    _ => 0,
+                };
+                if status == 404 {
+                    beats.set(None);
+                    // The core may be gone only with the process.
+                    let _ = over.send(keep.lease);
+                    if orders.changed().await.is_err() {
+                        return;
+                    }
+                    continue;
+                }
+                if status == 200 {
+                    renewed = sent;
+                    beats.set(Some((keep, renewed)));
                 }
+                sleep(Duration::from_micros(keep.pause(status == 200).0)).await;
+            }
+        });
+        Ok(())
+    }
+
+    /// Tells every peer that the leader is there, each for itself: one that does
+    /// not answer holds up nobody else's.
+    async fn beat(self: Rc<Self>, client: Rc<Client>, of: Rc<Cell<Option<(Keep, Time)>>>) {
+        let busy: Vec<Rc<Cell<bool>>> = self.peers.iter().map(|_| Rc::default()).collect();
+        loop {
+            sleep(Duration::from_micros(BEAT_EVERY.0)).await;
+            let now = steady(self.started);
+            let Some((keep, renewed)) = of.get().filter(|(k, _)| now < k.until) else {
                 continue;
             };
-            let limit = Duration::from_micros(keep.timeout().0);
-            let (path, sent) = (keep.path(), Sent::default());
-            let renewal = client.exchange(state, "POST", &path, &[], &sent);
-            let status = match timeout(limit, renewal).await {
-                Ok(Ok(r)) => r.status,
-                _ => 0,
-            };
-            if status == 404 {
-                // The core may be gone only with the process.
-                let _ = over.send(keep.lease);
-                if orders.changed().await.is_err() {
-                    return;
+            let ticked = Time(self.ticked.load(Ordering::Relaxed));
+            let beat = keep.beat(&self.label, now.since(renewed), now.since(ticked));
+            let body = encode(&beat);
+            for (&peer, busy) in self.peers.iter().zip(&busy) {
+                if busy.replace(true) {
+                    continue;
                 }
-                continue;
+                let (client, busy, body) = (Rc::clone(&client), Rc::clone(busy), body.clone());
+                spawn_local(async move {
+                    let sent = Sent::default();
+                    let told = client.exchange(peer, "POST", "/beat", &body, &sent);
+                    // The next one says it again.
+                    let _ = timeout(BEAT_LIMIT, told).await;
+                    busy.set(false);
+                });
             }
-            sleep(Duration::from_micros(keep.pause(status == 200).0)).await;
         }
-    });
-    Ok(())
+    }
 }
 
 /// Serves until the process is killed. Returns only if a listener cannot be
@@ -252,10 +339,25 @@
         tracing::info!(node = %settings.label, "starting");
         let (keep, orders) = watch::channel(None);
         let (tell, mut over) = mpsc::unbounded_channel();
+        let ticked = Arc::new(AtomicU64::new(0));
+        let (name, peers) = (settings.label.to_string(), settings.peers.iter());
+        let peers: Vec<SocketAddrV4> = peers.map(|p| p.addr).collect();
+        let seen = Arc::clone(&ticked);
         std::thread::Builder::new()
             .name("leases".into())
             .stack_size(KEEPER_STACK)
-            .spawn(move || keep_leases(state, started, orders, tell))?;
+            .spawn(move || {
+                let keeper = Keeper {
+                    label: name.as_str().into(),
+                    state,
+                    peers,
+                    started,
+                    ticked: seen,
+                };
+                if let Err(e) = keeper.run(orders, tell) {
+                    tracing::error!(error = %e, "leases cannot be kept");
+                }
+            })?;
         let shared = Rc::new(Shared {
             node: RefCell::new(Node::new(settings, policy, seed)),
             waiting: RefCell::default(),
@@ -273,14 +375,20 @@
         });
         spawn_local(Rc::clone(&shared).listen(api, Side::Api));
         spawn_local(Rc::clone(&shared).listen(internal, Side::Internal));
+        let mut tried: Option<Instant> = None;
         loop {
+            if tried.is_none_or(|t| t.elapsed() > EFFORT_EVERY) {
+                tried = Some(Instant::now());
+                shared.feed(Input::Effort(effort()));
+            }
             while let Ok(lease) = over.try_recv() {
                 shared.feed(Input::Over(lease));
             }
+            ticked.store(shared.now().time.0, Ordering::Relaxed);
             shared.feed(Input::Tick);
-            let ticked = Instant::now();
+            let tick = Instant::now();
             sleep(TICK).await;
-            shared.behind.set(ticked.elapsed() > BEHIND);
+            shared.behind.set(tick.elapsed() > BEHIND);
         }
     })
 }
--- a/crates/pebblefold/src/policy.rs
+++ b/crates/pebblefold/src/policy.rs
@@ -75,6 +75,9 @@
     cycle_s: 0.05, 10.0;
     /// Life of the leader's lease.
     leader_lease_s: 0.5, 60.0;
+    /// Powers of ten by which a leader's silence is unlikely when it is doubted;
+    /// 0: only its lease decides.
+    doubt: 0.0, 30.0;
     /// Fetch estimate while nothing is known.
     first_fetch_s: 0.0, 3600.0;
     /// How long work waits before machines are rented for it.
--- a/crates/rehearsal/src/simulated.rs
+++ b/crates/rehearsal/src/simulated.rs
@@ -8,12 +8,14 @@
 use crate::script::Script;
 use crate::stand::{NodeAction, Out, Returned, Stand, Store};
 use pebblefold::core::node::Node;
+use pebblefold::core::suspicion::judge::BEAT_EVERY;
 use pebblefold::core::{CallId, Input, Keep, Now, Output, Reply, RequestId, Side, Target};
 use pebblefold::policy::{DEFAULT_SCRIPT, Policy, PolicyError};
 use pebblefold::settings::SettingsError;
 use pebblefold::types::{MachineId, Span, Time, Wall};
 use pebblefold_state::StorageError;
 use pebblefold_state::cut::CutDisk;
+use pebblefold_wire::encode;
 use pebblefold_wire::http::Request;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -21,6 +23,8 @@
 
 /// Time between a controller's ticks, and between steps of the stand-ins.
 const TICK: Span = Span::millis(50);
+/// What a controller's fixed piece of work takes where nothing is slow.
+const USUAL_EFFORT: Span = Span(50);
 /// Wall clock at the beginning.
 const EPOCH_MS: u64 = 1_700_000_000_000;
 
@@ -69,6 +73,7 @@
     Timeout(usize, u32, CallId),
     Reset(u64),
     Keep(usize, u32),
+    Beat(usize, u32),
     Served(usize, u32),
 }
 
@@ -90,8 +95,14 @@
     /// or under way.
     keep: Option<Keep>,
     keeping: bool,
-    /// Renewals made, which names the next.
+    /// Renewals made, which names the next; when the last that was answered was
+    /// sent, and the one under way.
     kept: u64,
+    renewed: Time,
+    renewing: Time,
+    beating: bool,
+    /// When the core last had time.
+    ticked: Time,
     /// What the core takes over each input; it is busy until then.
     each: Span,
     busy: Time,
@@ -102,6 +113,9 @@
     CallId(u64::MAX - n)
 }
 
+/// The name of calls whose answers nobody waits for.
+const UNASKED: CallId = CallId(0);
+
 /// A request as its server reads it.
 fn request(method: &str, target: &str, body: Vec<u8>) -> Request {
     let (path, query) = target.split_once('?').unwrap_or((target, ""));
@@ -118,6 +132,7 @@
 pub struct Simulated {
     stand: Stand,
     layout: Layout,
+    policy: String,
     now: Time,
     rng: StdRng,
     queue: BTreeMap<(Time, u64), Event>,
@@ -134,6 +149,14 @@
     /// # Errors
     /// The script's cluster is refused by the controllers.
     pub fn new(script: Script, seed: u64) -> Result<Simulated, StartError> {
+        Simulated::with_policy(script, seed, DEFAULT_SCRIPT)
+    }
+
+    /// A rehearsal whose controllers have this policy.
+    ///
+    /// # Errors
+    /// The script's cluster or the policy is refused by the controllers.
+    pub fn with_policy(script: Script, seed: u64, policy: &str) -> Result<Simulated, StartError> {
         let nodes = script.cluster.controllers.len();
         let at = |port: u16| move |n: usize| format!("10.0.0.{}:{port}", n + 1);
         let layout = Layout {
@@ -145,7 +168,7 @@
         };
         for n in 0..nodes {
             let s = settings(&script, &layout, n)?;
-            Policy::from_script(DEFAULT_SCRIPT, &s)?;
+            Policy::from_script(policy, &s)?;
         }
         let addresses = Addresses {
             prefix: [10, 1],
@@ -156,6 +179,7 @@
         let mut world = Simulated {
             stand: Stand::new(script, seed, store, addresses, true)?,
             layout,
+            policy: policy.into(),
             now: Time(0),
             rng: StdRng::seed_from_u64(seed ^ 0x5eed),
             queue: BTreeMap::new(),
@@ -177,6 +201,10 @@
                 keep: None,
                 keeping: false,
                 kept: 0,
+                renewed: Time(0),
+                renewing: Time(0),
+                beating: false,
+                ticked: Time(0),
                 each: Span::ZERO,
                 busy: Time(0),
             });
@@ -186,6 +214,12 @@
         Ok(world)
     }
 
+    /// The controllers that run, by their numbers.
+    pub fn nodes(&self) -> impl Iterator<Item = (usize, &Node)> {
+        let all = self.slots.iter().enumerate();
+        all.filter_map(|(n, s)| s.node.as_ref().map(|node| (n, node)))
+    }
+
     /// The stand-ins.
     pub fn stand(&self) -> &Stand {
         &self.stand
@@ -250,6 +284,9 @@
             return;
         }
         let Some(node) = &mut slot.node else { return };
+        if matches!(input, Input::Tick) {
+            slot.ticked = now.time;
+        }
         let life = slot.life;
         if slot.each > Span::ZERO {
             slot.busy = self.now + slot.each;
@@ -282,7 +319,11 @@
                     let slot = &mut self.slots[n];
                     slot.keep = Some(keep);
                     if !std::mem::replace(&mut slot.keeping, true) {
+                        slot.renewed = now.time;
                         self.at(self.now, Event::Keep(n, life));
+                        if !std::mem::replace(&mut self.slots[n].beating, true) {
+                            self.at(self.now + BEAT_EVERY, Event::Beat(n, life));
+                        }
                     }
                 }
                 Output::Call(c) => {
@@ -325,6 +366,7 @@
             return;
         };
         slot.kept += 1;
+        slot.renewing = now;
         let id = renewal(slot.kept);
         slot.open.insert(id);
         self.at(self.now + keep.timeout(), Event::Timeout(n, life, id));
@@ -338,6 +380,34 @@
         self.send(&Host::Node(n), Host::State, message);
     }
 
+    /// Tells a leader's peers that it is there, beside all that it does.
+    fn beat(&mut self, n: usize) {
+        let now = self.clock(n).time;
+        let slot = &mut self.slots[n];
+        let life = slot.life;
+        slot.beating = slot.keeping;
+        if !slot.keeping {
+            return;
+        }
+        self.at(self.now + BEAT_EVERY, Event::Beat(n, life));
+        let slot = &self.slots[n];
+        let Some(keep) = slot.keep.filter(|k| now < k.until && !slot.paused) else {
+            return;
+        };
+        let label = self.stand.label(n);
+        let beat = keep.beat(&label, now.since(slot.renewed), now.since(slot.ticked));
+        let body = encode(&beat);
+        for to in (0..self.slots.len()).filter(|&to| to != n) {
+            let message = Message::Call {
+                node: n,
+                life,
+                id: UNASKED,
+                request: request("POST", "/beat", body.clone()),
+            };
+            self.send(&Host::Node(n), Host::Node(to), message);
+        }
+    }
+
     /// A call of a core was answered or lost, or a renewal.
     fn reply(&mut self, n: usize, id: CallId, reply: Reply) {
         let slot = &mut self.slots[n];
@@ -349,6 +419,9 @@
             return self.feed(n, Input::Over(keep.lease));
         }
         let answered = matches!(reply, Reply::Answer(200, _));
+        if answered {
+            slot.renewed = slot.renewing;
+        }
         let life = slot.life;
         self.at(self.now + keep.pause(answered), Event::Keep(n, life));
     }
@@ -506,7 +579,7 @@
                 slot.paused = false;
                 slot.waiting.clear();
                 slot.open.clear();
-                (slot.keep, slot.keeping) = (None, false);
+                (slot.keep, slot.keeping, slot.beating) = (None, false, false);
                 for (_, origin) in std::mem::take(&mut slot.asked) {
                     match origin {
                         Origin::Stand { ticket, .. } => self.at(self.now, Event::Reset(ticket)),
@@ -522,7 +595,7 @@
                 let Ok(s) = settings(self.stand.script(), &self.layout, n) else {
                     return;
                 };
-                let Ok(policy) = Policy::from_script(DEFAULT_SCRIPT, &s) else {
+                let Ok(policy) = Policy::from_script(&self.policy, &s) else {
                     return;
                 };
                 let seed = self.rng.random();
@@ -530,6 +603,7 @@
                 slot.node = Some(Node::new(s, policy, seed));
                 slot.born = self.now;
                 let life = slot.life;
+                self.feed(n, Input::Effort(USUAL_EFFORT));
                 self.at(self.now, Event::Tick(n, life));
             }
             NodeAction::Pause(n) => self.slots[n].paused = self.slots[n].node.is_some(),
@@ -540,6 +614,9 @@
             NodeAction::Busy(n, each) => {
                 self.slots[n].each = each;
                 self.serve(n);
+                // Its processor is slow, and it finds that out.
+                let took = USUAL_EFFORT + Span(each.0 / 10);
+                self.feed(n, Input::Effort(took));
             }
         }
     }
@@ -583,7 +660,8 @@
                 }
                 Event::Keep(n, life) if self.slots[n].life == life => self.renew(n),
                 Event::Served(n, life) if self.slots[n].life == life => self.serve(n),
-                Event::Keep(..) | Event::Served(..) => {}
+                Event::Beat(n, life) if self.slots[n].life == life => self.beat(n),
+                Event::Keep(..) | Event::Served(..) | Event::Beat(..) => {}
                 Event::Reset(ticket) => {
                     self.stand.refused(t, ticket);
                     self.drain();
--- a/crates/rehearsal/src/stand.rs
+++ b/crates/rehearsal/src/stand.rs
@@ -269,6 +269,11 @@
         Service::open(self.store.disk(), limits, now)
     }
 
+    /// A controller's name.
+    pub fn label(&self, n: usize) -> Label {
+        self.labels[n].clone()
+    }
+
     /// The script.
     pub fn script(&self) -> &Script {
         &self.script
--- a/crates/wire/src/peers.rs
+++ b/crates/wire/src/peers.rs
@@ -17,6 +17,13 @@
     pub late_ms: u64,
 }
 
+/// A leader's word to its successor: take the key from me.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Take {
+    /// The leader's token.
+    pub token: Token,
+}
+
 /// A node's question to another: does it doubt the leader too?
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Ask {
@@ -50,6 +57,12 @@
     pub leads: bool,
     /// Whether the state service answers it.
     pub state_ok: bool,
+    /// Whether it has lately had more to do than it could.
+    #[serde(default)]
+    pub strained: bool,
+    /// What a fixed piece of work takes it, in microseconds; 0: not known.
+    #[serde(default)]
+    pub effort_us: u64,
     /// From the leader: task counts that changed, for display.
     #[serde(default)]
     pub counts: Vec<(JobId, u32, u32)>,
