--- a/crates/rehearsal/src/checker.rs
+++ b/crates/rehearsal/src/checker.rs
@@ -188,6 +188,8 @@
     pub job: String,
     /// Its class.
     pub class: String,
+    /// Its team.
+    pub team: String,
     /// When it was first submitted, in seconds.
     pub submitted_s: f64,
     /// Whether it was accepted.
@@ -699,6 +701,7 @@
             .map(|(id, j)| JobRecord {
                 job: id.clone(),
                 class: j.spec.class.to_string(),
+                team: j.spec.team.to_string(),
                 submitted_s: j.submitted.map_or(0.0, secs),
                 accepted: j.accepted,
                 started_s: j.first_run.map(secs),
--- a/crates/rehearsal/tests/days.rs
+++ b/crates/rehearsal/tests/days.rs
@@ -186,6 +186,49 @@
     );
 }
 
+/// Urgent gangs of one team at many times what fits, for two minutes, beside steady
+/// work of the other team and low work of both, while leaders die and the state
+/// service is out for a while; over the whole day all of it fits.
+fn flood(seed: u64, of: &str) -> Verdict {
+    let mut s = cluster(3, 3, 24, 36, 900.0);
+    let class = |name: &str, team: &str, priority, shape, count, tasks| {
+        let mut j = jobs(shape, count, tasks);
+        (j.class, j.team, j.priority) = (name.into(), team.into(), priority);
+        (j.over_s, j.images, j.run_s) = (300.0, 2, Spread::Fixed(20.0));
+        if name == of {
+            (j.count, j.over_s, j.from_s) = (count * 6, 120.0, 40.0);
+        }
+        j
+    };
+    let [low, normal, high] = [JobPriority::Low, JobPriority::Normal, JobPriority::High];
+    s.jobs = vec![
+        class("urgent", "red", high, JobShape::Gang, 20, 4.0),
+        class("steady", "blue", normal, JobShape::Gang, 20, 3.0),
+        class("rereads", "red", low, JobShape::Array, 20, 5.0),
+        class("backfill", "blue", low, JobShape::Array, 20, 5.0),
+    ];
+    let (nodes, for_s) = (Nodes::Leader, 0.2);
+    for t in [60.0, 110.0, 111.0, 160.0] {
+        let nodes = nodes.clone();
+        s.faults.push(at(t, What::Kill { nodes, for_s }));
+    }
+    s.faults.push(at(90.0, What::StateOut { for_s: 15.0 }));
+    rehearse(s, seed)
+}
+
+// On the users' days less than half of a class or team served fails the day.
+#[test]
+fn floods_leave_no_class_or_team_below_half() {
+    for of in ["urgent", "steady", "rereads", "backfill"] {
+        let v = flood(1, of);
+        sound(&v, 1);
+        for (name, k) in v.classes.iter().chain(&v.teams) {
+            let (done, jobs) = (k.done, k.jobs);
+            assert!(k.served() >= 0.5, "flood of {of}: {name} {done} of {jobs}");
+        }
+    }
+}
+
 /// Arrays that their users cancel soon, while the state service takes few writes
 /// and leaders die again and again, each time while deletions are under way.
 fn cut_short(seed: u64) -> Verdict {
