--- a/crates/pebblefold/src/core/election.rs
+++ b/crates/pebblefold/src/core/election.rs
@@ -230,6 +230,18 @@
         });
     }
 
+    /// Ends the lease of a leader that is none any more, and its renewals: were
+    /// the word of its end lost, they would keep the key from everybody.
+    pub fn give_up(&mut self, io: &mut Io, lease: u64, token: Token) {
+        io.keep(Keep {
+            lease,
+            every: RENEWED,
+            until: io.now.time,
+            token,
+        });
+        self.drop_lease(io, lease);
+    }
+
     fn failed(&mut self, io: &mut Io) {
         let jitter = io.jitter();
         self.not_before = io.now.time
@@ -424,7 +436,7 @@
     }
 
     /// Ends a lease that is of no use any more.
-    pub fn drop_lease(&self, io: &mut Io, lease: u64) {
+    fn drop_lease(&self, io: &mut Io, lease: u64) {
         io.call(
             Target::State,
             "DELETE",
--- a/crates/pebblefold/src/core/node.rs
+++ b/crates/pebblefold/src/core/node.rs
@@ -355,7 +355,8 @@
             Fate::StepDown(why) => tracing::info!(token = %leader.token, why, "stepped down"),
             Fate::Stay => {}
         }
-        self.election.drop_lease(&mut self.io, leader.lease);
+        self.election
+            .give_up(&mut self.io, leader.lease, leader.token);
         self.election.reset(now);
     }
 }
@@ -399,6 +400,28 @@
         assert!(node.is_ready(), "unless nobody is better");
     }
 
+    // Renewals go on by themselves: where the word that a lease is over was lost, a
+    // leader that had stepped down would have kept the key from all others.
+    #[test]
+    fn a_leader_that_is_none_any_more_has_its_lease_kept_no_longer() {
+        let settings = testing::settings(0);
+        let policy = Policy::from_script(DEFAULT_SCRIPT, &settings).unwrap();
+        let mut node = Node::new(settings, policy, 1);
+        node.io.now.time = Time(5_000_000);
+        node.stand(Outcome::Elected(Token(5), 3));
+        let kept = |node: &mut Node| {
+            let out = node.io.take_outputs().into_iter();
+            out.filter_map(|o| match o {
+                Output::Keep(k) => Some((k.lease, k.until)),
+                _ => None,
+            })
+            .next_back()
+        };
+        assert!(kept(&mut node).is_some_and(|(l, t)| l == 3 && t > node.io.now.time));
+        node.end_leadership(Fate::StepDown("for a test"));
+        assert_eq!(kept(&mut node), Some((3, node.io.now.time)));
+    }
+
     // While one peer was down everything was told from the beginning again
     // every second, and the others never heard of more than the first machines.
     #[test]
--- a/crates/rehearsal/src/simulated.rs
+++ b/crates/rehearsal/src/simulated.rs
@@ -99,7 +99,7 @@
     /// sent, and the one under way.
     kept: u64,
     renewed: Time,
-    renewing: Time,
+    renewing: (u64, Time),
     beating: bool,
     /// When the core last had time.
     ticked: Time,
@@ -202,7 +202,7 @@
                 keeping: false,
                 kept: 0,
                 renewed: Time(0),
-                renewing: Time(0),
+                renewing: (0, Time(0)),
                 beating: false,
                 ticked: Time(0),
                 each: Span::ZERO,
@@ -366,7 +366,7 @@
             return;
         };
         slot.kept += 1;
-        slot.renewing = now;
+        slot.renewing = (keep.lease, now);
         let id = renewal(slot.kept);
         slot.open.insert(id);
         self.at(self.now + keep.timeout(), Event::Timeout(n, life, id));
@@ -414,13 +414,19 @@
         let Some(keep) = slot.keep.filter(|_| id == renewal(slot.kept)) else {
             return self.feed(n, Input::Reply(id, reply));
         };
+        let (lease, sent) = slot.renewing;
+        if lease != keep.lease {
+            // Another is to be kept by now.
+            let life = slot.life;
+            return self.at(self.now, Event::Keep(n, life));
+        }
         if matches!(reply, Reply::Answer(404, _)) {
             (slot.keep, slot.keeping) = (None, false);
             return self.feed(n, Input::Over(keep.lease));
         }
         let answered = matches!(reply, Reply::Answer(200, _));
         if answered {
-            slot.renewed = slot.renewing;
+            slot.renewed = sent;
         }
         let life = slot.life;
         self.at(self.now + keep.pause(answered), Event::Keep(n, life));
