--- a/crates/pebblectl/benches/steps.rs
+++ b/crates/pebblectl/benches/steps.rs
@@ -155,6 +155,7 @@
             env!("CARGO_BIN_EXE_pebblectl").into(),
             vec!["controller".into()],
         ),
+        builds: BTreeMap::new(),
         dir: dir.join("up"),
         port: None,
         log_level: "error".into(),
--- a/crates/pebblectl/src/args.rs
+++ b/crates/pebblectl/src/args.rs
@@ -119,6 +119,17 @@
     pub job: Option<PathBuf>,
 }
 
+fn named_program(text: &str) -> Result<(String, PathBuf), String> {
+    let (name, program) = text
+        .split_once('=')
+        .ok_or("give it as NAME=PROGRAM, such as older=target/older/pebblefold")?;
+    let program = PathBuf::from(program);
+    if !program.is_file() {
+        return Err(format!("{}: no such program", program.display()));
+    }
+    Ok((name.into(), program))
+}
+
 /// Arguments of `rehearse`.
 #[derive(ClapArgs, Debug)]
 pub struct Rehearse {
@@ -137,6 +148,9 @@
     /// Write the report of the last seed as one HTML page.
     #[arg(long, value_name = "FILE")]
     pub html: Option<PathBuf>,
+    /// The daemon of another build that the script names; once for each.
+    #[arg(long = "build", value_name = "NAME=PROGRAM", value_parser = named_program)]
+    pub builds: Vec<(String, PathBuf)>,
     /// Keep settings, logs and state there; a directory that is removed
     /// afterwards otherwise.
     #[arg(long, value_name = "DIR")]
--- a/crates/pebblectl/src/rehearse.rs
+++ b/crates/pebblectl/src/rehearse.rs
@@ -7,6 +7,7 @@
 use pebblefold_rehearsal::report::Verdict;
 use pebblefold_rehearsal::script::Script;
 use pebblefold_rehearsal::simulated;
+use std::collections::BTreeMap;
 use std::path::{Path, PathBuf};
 
 /// Reads a script; everything that is wrong with it is told.
@@ -75,8 +76,17 @@
     let own = std::env::temp_dir().join(format!("pebblectl-rehearse-{}", std::process::id()));
     let dir = r.dir.clone().unwrap_or_else(|| own.clone());
     let length = script.length_s as u64;
+    let builds: BTreeMap<String, PathBuf> = r.builds.iter().cloned().collect();
+    let named = script.builds.iter().map(|b| &b.name);
+    if let Some(name) = named.into_iter().find(|n| !builds.contains_key(*n)) {
+        return Err(Failure::Input(format!(
+            "{}: build {name}: name its daemon with --build {name}=PROGRAM",
+            r.file.display()
+        )));
+    }
     let options = Options {
         program: controller_program()?,
+        builds,
         dir: dir.clone(),
         port: None,
         log_level: std::env::var("LOG_LEVEL").unwrap_or_else(|_| "info".into()),
--- a/crates/pebblectl/src/up.rs
+++ b/crates/pebblectl/src/up.rs
@@ -10,6 +10,7 @@
 use pebblefold_rehearsal::script::Script;
 use pebblefold_wire::types::Span;
 use pebblefold_wire::users::{JobAnswer, Submission};
+use std::collections::BTreeMap;
 use std::net::SocketAddrV4;
 use std::path::Path;
 use std::time::Duration;
@@ -40,6 +41,7 @@
     let seed = script.seed;
     let options = Options {
         program: controller_program()?,
+        builds: BTreeMap::new(),
         dir: u.dir.clone(),
         port: (u.port > 0).then_some(u.port),
         log_level: std::env::var("LOG_LEVEL").unwrap_or_else(|_| "info".into()),
--- a/crates/pebblefold/policy.lua
+++ b/crates/pebblefold/policy.lua
@@ -57,4 +57,8 @@
   floor_window_s = 600.0,
   -- A machine silent for this long is released for good.
   silent_release_s = 120.0,
+
+  -- The highest level that may come into force when all controllers have it: a
+  -- lower number holds the rise back, and with it whatever no roll-back undoes.
+  highest_level = 1000,
 }
--- a/crates/pebblefold/src/core/election.rs
+++ b/crates/pebblefold/src/core/election.rs
@@ -3,11 +3,15 @@
 
 use super::io::{Io, Waits};
 use super::ledger::{self, LeaderValue};
+use super::levels::registry::{self, Registry};
+use super::levels::{FENCED, Level};
 use super::{Keep, Reply, Target};
 use crate::types::{Label, Span, Time, Token, Version};
 use crate::wire;
 use crate::wire::pace::Backoff;
-use crate::wire::state::{Changes, Condition, Entry, Lease, LeaseRequest, Op, Revision, Txn};
+use crate::wire::state::{
+    Changes, Condition, Entries, Entry, Lease, LeaseRequest, Op, Revision, Txn,
+};
 use rand::RngExt;
 
 /// Hold of a follower's watch.
@@ -37,6 +41,8 @@
     Claiming(u64),
     /// Leads.
     Leading,
+    /// Leads, and has asked for a lease to rise to the first fenced level.
+    Rising,
 }
 
 /// Election's state.
@@ -58,6 +64,18 @@
     pub contact: Option<Time>,
     /// Calls under way.
     pub waits: Waits<Awaits>,
+    /// The level in force, and what the nodes serve.
+    pub registry: Registry,
+    /// The highest level that the policy allows.
+    highest: Level,
+    /// Nobody has led yet: the store may begin at the first fenced level.
+    virgin: bool,
+    /// Conditions and changes of a rise that the next claim carries.
+    rise: Option<registry::Rise>,
+    /// Whether the claim under way is a leader's, to rise.
+    rising: bool,
+    /// The level that the claim under way brings.
+    brings: Option<Level>,
 }
 
 /// What the election waits for.
@@ -75,6 +93,8 @@
     },
     /// A new lease.
     NewLease,
+    /// What this node wrote about itself.
+    Register,
     /// The claim of the leader's key.
     Claim {
         /// The lease.
@@ -98,8 +118,14 @@
 
 impl Election {
     /// At the start of a process.
-    pub fn new(label: Label, ttl: Span) -> Election {
+    pub fn new(label: Label, ttl: Span, registry: Registry, highest: Level) -> Election {
         Election {
+            registry,
+            highest,
+            virgin: false,
+            rise: None,
+            rising: false,
+            brings: None,
             standing: Standing::Unknown,
             label,
             ttl,
@@ -120,9 +146,32 @@
         self.standing = Standing::Unknown;
         self.calling = false;
         self.leader = None;
+        (self.rise, self.rising) = (None, false);
+        // Whatever was under way is void: what it led to is read.
+        self.waits = Waits::default();
         self.not_before = now + Span::millis(50);
     }
 
+    /// Where the leader's key is.
+    pub fn holder_key(&self) -> &'static str {
+        self.registry.holder_key()
+    }
+
+    /// This node leads and rises to the first fenced level: the leader's key moves,
+    /// so it is claimed anew, in the commit that raises the level.
+    pub fn rise(&mut self, io: &mut Io, token: Token, rise: registry::Rise) {
+        if self.standing == Standing::Leading && !self.calling {
+            (self.rise, self.rising) = (Some(rise), true);
+            self.standing = Standing::Vacant(Version(token.0));
+            self.tick(io);
+            if self.calling {
+                self.standing = Standing::Rising;
+            } else {
+                self.goes_on();
+            }
+        }
+    }
+
     /// Takes the key from its holder, if it still has this version: the claim
     /// compares it. What the holder has written by then stands, what it writes
     /// later fails.
@@ -147,24 +196,42 @@
         if self.calling || now < self.not_before {
             return;
         }
+        let registration = self.registry.registration();
+        let serves = self.registry.serves().is_ok();
         let mut call = |io: &mut Io, method, path: String, body, timeout, awaits| {
             self.calling = true;
             let id = io.call(Target::State, method, path, body, timeout);
             self.waits.add(id, awaits);
         };
-        match self.standing {
+        // One that cannot serve the level in force follows whoever can.
+        let standing = match self.standing {
+            Standing::Vacant(version) if !serves => Standing::Following(version),
+            standing => standing,
+        };
+        match standing {
             Standing::Unknown => call(
                 io,
                 "GET",
-                format!("/keys/{}", ledger::LEADER),
+                format!("/keys?starts={}&most=1000", registry::PREFIX),
                 Vec::new(),
                 Span::secs(2.0),
                 Awaits::ReadLeader { sent: now },
             ),
+            Standing::Following(_) | Standing::Vacant(_) if registration.is_some() => {
+                let body = registration.map(|txn| wire::encode(&txn));
+                call(
+                    io,
+                    "POST",
+                    "/commit".into(),
+                    body.unwrap_or_default(),
+                    Span::secs(2.0),
+                    Awaits::Register,
+                );
+            }
             Standing::Following(_) => {
                 let path = format!(
                     "/changes?starts={}&since={}&hold_ms={}",
-                    ledger::LEADER,
+                    registry::PREFIX,
                     self.revision,
                     HOLD.as_millis()
                 );
@@ -192,7 +259,8 @@
                 );
                 self.standing = Standing::Leasing(version);
             }
-            Standing::Leasing(_) | Standing::Claiming(_) | Standing::Leading => {}
+            Standing::Leasing(_) | Standing::Claiming(_) | Standing::Leading | Standing::Rising => {
+            }
         }
     }
 
@@ -208,6 +276,10 @@
                 self.on_lease(io, reply);
                 Outcome::None
             }
+            Awaits::Register => {
+                self.on_registered(io, reply);
+                Outcome::None
+            }
             Awaits::Claim { lease } => self.on_claim(io, lease, reply),
             Awaits::ClaimRead { lease } => self.on_claim_read(io, lease, reply),
         }
@@ -230,6 +302,11 @@
         });
     }
 
+    /// The lease is another one: it is kept from now on.
+    pub fn keep_anew(&mut self) {
+        self.keep_due = Time(0);
+    }
+
     /// Ends the lease of a leader that is none any more, and its renewals: were
     /// the word of its end lost, they would keep the key from everybody.
     pub fn give_up(&mut self, io: &mut Io, lease: u64, token: Token) {
@@ -281,28 +358,49 @@
         }
     }
 
-    /// The leader's key was read, or not.
+    /// The leader's key and the levels were read, or not.
     pub fn on_read(&mut self, io: &mut Io, sent: Time, reply: Reply) -> Outcome {
+        self.calling = false;
+        let page = match &reply {
+            Reply::Answer(200, body) => wire::decode::<Entries>(body),
+            _ => None,
+        };
+        let Some(page) = page else {
+            self.failed(io);
+            return Outcome::None;
+        };
+        self.contact(sent);
+        self.registry.load(&page.items);
+        self.revision = page.revision;
+        let fences = self.highest >= FENCED;
+        self.virgin = fences && self.registry.is_virgin(page.revision, page.items.len());
+        let key = self.holder_key();
+        let holder = page.items.into_iter().find(|e| e.key == key);
+        self.found(io, holder.map(|e| (ledger::read(&e.value), e.version)));
+        Outcome::None
+    }
+
+    /// What this node wrote about itself is stored, or not.
+    fn on_registered(&mut self, io: &mut Io, reply: Reply) {
         self.calling = false;
         match reply {
-            Reply::Answer(200, body) => match wire::decode::<Entry>(&body) {
-                Some(e) => {
-                    self.contact(sent);
-                    let value: Option<LeaderValue> = ledger::read(&e.value);
-                    self.found(io, Some((value, e.version)));
-                }
-                None => self.failed(io),
-            },
-            Reply::Answer(404, body) => {
-                self.contact(sent);
+            Reply::Answer(200, body) => {
                 if let Some(r) = wire::decode::<Revision>(&body) {
-                    self.revision = r.revision;
+                    self.registry.registered(r.revision);
                 }
-                self.found(io, None);
+                // A virgin store has one change more now.
+                self.standing = if self.virgin {
+                    Standing::Unknown
+                } else {
+                    self.standing
+                };
+            }
+            // Something else was stored meanwhile, or this was after all.
+            _ => {
+                self.standing = Standing::Unknown;
+                self.failed(io);
             }
-            _ => self.failed(io),
         }
-        Outcome::None
     }
 
     /// A follower's watch was answered, or not.
@@ -316,10 +414,15 @@
                 };
                 self.contact(sent);
                 self.revision = self.revision.max(changes.revision);
-                let last = changes.events.into_iter().rfind(|e| {
-                    e.put.as_deref() == Some(ledger::LEADER)
-                        || e.delete.as_deref() == Some(ledger::LEADER)
-                });
+                for e in &changes.events {
+                    self.registry.apply(e);
+                }
+                // After a rise it may be another one than before.
+                let key = self.holder_key();
+                let last = changes
+                    .events
+                    .into_iter()
+                    .rfind(|e| e.put.as_deref() == Some(key) || e.delete.as_deref() == Some(key));
                 if let Some(e) = last {
                     let put = e.put.is_some();
                     self.found(io, put.then(|| (ledger::read(&e.value), e.version)));
@@ -337,14 +440,19 @@
     /// A lease was granted, or not.
     pub fn on_lease(&mut self, io: &mut Io, reply: Reply) {
         self.calling = false;
-        let Standing::Leasing(version) = self.standing else {
-            return;
+        let (version, rises) = match (self.standing, &self.leader) {
+            (Standing::Leasing(version), _) => (version, false),
+            (Standing::Rising, Some((_, token))) => (Version(token.0), true),
+            _ => return,
         };
         let lease = match reply {
             Reply::Answer(200, body) => wire::decode::<Lease>(&body),
             _ => None,
         };
         let Some(Lease { lease }) = lease else {
+            if rises {
+                return self.goes_on();
+            }
             self.standing = Standing::Unknown;
             return self.failed(io);
         };
@@ -353,17 +461,37 @@
             label: self.label.clone(),
             nonce: self.nonce,
         };
-        let txn = Txn {
+        let mut txn = Txn {
             conditions: vec![Condition {
-                key: ledger::LEADER.into(),
+                key: self.holder_key().into(),
                 version,
             }],
-            ops: vec![Op::Put {
-                key: ledger::LEADER.into(),
-                value: ledger::leader_value(&value),
-                lease: Some(lease),
-            }],
+            ops: Vec::new(),
         };
+        let mut key = self.holder_key();
+        self.brings = None;
+        if let Some(rise) = self.rise.take() {
+            (key, self.brings) = (registry::HOLDER, Some(rise.to));
+            txn.conditions.extend(rise.conditions);
+            txn.ops = rise.ops;
+            txn.ops.push(Op::Put {
+                key: registry::STONE.into(),
+                value: registry::stone(),
+                lease: None,
+            });
+        } else {
+            txn.conditions
+                .extend(self.registry.fence().map(registry::fence));
+            if self.virgin {
+                (key, self.brings) = (registry::HOLDER, Some(FENCED));
+                txn.ops = self.registry.begin();
+            }
+        }
+        txn.ops.push(Op::Put {
+            key: key.into(),
+            value: ledger::leader_value(&value),
+            lease: Some(lease),
+        });
         self.standing = Standing::Claiming(lease);
         self.calling = true;
         let id = io.call(
@@ -396,7 +524,7 @@
                 let id = io.call(
                     Target::State,
                     "GET",
-                    format!("/keys/{}", ledger::LEADER),
+                    format!("/keys?starts={}&most=1000", registry::PREFIX),
                     Vec::new(),
                     Span::secs(2.0),
                 );
@@ -405,6 +533,10 @@
             }
             _ => {
                 self.drop_lease(io, lease);
+                if self.rising {
+                    self.goes_on();
+                    return Outcome::None;
+                }
                 self.standing = Standing::Unknown;
                 self.not_before = io.now.time + Span::millis(50);
                 Outcome::None
@@ -416,20 +548,40 @@
     pub fn on_claim_read(&mut self, io: &mut Io, lease: u64, reply: Reply) -> Outcome {
         self.calling = false;
         if let Reply::Answer(200, body) = reply
-            && let Some(e) = wire::decode::<Entry>(&body)
-            && ledger::read::<LeaderValue>(&e.value).is_some_and(|v| v.nonce == self.nonce)
+            && let Some(page) = wire::decode::<Entries>(&body)
         {
-            return self.elected(io, Token(e.version.0), lease);
+            self.registry.load(&page.items);
+            let ours = |e: &&Entry| {
+                let value = ledger::read::<LeaderValue>(&e.value);
+                value.is_some_and(|v| v.nonce == self.nonce)
+            };
+            if let Some(e) = page.items.iter().find(ours) {
+                return self.elected(io, Token(e.version.0), lease);
+            }
         }
         // If the claim still goes through later, the key will name this node
         // while it does not lead, which a later read resolves.
         self.drop_lease(io, lease);
+        if self.rising {
+            self.goes_on();
+            return Outcome::None;
+        }
         self.standing = Standing::Unknown;
         Outcome::None
     }
 
+    /// A rise came to nothing, or nobody can tell: the leader goes on as it was.
+    /// If it went through after all, its next commit fails, and it starts over.
+    fn goes_on(&mut self) {
+        (self.standing, self.rise, self.rising) = (Standing::Leading, None, false);
+    }
+
     fn elected(&mut self, io: &Io, token: Token, lease: u64) -> Outcome {
-        self.standing = Standing::Leading;
+        self.goes_on();
+        self.virgin = false;
+        if let Some(level) = self.brings.take() {
+            self.registry.risen(level, Version(token.0));
+        }
         self.leader = Some((self.label.clone(), token));
         self.keep_due = io.now.time;
         Outcome::Elected(token, lease)
--- a/crates/pebblefold/src/core/intake.rs
+++ b/crates/pebblefold/src/core/intake.rs
@@ -4,6 +4,7 @@
 
 use super::io::{Io, Waits};
 use super::ledger::{self, Head, HeadStage, TxnLimits};
+use super::levels::registry;
 use super::polls::{Asked, Polls};
 use super::{Answer, Reply, RequestId, Target};
 use crate::settings::Settings;
@@ -203,7 +204,10 @@
         self.waits.add(id, Awaits::User { request, step });
     }
 
-    fn commit(&mut self, io: &mut Io, request: RequestId, txn: &Txn, step: Step) {
+    /// Every change a user causes compares the level in force: one that this node
+    /// decided before a rise, or that the network held back over it, fails.
+    fn commit(&mut self, io: &mut Io, request: RequestId, mut txn: Txn, step: Step) {
+        txn.conditions.extend(io.level.map(registry::fence));
         let now = io.now.time;
         if !io.user_calls.take(now, 1.0) || !io.user_writes.take(now, txn.ops.len() as f64) {
             return refuse(io, request, 503, "too many requests");
@@ -212,12 +216,17 @@
             Target::State,
             "POST",
             "/commit".into(),
-            wire::encode(txn),
+            wire::encode(&txn),
             COMMIT_TIMEOUT,
         );
         self.waits.add(id, Awaits::User { request, step });
     }
 
+    /// This node cannot serve now; another may.
+    pub fn refuse(&self, io: &mut Io, request: RequestId, why: &str) {
+        refuse(io, request, 503, why);
+    }
+
     /// `POST /submissions`
     pub fn submit(
         &mut self,
@@ -251,7 +260,7 @@
             value_bytes: settings.state_limits.value_bytes,
         };
         match ledger::accept_txn(&job, io.now.wall, limits) {
-            Some(txn) => self.commit(io, request, &txn, Step::Accept(job.id.clone(), job.tasks)),
+            Some(txn) => self.commit(io, request, txn, Step::Accept(job.id.clone(), job.tasks)),
             None => refuse(io, request, 400, "the submission is too large"),
         }
     }
@@ -443,7 +452,7 @@
             }],
             ops: vec![put(ledger::head_key(id)), put(ledger::end_key(id))],
         };
-        self.commit(io, request, &txn, Step::Cancel(id.clone(), tries));
+        self.commit(io, request, txn, Step::Cancel(id.clone(), tries));
     }
 }
 
--- a/crates/pebblefold/src/core/io.rs
+++ b/crates/pebblefold/src/core/io.rs
@@ -3,7 +3,7 @@
 
 use super::{Answer, Call, CallId, Now, Output, RequestId, Target};
 use crate::settings::Settings;
-use crate::types::{Session, Span, Time, Token, Wall};
+use crate::types::{Session, Span, Time, Token, Version, Wall};
 use crate::wire;
 use crate::wire::cloud::MachineTypes;
 use crate::wire::pace::Bucket;
@@ -65,6 +65,8 @@
     pub user_writes: Bucket,
     /// Calls of the leader's writing lane.
     pub state_calls: Bucket,
+    /// The version of the level's key, for writes whose form depends on the level.
+    pub level: Option<Version>,
     /// Machine types the cloud has just told.
     pub learned_types: Option<MachineTypes>,
     out: Vec<Output>,
@@ -95,6 +97,7 @@
             most_conditions: limits.txn_ops * 4,
             user_writes: bucket(per_node(limits.write_rps, 0.6).max(4.0)),
             state_calls: bucket((limits.rps * 0.12).max(2.0)),
+            level: None,
             learned_types: None,
             out: Vec::new(),
             next_call: 1,
--- a/crates/pebblefold/src/core/leader.rs
+++ b/crates/pebblefold/src/core/leader.rs
@@ -6,6 +6,7 @@
 use super::handover::heralds::Heralds;
 use super::io::{Io, Waits};
 use super::ledger::{self, Assembly, ChunkSize, Dirty, End, HeadStage, Job, Lane, Watched};
+use super::levels::Level;
 use super::rental::{CloudCall, Rental};
 use super::tables::Estimates;
 use super::weak::{self, Decision};
@@ -19,7 +20,7 @@
 use crate::wire;
 use crate::wire::cloud::{MachineType, MachineTypes};
 use crate::wire::pace::{Backoff, Bucket};
-use crate::wire::state::{Changes, Entries, Entry};
+use crate::wire::state::{Change, Changes, Entries, Entry};
 use crate::wire::workers::{TaskState, Why};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::rc::Rc;
@@ -96,6 +97,12 @@
     pub(super) policy: Rc<Policy>,
     /// The token.
     pub token: Token,
+    /// The key whose version it is.
+    pub holder: &'static str,
+    /// The level in force.
+    pub level: Level,
+    /// Changes of the levels' keys that its watch told.
+    pub news: Vec<Change>,
     /// The lease that the token hangs on.
     pub lease: u64,
     /// Calls under way.
@@ -162,8 +169,8 @@
     pub fn new(
         settings: Rc<Settings>,
         policy: Rc<Policy>,
-        token: Token,
-        lease: u64,
+        (holder, token, lease): (&'static str, Token, u64),
+        level: Level,
         now: Time,
         types: &MachineTypes,
     ) -> Leader {
@@ -172,6 +179,9 @@
         let limits = settings.state_limits;
         let mut leader = Leader {
             token,
+            holder,
+            level,
+            news: Vec::new(),
             lease,
             waits: Waits::default(),
             office: now,
@@ -249,6 +259,11 @@
         self.is_loaded() && now.since(self.contact) < START_CONTACT
     }
 
+    /// Whether all that is stored has the form of the level in force.
+    pub fn is_rewritten(&self) -> bool {
+        true
+    }
+
     /// Machines that it knows of, and those that have reported under its token.
     pub fn machines_heard(&self) -> (usize, usize) {
         let heard = self.machines.values().filter(|m| m.ours_since.is_some());
@@ -440,7 +455,15 @@
         let mut holds = false;
         for e in &entries {
             match ledger::watched(&e.key) {
-                Watched::Leader => holds = e.version.0 == self.token.0,
+                Watched::Office => {
+                    holds |= e.key == self.holder && e.version.0 == self.token.0;
+                    self.news.push(Change {
+                        put: Some(e.key.clone()),
+                        delete: None,
+                        value: e.value.clone(),
+                        version: e.version,
+                    });
+                }
                 Watched::Part(id, n) => self.assembly.part(id, n, &e.value),
                 _ => {}
             }
@@ -624,14 +647,18 @@
         }
         for e in &changes.events {
             if let Some(key) = &e.delete {
-                if key == ledger::LEADER {
+                if key == self.holder {
                     return Fate::StepDown("the lease ran out");
                 }
                 continue;
             }
             match e.put.as_deref().map(ledger::watched) {
-                Some(Watched::Leader) if e.version.0 != self.token.0 => {
-                    return Fate::Deposed(Token(e.version.0));
+                Some(Watched::Office) => {
+                    self.news.push(e.clone());
+                    let key = e.put.as_deref() == Some(self.holder);
+                    if key && e.version.0 != self.token.0 {
+                        return Fate::Deposed(Token(e.version.0));
+                    }
                 }
                 Some(Watched::Job(id)) => {
                     self.add_job(&id, e.version, &e.value);
@@ -689,6 +716,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::core::levels::registry;
     use crate::core::weak::weaken;
     use crate::testing::{io_at, leader};
 
@@ -702,7 +730,7 @@
             version: Version(5),
         };
         let mut t = 0.0;
-        for keys in [[ledger::LEADER].as_slice(), &[], &[]] {
+        for keys in [[registry::STONE].as_slice(), &[], &[]] {
             let page = Entries {
                 items: keys.iter().map(|k| key(k)).collect(),
                 revision: Version(9),
--- a/crates/pebblefold/src/core/ledger.rs
+++ b/crates/pebblefold/src/core/ledger.rs
@@ -2,7 +2,7 @@
 //!
 //! | key | value | life |
 //! | --- | --- | --- |
-//! | `w/leader` | who leads; bound to a lease, its version is the token | |
+//! | `w/leader`, `w/leader/...` | who leads, bound to a lease, its version is the token; levels: `levels/registry.rs` | |
 //! | `job/REF` | stage and task count; done and cancel race on its version | for ever |
 //! | `w/j/REF`, `w/p/REF/N` | when accepted, and the submission in pieces | until nothing of the job can run |
 //! | `w/x/REF` | how the job ended | likewise |
@@ -14,6 +14,7 @@
 //! Everything below `w/` is watched by the leader.
 
 use super::duty::sweep::Orphan;
+use super::levels::registry;
 use super::presence::{Placement, Stop};
 use super::weak::{self, Decision};
 use crate::types::{Attempt, JobId, Label, MachineId, Session, Span, Time, Token, Version, Wall};
@@ -24,8 +25,6 @@
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
-/// The leader's key.
-pub const LEADER: &str = "w/leader";
 /// What the leader watches.
 pub const WATCHED: &str = "w/";
 /// Progress records.
@@ -518,8 +517,8 @@
 /// What a watched key is about.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Watched {
-    /// The leader's key.
-    Leader,
+    /// The leader's key, the level in force, or what a node says of itself.
+    Office,
     /// A submission.
     Job(JobId),
     /// A further piece of one.
@@ -532,8 +531,8 @@
 
 /// Tells what a key below `w/` is about.
 pub fn watched(key: &str) -> Watched {
-    if key == LEADER {
-        Watched::Leader
+    if key.starts_with(registry::PREFIX) {
+        Watched::Office
     } else if let Some(id) = key.strip_prefix(JOBS) {
         Watched::Job(id.into())
     } else if let Some(id) = key.strip_prefix(ENDS) {
@@ -656,12 +655,13 @@
 }
 
 impl TxnBuilder {
-    /// A transaction that only the holder of `token` can commit.
-    pub fn new(token: Token, limits: TxnLimits) -> TxnBuilder {
+    /// A transaction that only the holder of `token`, the version of this key, can
+    /// commit.
+    pub fn new(holder: &str, token: Token, limits: TxnLimits) -> TxnBuilder {
         TxnBuilder {
             txn: Txn {
                 conditions: vec![Condition {
-                    key: LEADER.into(),
+                    key: holder.into(),
                     version: Version(token.0),
                 }],
                 ops: Vec::new(),
--- /dev/null
+++ b/crates/pebblefold/src/core/levels/registry.rs
@@ -0,0 +1,459 @@
+//! What a node knows of the level in force and of the controllers' builds, and what
+//! follows from it.
+//!
+//! | key | value | life |
+//! | --- | --- | --- |
+//! | `w/leader/level` | the level in force | for good |
+//! | `w/leader/done` | up to which level all that is stored has its form | for good |
+//! | `w/leader/at/NODE` | the range, build and policy of a node | until its next build |
+//!
+//! They stand below the leader's key, so the watch that follows it brings their
+//! changes: nothing more is asked for.
+
+use super::{BEFORE, FENCED, Level, Range};
+use crate::core::weak::{self, Decision};
+use crate::types::{Label, Span, Time, Version};
+use crate::wire::peers::Told;
+use crate::wire::state::{Change, Condition, Entry, Op, Txn};
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+use std::collections::BTreeMap;
+
+/// What all of these keys begin with.
+pub const PREFIX: &str = "w/leader";
+/// The leader's key before [`FENCED`], and what stands in its place since.
+pub const STONE: &str = "w/leader";
+/// The leader's key from [`FENCED`] on.
+pub const HOLDER: &str = "w/leader/holder";
+/// The level in force.
+pub const LEVEL: &str = "w/leader/level";
+/// Up to which level everything stored has its form.
+pub const DONE: &str = "w/leader/done";
+const MEMBERS: &str = "w/leader/at/";
+
+/// How long every controller must have been there with the next level.
+pub const STEADY: Span = Span::millis(10_000);
+/// What a controller has not said again for so long does not count.
+const LATELY: Span = Span::millis(3500);
+
+/// The build of this program.
+pub const BUILD: &str = match option_env!("PEBBLEFOLD_BUILD") {
+    Some(build) => build,
+    None => env!("CARGO_PKG_VERSION"),
+};
+
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+struct Force {
+    level: Level,
+}
+
+/// What a node wrote about itself.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Member {
+    /// The levels it serves.
+    pub levels: Range,
+    /// Its build.
+    pub build: String,
+    /// Where its policy differs from the default.
+    #[serde(default)]
+    pub policy: BTreeMap<String, f64>,
+}
+
+/// Why a node does nothing.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Refused {
+    /// The level in force was not read yet.
+    #[error("the level in force is not known yet")]
+    Unknown,
+    /// What it wrote about itself is not stored yet.
+    #[error("this node's levels are not stored yet")]
+    Unregistered,
+    /// The level in force is beyond this build.
+    #[error("level {0} is in force and this build serves {low} to {high}: start a newer one", low = .1.low, high = .1.high)]
+    Beyond(Level, Range),
+    /// The level in force cannot be read.
+    #[error("{LEVEL}: field level: not a level; nothing is changed until it can be read")]
+    Damaged,
+}
+
+/// What a node knows.
+#[derive(Debug)]
+pub struct Registry {
+    own: Label,
+    /// None: as a build that knows no levels.
+    range: Option<Range>,
+    record: Option<Member>,
+    read: bool,
+    /// Whether the level in force was ever read well.
+    good: bool,
+    damaged: bool,
+    force: Level,
+    force_version: Version,
+    done: Level,
+    members: BTreeMap<Label, (Option<Member>, Version)>,
+    /// What nodes said last and in which life, and since when.
+    told: BTreeMap<Label, (Told, Time, Time)>,
+}
+
+fn value<T: Serialize>(v: &T) -> Value {
+    serde_json::to_value(v).unwrap_or(Value::Null)
+}
+
+fn level_of(v: &Value) -> Option<Level> {
+    Force::deserialize(v).ok().map(|f| f.level)
+}
+
+fn member_key(label: &Label) -> String {
+    format!("{MEMBERS}{label}")
+}
+
+fn put(key: String, v: Value) -> Op {
+    let (value, lease) = (v, None);
+    Op::Put { key, value, lease }
+}
+
+impl Registry {
+    /// Nothing known yet. `range`: `None` for a node that behaves as builds did that
+    /// knew no levels.
+    pub fn new(own: Label, range: Option<Range>, policy: BTreeMap<String, f64>) -> Registry {
+        let build = BUILD.to_string();
+        let record = range.map(|levels| Member {
+            levels,
+            build,
+            policy,
+        });
+        Registry {
+            own,
+            range,
+            record,
+            read: false,
+            good: false,
+            damaged: false,
+            force: BEFORE,
+            force_version: Version(0),
+            done: BEFORE,
+            members: BTreeMap::new(),
+            told: BTreeMap::new(),
+        }
+    }
+
+    /// All keys that begin with [`PREFIX`], as read at once.
+    pub fn load(&mut self, entries: &[Entry]) {
+        (self.force_version, self.damaged) = (Version(0), false);
+        self.good |= !entries.iter().any(|e| e.key == LEVEL);
+        self.members.clear();
+        for e in entries {
+            self.note(&e.key, Some(&e.value), e.version);
+        }
+        self.read = true;
+    }
+
+    /// A change that a watch told.
+    pub fn apply(&mut self, change: &Change) {
+        if let Some(key) = &change.put {
+            self.note(key, Some(&change.value), change.version);
+        } else if let Some(key) = &change.delete {
+            self.note(key, None, change.version);
+        }
+    }
+
+    fn note(&mut self, key: &str, stored: Option<&Value>, version: Version) {
+        if key == LEVEL {
+            self.force_version = stored.map_or(Version(0), |_| version);
+            match stored.and_then(level_of) {
+                // It never falls, whatever a late word says.
+                Some(level) if level >= self.force => {
+                    if self.read && level > self.force {
+                        tracing::info!(%level, name = level.name(), "level in force");
+                    }
+                    (self.force, self.good, self.damaged) = (level, true, false);
+                }
+                _ => {
+                    tracing::error!(
+                        key = LEVEL,
+                        field = "level",
+                        "cannot be read; mend it by hand"
+                    );
+                    // A node that knew the level goes on by it.
+                    self.damaged = !self.good;
+                }
+            }
+        } else if key == DONE {
+            self.done = stored.and_then(level_of).unwrap_or(BEFORE).max(self.done);
+        } else if let Some(label) = key.strip_prefix(MEMBERS) {
+            match stored {
+                Some(v) => {
+                    let member = Member::deserialize(v).ok();
+                    if member.is_none() {
+                        tracing::error!(key, "cannot be read; no level rises until it can");
+                    }
+                    self.members.insert(label.into(), (member, version));
+                }
+                None => {
+                    self.members.remove(&Label::from(label));
+                }
+            }
+        }
+    }
+
+    /// The level in force.
+    pub fn level(&self) -> Level {
+        if self.range.is_none() {
+            return BEFORE;
+        }
+        self.force
+    }
+
+    /// Where the leader's key is.
+    pub fn holder_key(&self) -> &'static str {
+        if self.level() >= FENCED {
+            HOLDER
+        } else {
+            STONE
+        }
+    }
+
+    /// The version of the level's key, which every write compares whose form
+    /// depends on the level.
+    pub fn fence(&self) -> Option<Version> {
+        let compares = self.range.is_some() && weak::holds(Decision::WritesCompareTheLevel);
+        compares.then_some(self.force_version)
+    }
+
+    fn fenced(&self) -> Vec<Condition> {
+        self.fence().map(fence).into_iter().collect()
+    }
+
+    /// Whether this node may act, and why not.
+    pub fn serves(&self) -> Result<(), Refused> {
+        let (Some(range), Some(record)) = (self.range, &self.record) else {
+            return Ok(());
+        };
+        if !self.read {
+            return Err(Refused::Unknown);
+        }
+        if self.damaged {
+            return Err(Refused::Damaged);
+        }
+        if !range.has(self.force) {
+            return Err(Refused::Beyond(self.force, range));
+        }
+        // A rise compares what each node wrote: one that has not written yet what
+        // it is now could be passed over.
+        let stored = self.members.get(&self.own);
+        let same = |m: &Member| m.levels == record.levels;
+        if !stored.is_some_and(|(m, _)| m.as_ref().is_some_and(same))
+            && weak::holds(Decision::RegisterBeforeActing)
+        {
+            return Err(Refused::Unregistered);
+        }
+        Ok(())
+    }
+
+    /// What this node is to write about itself before it does anything.
+    pub fn registration(&self) -> Option<Txn> {
+        let record = self.record.as_ref().filter(|_| self.read)?;
+        let (stored, version) = match self.members.get(&self.own) {
+            Some((m, v)) => (m.as_ref(), *v),
+            None => (None, Version(0)),
+        };
+        let serves = self.range.is_some_and(|r| r.has(self.force));
+        if stored == Some(record) || !serves || self.damaged {
+            return None;
+        }
+        let key = member_key(&self.own);
+        let own = Condition {
+            key: key.clone(),
+            version,
+        };
+        Some(Txn {
+            conditions: self.fenced().into_iter().chain([own]).collect(),
+            ops: vec![put(key, value(record))],
+        })
+    }
+
+    /// Its registration is stored.
+    pub fn registered(&mut self, version: Version) {
+        let own = (self.record.clone(), version);
+        self.members.insert(self.own.clone(), own);
+    }
+
+    /// What this node says in greetings.
+    pub fn tell(&self, life: u64) -> Option<Told> {
+        let record = self.record.as_ref()?;
+        Some(Told {
+            low: record.levels.low.0,
+            high: record.levels.high.0,
+            build: record.build.clone(),
+            life,
+        })
+    }
+
+    /// What a peer said of itself; `None`: it knows no levels.
+    pub fn heard(&mut self, now: Time, label: &Label, told: Option<Told>) {
+        let Some(told) = told else {
+            self.told.remove(label);
+            return;
+        };
+        match self.told.get_mut(label) {
+            Some((same, _, last)) if *same == told && now.since(*last) < LATELY => *last = now,
+            _ => {
+                self.told.insert(label.clone(), (told, now, now));
+            }
+        }
+    }
+
+    /// Whether nobody has ever stored anything but what nodes say of themselves:
+    /// there is nothing that a build without levels could misread.
+    pub fn is_virgin(&self, revision: Version, keys: usize) -> bool {
+        self.range.is_some_and(|r| r.has(FENCED))
+            && self.force_version == Version(0)
+            && revision.0 == keys as u64
+            && self.members.len() == keys
+    }
+
+    /// What the commit takes along that begins a store at [`FENCED`].
+    pub fn begin(&self) -> Vec<Op> {
+        let level = FENCED;
+        vec![
+            put(STONE.into(), stone()),
+            put(LEVEL.into(), value(&Force { level })),
+            put(DONE.into(), value(&Force { level })),
+        ]
+    }
+
+    /// The next level, if all have it: the conditions and changes of its commit, to
+    /// which the holder adds that it is one. Otherwise what is waited for.
+    pub fn rise(&self, now: Time, peers: &[Label], highest: Level) -> Result<Rise, String> {
+        let range = self.range.ok_or("this node knows no levels")?;
+        let next = self.force.next();
+        if !range.has(next) {
+            return Err(format!("level {} is the newest of this build", self.force));
+        }
+        if next > highest {
+            return Err(format!("the policy holds it at {highest} (highest_level)"));
+        }
+        if self.done < self.force && weak::holds(Decision::RewrittenBeforeNext) {
+            return Err(format!(
+                "stored records get the form of level {}",
+                self.force
+            ));
+        }
+        let mut conditions = self.fenced();
+        for label in peers.iter().chain([&self.own]) {
+            let Some((Some(member), version)) = self.members.get(label) else {
+                return Err(format!("{label} has not said which levels it serves"));
+            };
+            if !member.levels.has(next) {
+                let high = member.levels.high;
+                return Err(format!("{label} runs {} (up to {high})", member.build));
+            }
+            if *label != self.own {
+                let there = self.told.get(label).filter(|(told, _, last)| {
+                    told.high >= next.0 && told.low <= next.0 && now.since(*last) < LATELY
+                });
+                let Some((_, since, _)) = there else {
+                    return Err(format!("{label} is not heard of, or runs an older build"));
+                };
+                let been = now.since(*since);
+                if been < STEADY {
+                    let left = (STEADY.as_secs() - been.as_secs()).ceil();
+                    return Err(format!("{label} must be there for {left} s more"));
+                }
+            }
+            if weak::holds(Decision::RiseComparesMembers) {
+                conditions.push(Condition {
+                    key: member_key(label),
+                    version: *version,
+                });
+            }
+        }
+        let mut ops = vec![put(LEVEL.into(), value(&Force { level: next }))];
+        if next == FENCED {
+            ops.push(put(DONE.into(), value(&Force { level: next })));
+        }
+        Ok(Rise {
+            to: next,
+            conditions,
+            ops,
+        })
+    }
+
+    /// This node's own commit raised the level, at this version.
+    pub fn risen(&mut self, level: Level, version: Version) {
+        tracing::info!(%level, name = level.name(), "level in force, raised by this node");
+        (self.force, self.force_version) = (level, version);
+        if level == FENCED {
+            self.done = level;
+        }
+    }
+
+    /// What says that everything stored has the form of the level in force, if that
+    /// was not said yet.
+    pub fn rewritten(&self) -> Option<Txn> {
+        let due = self.range.is_some() && self.done < self.force;
+        due.then(|| Txn {
+            conditions: self.fenced(),
+            ops: vec![put(DONE.into(), value(&Force { level: self.force }))],
+        })
+    }
+
+    /// Whether the forms before the level in force may still be met.
+    pub fn rewrites(&self) -> bool {
+        self.done < self.force
+    }
+
+    /// What the nodes run and what is waited for, for operators.
+    pub fn inspect(&self, now: Time, peers: &[Label], highest: Level) -> Value {
+        let nodes: Vec<Value> = peers
+            .iter()
+            .chain([&self.own])
+            .map(|label| {
+                let member = self.members.get(label).and_then(|(m, _)| m.as_ref());
+                let told = self.told.get(label);
+                serde_json::json!({
+                    "node": label, "build": member.map(|m| &m.build),
+                    "levels": member.map(|m| [m.levels.low, m.levels.high]),
+                    "policy": member.map(|m| &m.policy),
+                    "there_s": told.map(|(_, since, _)| now.since(*since).as_secs()),
+                    "says": told.map(|(t, ..)| [t.low, t.high]),
+                })
+            })
+            .collect();
+        let all = peers.iter().chain([&self.own]);
+        let policies = all.filter_map(|l| self.members.get(l)?.0.as_ref().map(|m| &m.policy));
+        let mut policies: Vec<_> = policies.collect();
+        policies.dedup();
+        serde_json::json!({
+            "in_force": self.level(), "name": self.level().name(), "rewritten": self.done,
+            "serves": self.serves().err().map_or("yes".into(), |e| format!("no: {e}")),
+            "waits_for": self.rise(now, peers, highest).err(),
+            "one_policy": policies.len() <= 1, "nodes": nodes,
+        })
+    }
+}
+
+/// Compares the level in force.
+pub fn fence(version: Version) -> Condition {
+    Condition {
+        key: LEVEL.into(),
+        version,
+    }
+}
+
+/// A step up, to be committed by the holder.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Rise {
+    /// The level.
+    pub to: Level,
+    /// What it compares.
+    pub conditions: Vec<Condition>,
+    /// What it changes.
+    pub ops: Vec<Op>,
+}
+
+/// What stands in the place of the leader's key from [`FENCED`] on. Builds without
+/// levels find a key that names nobody, and follow it for ever.
+pub fn stone() -> Value {
+    serde_json::json!({ "since": FENCED, "see": HOLDER })
+}
--- a/crates/pebblefold/src/core/mod.rs
+++ b/crates/pebblefold/src/core/mod.rs
@@ -11,6 +11,7 @@
 pub mod io;
 pub mod leader;
 pub mod ledger;
+pub mod levels;
 mod losses;
 pub mod node;
 mod placing;
--- a/crates/pebblefold/src/core/node.rs
+++ b/crates/pebblefold/src/core/node.rs
@@ -3,6 +3,7 @@
 mod hands;
 mod inspect;
 mod kinds;
+mod levels;
 mod peers;
 mod reports;
 mod verdict;
@@ -13,6 +14,9 @@
 use super::io::{Io, Timed, Waits};
 use super::leader::{Fate, Leader};
 use super::ledger;
+use super::levels::registry::{Refused, Registry};
+use super::levels::{Level, Range};
+use super::rental::BAD_GATEWAY;
 use super::suspicion::judge::Judge;
 use super::{CallId, Input, Now, Output, Reply, RequestId, Side, Target};
 use crate::http;
@@ -21,6 +25,7 @@
 use crate::types::{Image, Label, MachineId, Span, Time, Token};
 use crate::wire;
 use crate::wire::cloud::MachineTypes;
+use rand::RngExt;
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
@@ -52,6 +57,8 @@
     Opinion,
     /// The leader's key, while it is doubted.
     Key,
+    /// The commit that raises the level, or says that all is rewritten.
+    Level(Option<Level>),
 }
 
 #[derive(Clone, Debug)]
@@ -101,6 +108,12 @@
     handing: Option<Time>,
     /// Since when the process is to end.
     stopping: Option<Time>,
+    /// Tells this life of the process from every other one.
+    life: u64,
+    /// Whether a change of the level is under way.
+    raising: bool,
+    /// Why it last did not serve, as logged.
+    refusing: Option<Refused>,
 }
 
 /// Time between greetings.
@@ -127,11 +140,29 @@
 impl Node {
     /// A node at the start of its life.
     pub fn new(settings: Settings, policy: Policy, seed: u64) -> Node {
+        Node::with_levels(settings, policy, seed, Some(Range::OURS))
+    }
+
+    /// A node that serves other levels than this build: as an older one would or,
+    /// with none, as one that knows no levels.
+    pub fn with_levels(
+        settings: Settings,
+        policy: Policy,
+        seed: u64,
+        range: Option<Range>,
+    ) -> Node {
         let settings = Rc::new(settings);
+        let mut io = Io::new(&settings, seed);
+        let registry = Registry::new(settings.label.clone(), range, policy.changed.clone());
+        let highest = Level(policy.highest_level as u32);
+        let lease = Span::secs(policy.leader_lease_s);
         Node {
-            io: Io::new(&settings, seed),
+            life: io.rng.random(),
+            raising: false,
+            refusing: None,
+            io,
             waits: Waits::default(),
-            election: Election::new(settings.label.clone(), Span::secs(policy.leader_lease_s)),
+            election: Election::new(settings.label.clone(), lease, registry, highest),
             intake: Intake::default(),
             leader: None,
             peers: BTreeMap::new(),
@@ -154,6 +185,7 @@
     /// Takes an input; returns what to do.
     pub fn handle(&mut self, now: Now, input: Input) -> Vec<Output> {
         self.io.now = now;
+        self.io.level = self.election.registry.fence();
         match input {
             Input::Tick => self.tick(),
             Input::Request(id, side, request) => self.request(id, side, request),
@@ -185,6 +217,11 @@
         self.leader.as_ref().map(|l| l.token)
     }
 
+    /// The level in force as this node knows it, and whether it serves it.
+    pub fn level(&self) -> (Level, bool) {
+        (self.election.registry.level(), self.refused().is_none())
+    }
+
     /// Whether a process that is to end may: it leads no more, and users had time to
     /// be led elsewhere.
     pub fn may_end(&self) -> bool {
@@ -219,6 +256,7 @@
             self.greet_due = now + GREET_EVERY;
             self.passing.retain(|_, p| now.since(p.seen) < PASSING_KEPT);
             self.greet();
+            self.see_to_levels();
         }
         if !self.types_calling && now >= self.types_due {
             self.types_calling = true;
@@ -243,6 +281,17 @@
         if timed.is_some_and(|kind| !self.io.begin(id, kind)) {
             return self.io.answer_later(id, 503, 2);
         }
+        if let Some(why) = self.refused()
+            && let (Side::Api, ["submissions", ..] | ["checkin"])
+            | (Side::Internal, ["checkin"] | ["cloud", ..]) = (side, parts.as_slice())
+        {
+            let why = why.to_string();
+            return match parts[0] {
+                "cloud" => self.io.answer_status(id, BAD_GATEWAY),
+                "checkin" => self.io.answer_later(id, 503, 1),
+                _ => self.intake.refuse(&mut self.io, id, &why),
+            };
+        }
         match routes {
             (Side::Api, "POST", ["submissions"]) => self.intake.submit(
                 &mut self.io,
@@ -312,6 +361,7 @@
                 Some(Awaits::Probe { token, sent }) => self.on_probe(token, sent, &reply),
                 Some(Awaits::Opinion) => self.on_opinion(&reply),
                 Some(Awaits::Key) => self.on_key(&reply),
+                Some(Awaits::Level(to)) => self.on_level(to, &reply),
                 None => {}
             }
         }
@@ -326,12 +376,19 @@
             Outcome::None => {}
             Outcome::Elected(token, lease) => {
                 tracing::info!(%token, "elected");
+                // A leader that raised the level holds the key anew.
+                if let Some(mut before) = self.leader.take() {
+                    before.drop_held(&mut self.io);
+                    self.election
+                        .give_up(&mut self.io, before.lease, before.token);
+                    self.election.keep_anew();
+                }
                 let none = MachineTypes::default();
                 let mut leader = Leader::new(
                     Rc::clone(&self.settings),
                     Rc::clone(&self.policy),
-                    token,
-                    lease,
+                    (self.election.holder_key(), token, lease),
+                    self.election.registry.level(),
                     now,
                     self.types.as_ref().unwrap_or(&none),
                 );
@@ -352,6 +409,9 @@
             return;
         };
         let fate = act(leader, &mut self.io);
+        for change in leader.news.drain(..) {
+            self.election.registry.apply(&change);
+        }
         if fate != Fate::Stay {
             self.end_leadership(fate);
         } else {
@@ -401,6 +461,7 @@
             state_ok,
             strained: false,
             effort_us: 0,
+            levels: None,
             counts: Vec::new(),
             caches: Vec::new(),
         };
@@ -434,7 +495,7 @@
         let settings = testing::settings(0);
         let policy = Policy::from_script(DEFAULT_SCRIPT, &settings).unwrap();
         let mut node = Node::new(settings, policy, 1);
-        let mut at = |node: &mut Node, secs: f64, input: Input| {
+        let at = |node: &mut Node, secs: f64, input: Input| {
             let now = testing::io_at(secs).now;
             let out = node.handle(now, input).into_iter();
             let takes = out.filter(|o| matches!(o, Output::Call(c) if c.path == "/take"));
--- a/crates/pebblefold/src/core/node/inspect.rs
+++ b/crates/pebblefold/src/core/node/inspect.rs
@@ -31,6 +31,7 @@
             "leader": self.election.leader.as_ref().map(|(l, _)| l),
             "late_share": self.pulse.share, "strained": self.pulse.strained,
             "effort_us": self.pulse.effort_us, "slow": self.pulse.slow,
+            "levels": self.inspect_levels(),
             "leader_seen": self.judge.inspect(now),
             "peers": peers, "times": times,
             "leading": self.leader.as_ref().map(|l| l.inspect(self.io.now, machine, job)),
--- a/crates/pebblefold/src/core/node/kinds.rs
+++ b/crates/pebblefold/src/core/node/kinds.rs
@@ -71,7 +71,7 @@
             .collect();
         let txn = Txn {
             conditions: vec![Condition {
-                key: ledger::LEADER.into(),
+                key: leader.holder.into(),
                 version: Version(leader.token.0),
             }],
             ops,
--- /dev/null
+++ b/crates/pebblefold/src/core/node/levels.rs
@@ -0,0 +1,99 @@
+//! The level in force: whether this node can serve it, and raising it.
+
+use super::{Awaits, Node};
+use crate::core::levels::registry::Refused;
+use crate::core::levels::{FENCED, Level};
+use crate::core::{Reply, Target};
+use crate::types::{Label, Span, Version};
+use crate::wire;
+use crate::wire::state::{Condition, Revision, Txn};
+
+/// How long a commit that changes the level may take.
+const LIMIT: Span = Span::millis(2000);
+
+impl Node {
+    /// Why this node does nothing for users, workers and peers, if so.
+    pub(super) fn refused(&self) -> Option<Refused> {
+        self.election.registry.serves().err()
+    }
+
+    fn labels(&self) -> Vec<Label> {
+        let peers = self.settings.peers.iter();
+        peers.map(|p| p.label.clone()).collect()
+    }
+
+    fn highest(&self) -> Level {
+        Level(self.policy.highest_level as u32)
+    }
+
+    /// Logs why this node does not serve and, as the leader, raises the level once
+    /// all have the next one, one step at a time.
+    pub(super) fn see_to_levels(&mut self) {
+        let refused = self.refused();
+        if refused != self.refusing {
+            if let Some(why @ (Refused::Beyond(..) | Refused::Damaged)) = &refused {
+                tracing::error!(%why, "does not serve");
+            }
+            self.refusing = refused;
+        }
+        let (peers, highest) = (self.labels(), self.highest());
+        let Some(leader) = self.leader.as_mut().filter(|l| l.is_loaded()) else {
+            self.raising = false;
+            return;
+        };
+        leader.level = self.election.registry.level();
+        if self.raising {
+            return;
+        }
+        let (holder, token) = (leader.holder, leader.token);
+        let now = self.io.now.time;
+        let registry = &self.election.registry;
+        let (txn, to) = match registry.rise(now, &peers, highest) {
+            Ok(rise) if rise.to == FENCED => {
+                tracing::info!(to = %rise.to, "all have it: raises the level");
+                return self.election.rise(&mut self.io, token, rise);
+            }
+            Ok(rise) => {
+                tracing::info!(to = %rise.to, "all have it: raises the level");
+                let (conditions, ops) = (rise.conditions, rise.ops);
+                (Txn { conditions, ops }, Some(rise.to))
+            }
+            Err(_) if leader.is_rewritten() => match registry.rewritten() {
+                Some(txn) => (txn, None),
+                None => return,
+            },
+            Err(_) => return,
+        };
+        let mut txn = txn;
+        txn.conditions.push(Condition {
+            key: holder.into(),
+            version: Version(token.0),
+        });
+        let body = wire::encode(&txn);
+        let call = self
+            .io
+            .call(Target::State, "POST", "/commit".into(), body, LIMIT);
+        self.waits.add(call, Awaits::Level(to));
+        self.raising = true;
+    }
+
+    /// The level was raised, or not. If nobody can tell, the watch does.
+    pub(super) fn on_level(&mut self, to: Option<Level>, reply: &Reply) {
+        self.raising = false;
+        if let Reply::Answer(200, body) = reply
+            && let Some(r) = wire::decode::<Revision>(body)
+            && let Some(to) = to
+        {
+            self.election.registry.risen(to, r.revision);
+            if let Some(leader) = &mut self.leader {
+                leader.level = to;
+            }
+        }
+    }
+
+    pub(super) fn inspect_levels(&self) -> serde_json::Value {
+        let now = self.io.now.time;
+        let registry = &self.election.registry;
+        registry.inspect(now, &self.labels(), self.highest())
+    }
+}
--- a/crates/pebblefold/src/core/node/peers.rs
+++ b/crates/pebblefold/src/core/node/peers.rs
@@ -4,6 +4,7 @@
     Awaits, GREET_EVERY, MOST_CACHES, MOST_COUNTS, Node, PEER_FRESH, PeerView, STATE_FRESH,
 };
 use crate::core::leader::Fate;
+use crate::core::levels::registry::Refused;
 use crate::core::{Reply, RequestId, Target};
 use crate::types::{JobId, Label};
 use crate::wire;
@@ -28,6 +29,11 @@
     /// does a start in the middle of one: a load balancer that has once given all
     /// nodes up comes back to them late, and a refusal costs users less.
     pub(super) fn is_ready(&self) -> bool {
+        // What it cannot read it must not answer for, whoever else is there.
+        let beyond = |why: &Refused| matches!(why, Refused::Beyond(..) | Refused::Damaged);
+        if self.refused().as_ref().is_some_and(beyond) {
+            return false;
+        }
         let now = self.io.now.time;
         let fit = |p: &PeerView| p.state_ok && now.since(p.heard) < PEER_FRESH;
         let better = self.peers.values().any(fit);
@@ -56,6 +62,7 @@
             state_ok: self.state_ok(),
             strained: self.pulse.strained || self.stopping.is_some(),
             effort_us: self.pulse.effort_us,
+            levels: self.election.registry.tell(self.life),
             counts,
             caches: Vec::new(),
         }
@@ -116,6 +123,7 @@
         }
         self.intake.note_counts(g.counts);
         let now = self.io.now.time;
+        self.election.registry.heard(now, &g.label, g.levels);
         if self.leader.is_none() {
             for (id, images) in g.caches {
                 self.caches.insert(id, (now, images));
--- a/crates/pebblefold/src/core/node/verdict.rs
+++ b/crates/pebblefold/src/core/node/verdict.rs
@@ -2,7 +2,6 @@
 
 use super::{Awaits, Node, PEER_FRESH};
 use crate::core::leader::Fate;
-use crate::core::ledger;
 use crate::core::suspicion::judge::{Doubt, LOOKED_INTO, Probe, Step};
 use crate::core::{Reply, RequestId, Target};
 use crate::types::{Label, Span, Time, Token, Version};
@@ -120,7 +119,7 @@
             let id = self.io.call(target, "POST", path.into(), body, LOOKED_INTO);
             self.waits.add(id, what);
         }
-        let path = format!("/keys/{}", ledger::LEADER);
+        let path = format!("/keys/{}", self.election.holder_key());
         let call = self
             .io
             .call(Target::State, "GET", path, Vec::new(), LOOKED_INTO);
@@ -150,7 +149,7 @@
         let opinion = Opinion {
             label: self.settings.label.clone(),
             token: ask.token,
-            agrees: self.judge.agrees(now, ask.token, doubt, state),
+            agrees: self.refused().is_none() && self.judge.agrees(now, ask.token, doubt, state),
             came: self.judge.came_lately(now),
         };
         self.io.answer_body(id, wire::encode(&opinion));
--- a/crates/pebblefold/src/core/weak.rs
+++ b/crates/pebblefold/src/core/weak.rs
@@ -29,6 +29,14 @@
     StartsNeedAnOpenJob,
     /// Contact counts from the first read of a load.
     LoadIsAsOldAsItsFirstRead,
+    /// A write whose form the level decides compares it.
+    WritesCompareTheLevel,
+    /// A node writes down which levels it serves before it does anything.
+    RegisterBeforeActing,
+    /// A rise compares what every node wrote of itself.
+    RiseComparesMembers,
+    /// The next level waits until all that is stored has the form of this one.
+    RewrittenBeforeNext,
 }
 
 #[cfg(any(test, feature = "weaken"))]
--- a/crates/pebblefold/src/core/writing.rs
+++ b/crates/pebblefold/src/core/writing.rs
@@ -53,6 +53,7 @@
             return None;
         }
         let mut b = TxnBuilder::new(
+            self.holder,
             self.token,
             TxnLimits {
                 ops,
@@ -214,7 +215,7 @@
             Reply::Answer(409, body) => {
                 self.lane.not_before = now + COMMIT_GAP;
                 let failed = wire::decode::<Revision>(&body).unwrap_or_default().failed;
-                if failed.iter().any(|k| k == ledger::LEADER) {
+                if failed.iter().any(|k| k == self.holder) {
                     return Fate::StepDown("a commit found another leader");
                 }
                 let swept = items.iter().any(|i| matches!(i, Item::Sweep(_)));
--- a/crates/pebblefold/src/policy.rs
+++ b/crates/pebblefold/src/policy.rs
@@ -4,6 +4,7 @@
 use crate::types::Span;
 use mlua::{HookTriggers, Lua, LuaOptions, StdLib, Table, Value, VmState};
 use serde::Serialize;
+use std::collections::BTreeMap;
 
 /// The default script, as it ships in `deploy/`.
 pub const DEFAULT_SCRIPT: &str = include_str!("../policy.lua");
@@ -33,6 +34,9 @@
         #[derive(Clone, Debug, PartialEq, Serialize)]
         pub struct Policy {
             $($(#[$doc])* pub $name: f64,)*
+            /// Where it differs from the default one.
+            #[serde(skip)]
+            pub changed: BTreeMap<String, f64>,
         }
 
         impl Policy {
@@ -61,7 +65,13 @@
             }
 
             fn blank() -> Policy {
-                Policy { $($name: 0.0,)* }
+                Policy { $($name: 0.0,)* changed: BTreeMap::new() }
+            }
+
+            fn differences(&self, other: &Policy) -> BTreeMap<String, f64> {
+                let all = [$((stringify!($name), self.$name, other.$name)),*];
+                let differ = all.into_iter().filter(|(_, a, b)| a != b);
+                differ.map(|(name, a, _)| (name.to_string(), a)).collect()
             }
 
             #[cfg(test)]
@@ -106,6 +116,8 @@
     floor_window_s: 30.0, 86400.0;
     /// Silence after which a machine is released.
     silent_release_s: 1.0, 86400.0;
+    /// The highest level that may come into force (`docs/operations/rollout.md`).
+    highest_level: 0.0, 1000.0;
 }
 
 fn script_error(e: mlua::Error) -> PolicyError {
@@ -168,8 +180,10 @@
         let (_lua, table) = run(DEFAULT_SCRIPT, settings)?;
         policy.apply(&table)?;
         if script != DEFAULT_SCRIPT {
+            let default = policy.clone();
             let (_lua, table) = run(script, settings)?;
             policy.apply(&table)?;
+            policy.changed = policy.differences(&default);
         }
         Ok(policy)
     }
--- a/crates/pebblefold/src/testing.rs
+++ b/crates/pebblefold/src/testing.rs
@@ -3,6 +3,7 @@
 use crate::core::Now;
 use crate::core::io::Io;
 use crate::core::leader::Leader;
+use crate::core::levels::{BEFORE, registry};
 use crate::policy::{DEFAULT_SCRIPT, Policy};
 use crate::settings::Settings;
 use crate::types::{Span, Time, Token, Wall};
@@ -74,7 +75,8 @@
     let policy = Policy::from_script(DEFAULT_SCRIPT, &settings).expect("the default is valid");
     let kinds = vec![machine_type()];
     let types = MachineTypes { kinds };
-    Leader::new(settings, Rc::new(policy), Token(5), 1, Time(0), &types)
+    let office = (registry::STONE, Token(5), 1);
+    Leader::new(settings, Rc::new(policy), office, BEFORE, Time(0), &types)
 }
 
 /// A job of one-GPU tasks.
--- a/crates/rehearsal/src/loopback.rs
+++ b/crates/rehearsal/src/loopback.rs
@@ -80,6 +80,8 @@
 pub struct Options {
     /// The controllers' program and the arguments before the settings file.
     pub program: (PathBuf, Vec<String>),
+    /// The daemons of other builds that the script names.
+    pub builds: BTreeMap<String, PathBuf>,
     /// Where settings, logs and the state service's store are kept.
     pub dir: PathBuf,
     /// First of the ports that are used: front door, then two a controller;
@@ -93,6 +95,10 @@
     child: Option<Child>,
     settings: PathBuf,
     log: PathBuf,
+    /// The build that it is started from next; none: this one.
+    build: Option<usize>,
+    /// Whether it was asked to end.
+    ending: bool,
 }
 
 struct Inner {
@@ -317,14 +323,30 @@
                     });
                 }
             }
+            NodeAction::Install(n, build) => nodes[n].build = build,
+            NodeAction::End(n) => {
+                let id = nodes[n].child.as_ref().and_then(Child::id);
+                if let Some(id) = id {
+                    nodes[n].ending = true;
+                    kill(Pid::from_raw(id as i32), Signal::SIGTERM)
+                        .map_err(|e| LoopbackError::Io("signal".into(), e.into()))?;
+                }
+            }
+            NodeAction::Start(n) if nodes[n].ending && nodes[n].child.is_some() => {
+                drop(nodes);
+                self.act(NodeAction::Kill(n))?;
+                self.nodes.borrow_mut()[n].ending = false;
+                return self.act(NodeAction::Start(n));
+            }
             NodeAction::Start(n) if nodes[n].child.is_none() => {
                 let log = File::options()
                     .create(true)
                     .append(true)
                     .open(&nodes[n].log)
                     .map_err(io(nodes[n].log.display()))?;
-                let (program, arguments) = &self.options.program;
-                let child = Command::new(program)
+                let (program, arguments) = self.program(nodes[n].build);
+                nodes[n].ending = false;
+                let child = Command::new(&program)
                     .args(arguments)
                     .arg(&nodes[n].settings)
                     .env("LOG_LEVEL", &self.options.log_level)
@@ -358,6 +380,16 @@
         Ok(())
     }
 
+    /// The program of a build, and its arguments before the settings file.
+    fn program(&self, build: Option<usize>) -> (PathBuf, Vec<String>) {
+        let stand = self.stand.borrow();
+        let name = build.map(|n| &stand.script().builds[n].name);
+        match name.and_then(|n| self.options.builds.get(n)) {
+            Some(daemon) => (daemon.clone(), vec!["--config".into()]),
+            None => self.options.program.clone(),
+        }
+    }
+
     /// Notes controllers that ended without being killed by us.
     fn look_after_nodes(&self) {
         let mut ended = Vec::new();
@@ -365,6 +397,9 @@
             let status = process.child.as_mut().map(Child::try_wait);
             if let Some(Ok(Some(status))) = status {
                 process.child = None;
+                if process.ending {
+                    continue;
+                }
                 let log = process.log.display();
                 ended.push(format!(
                     "controller {n} ended by itself ({status}); its log is {log}"
@@ -664,6 +699,8 @@
                 child: None,
                 settings: path,
                 log: dir.join(format!("node-{n}.log")),
+                build: script.build(script.cluster.build.as_deref()),
+                ending: false,
             });
         }
         let inner = Rc::new(Inner {
--- a/crates/rehearsal/src/script.rs
+++ b/crates/rehearsal/src/script.rs
@@ -53,6 +53,9 @@
     pub seed: u64,
     /// Seconds after which it ends, whatever is still unfinished.
     pub length_s: f64,
+    /// Other builds of the controllers' program than this one.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub builds: Vec<Build>,
     /// Machines, controllers and services.
     pub cluster: Cluster,
     /// Jobs, by class.
@@ -63,6 +66,19 @@
     pub faults: Vec<Fault>,
 }
 
+/// Another build of the controllers' program. On loopback its program is named on the
+/// command line.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Build {
+    /// Its name.
+    pub name: String,
+    /// In simulated time: the oldest and the newest level that it serves; none: it
+    /// knows no levels.
+    #[serde(default)]
+    pub levels: Option<(u32, u32)>,
+}
+
 /// A cluster.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
@@ -71,6 +87,9 @@
     pub zones: Vec<String>,
     /// The zone of each controller.
     pub controllers: Vec<String>,
+    /// The build that they begin with; none: this one.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub build: Option<String>,
     /// How workers behave.
     #[serde(default)]
     pub workers: Workers,
@@ -540,6 +559,19 @@
         /// After how long they are back.
         for_s: f64,
     },
+    /// Controllers are put on another build.
+    Roll {
+        /// Which.
+        nodes: Nodes,
+        /// The build; none: this one.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        build: Option<String>,
+        /// Whether the process is asked to end, rather than killed.
+        #[serde(default)]
+        gently: bool,
+        /// After how long the new one starts.
+        for_s: f64,
+    },
     /// Controllers are stopped and later go on.
     Pause {
         /// Which.
@@ -742,6 +774,12 @@
             .collect())
     }
 
+    /// The number of a build by its name; none: this one.
+    pub fn build(&self, name: Option<&str>) -> Option<usize> {
+        let name = name?;
+        self.builds.iter().position(|b| b.name == name)
+    }
+
     /// When it ends.
     pub fn length(&self) -> Span {
         Span::secs(self.length_s)
--- a/crates/rehearsal/src/script/check.rs
+++ b/crates/rehearsal/src/script/check.rs
@@ -116,6 +116,14 @@
                 bad(path!["jobs", i, "cancelled"], "a share, 0 to 1".into());
             }
         }
+        if let Some(name) = c.build.as_deref()
+            && self.build(Some(name)).is_none()
+        {
+            bad(
+                path!["cluster", "build"],
+                format!("no build {name}; name it under [[builds]]"),
+            );
+        }
         let nodes = c.controllers.len();
         for (i, f) in self.faults.iter().enumerate() {
             if f.at_s.is_some() == f.when.is_some() {
@@ -170,6 +178,10 @@
                     nodes: Nodes::Number(n),
                     ..
                 }
+                | What::Roll {
+                    nodes: Nodes::Number(n),
+                    ..
+                }
                 | What::StateRefuses {
                     nodes: Nodes::Number(n),
                     ..
@@ -177,6 +189,12 @@
                     path!["faults", i, "nodes"],
                     format!("no controller {n}; they are 0 to {}", nodes - 1),
                 ),
+                What::Roll {
+                    build: Some(name), ..
+                } if self.build(Some(name)).is_none() => bad(
+                    path!["faults", i, "build"],
+                    format!("no build {name}; name it under [[builds]]"),
+                ),
                 What::Cut { a, b, .. } => {
                     for (name, side) in [("a", a), ("b", b)] {
                         match side {
--- a/crates/rehearsal/src/simulated.rs
+++ b/crates/rehearsal/src/simulated.rs
@@ -7,6 +7,7 @@
 use crate::report::Verdict;
 use crate::script::Script;
 use crate::stand::{NodeAction, Out, Returned, Stand, Store};
+use pebblefold::core::levels::{Level, Range};
 use pebblefold::core::node::Node;
 use pebblefold::core::suspicion::judge::BEAT_EVERY;
 use pebblefold::core::{CallId, Input, Keep, Now, Output, Reply, RequestId, Side, Target};
@@ -84,6 +85,9 @@
 
 struct Slot {
     node: Option<Node>,
+    /// The levels that its next life serves, and whether this one was asked to end.
+    range: Option<Range>,
+    ending: bool,
     life: u32,
     born: Time,
     paused: bool,
@@ -189,8 +193,12 @@
             next_call: 1,
         };
         for n in 0..nodes {
+            let begin = world.stand.script();
+            let range = world.range(begin.build(begin.cluster.build.as_deref()));
             world.slots.push(Slot {
                 node: None,
+                range,
+                ending: false,
                 life: 0,
                 born: Time(0),
                 paused: false,
@@ -230,6 +238,18 @@
         &mut self.stand
     }
 
+    /// The levels that a build of the script serves.
+    fn range(&self, build: Option<usize>) -> Option<Range> {
+        let Some(n) = build else {
+            return Some(Range::OURS);
+        };
+        let (low, high) = self.stand.script().builds[n].levels?;
+        Some(Range {
+            low: Level(low),
+            high: Level(high),
+        })
+    }
+
     fn at(&mut self, t: Time, event: Event) {
         self.numbers += 1;
         self.queue.insert((t.max(self.now), self.numbers), event);
@@ -581,6 +601,7 @@
             NodeAction::Kill(n) => {
                 let slot = &mut self.slots[n];
                 slot.node = None;
+                slot.ending = false;
                 slot.life += 1;
                 slot.paused = false;
                 slot.waiting.clear();
@@ -593,7 +614,15 @@
                     }
                 }
             }
+            NodeAction::End(n) => {
+                self.slots[n].ending = self.slots[n].node.is_some();
+                self.feed(n, Input::Stop);
+            }
+            NodeAction::Install(n, build) => self.slots[n].range = self.range(build),
             NodeAction::Start(n) => {
+                if self.slots[n].ending {
+                    self.act(NodeAction::Kill(n));
+                }
                 if self.slots[n].node.is_some() {
                     return;
                 }
@@ -606,7 +635,7 @@
                 };
                 let seed = self.rng.random();
                 let slot = &mut self.slots[n];
-                slot.node = Some(Node::new(s, policy, seed));
+                slot.node = Some(Node::with_levels(s, policy, seed, slot.range));
                 slot.born = self.now;
                 let life = slot.life;
                 self.feed(n, Input::Effort(USUAL_EFFORT));
@@ -641,6 +670,11 @@
                         if !self.slots[n].paused {
                             self.feed(n, Input::Tick);
                         }
+                        let slot = &self.slots[n];
+                        if slot.ending && slot.node.as_ref().is_some_and(Node::may_end) {
+                            self.act(NodeAction::Kill(n));
+                            continue;
+                        }
                         self.at(t + TICK, Event::Tick(n, life));
                     }
                 }
--- a/crates/rehearsal/src/stand.rs
+++ b/crates/rehearsal/src/stand.rs
@@ -14,6 +14,7 @@
 use crate::users::{Planned, Users, plan};
 use crate::worker::{PATIENCE, Times};
 use pebblefold::core::ledger;
+use pebblefold::core::levels::registry;
 use pebblefold::types::{Label, MachineId, Span, Time};
 use pebblefold::wire::cloud::MachineNames;
 use pebblefold::wire::decode;
@@ -80,6 +81,10 @@
     Pause(usize),
     /// Let it go on.
     Continue(usize),
+    /// Ask it to end.
+    End(usize),
+    /// The build that it is started from next; none: this one.
+    Install(usize, Option<usize>),
     /// Have it take so long over each input; zero: no time at all.
     Busy(usize, Span),
 }
@@ -488,7 +493,11 @@
         if r.path == "/commit"
             && let Some(txn) = decode::<Txn>(&r.body)
         {
-            leads = txn.conditions.iter().any(|c| c.key == ledger::LEADER);
+            let holds = [registry::STONE, registry::HOLDER];
+            leads = txn
+                .conditions
+                .iter()
+                .any(|c| holds.contains(&c.key.as_str()));
             if self.director.waits_for(Moment::Accepted)
                 || self.director.waits_for(Moment::StartCommitted)
             {
--- a/crates/rehearsal/src/stand/faults.rs
+++ b/crates/rehearsal/src/stand/faults.rs
@@ -118,6 +118,23 @@
                 let nodes = self.pick_nodes(nodes, about);
                 self.stop_nodes(now, nodes, *for_s, false);
             }
+            What::Roll {
+                nodes,
+                build,
+                gently,
+                for_s,
+            } => {
+                let build = self.script.build(build.as_deref());
+                for n in self.pick_nodes(nodes, about) {
+                    self.out.push(Out::Node(NodeAction::Install(n, build)));
+                    if *gently {
+                        self.out.push(Out::Node(NodeAction::End(n)));
+                        self.heal_at(until(*for_s), Heal::Node(NodeAction::Start(n)));
+                    } else {
+                        self.stop_nodes(now, vec![n], *for_s, false);
+                    }
+                }
+            }
             What::Pause { nodes, for_s } => {
                 let nodes = self.pick_nodes(nodes, about);
                 self.stop_nodes(now, nodes, *for_s, true);
--- a/crates/wire/src/peers.rs
+++ b/crates/wire/src/peers.rs
@@ -48,6 +48,19 @@
     pub came: u32,
 }
 
+/// What a node says of its build.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Told {
+    /// The oldest level that it serves.
+    pub low: u32,
+    /// The newest.
+    pub high: u32,
+    /// Its build.
+    pub build: String,
+    /// Tells this life of its process from every other one.
+    pub life: u64,
+}
+
 /// A node's word about itself, sent to each peer about once a second and
 /// answered in kind.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -66,6 +79,9 @@
     /// What a fixed piece of work takes it, in microseconds; 0: not known.
     #[serde(default)]
     pub effort_us: u64,
+    /// Its build; none from builds that know no levels.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub levels: Option<Told>,
     /// From the leader: task counts that changed, for display.
     #[serde(default)]
     pub counts: Vec<(JobId, u32, u32)>,
