Level 2: what came of late is stored, progress by machine; unreadable records left alone

Need: a change of leader lost what had come for each class and team, so floors and reserves began anew; a record that could not be read was taken for an empty one and its tasks were halted and run a second time; and levels needed a first real change of what is stored. Change: d/f keeps what came by class, team and part of the window (one change in 30 s); chunks keep places by machine; old records are rewritten a few at a time while less than half of what may be written is; the next level waits for that. A job with an unreadable record is neither run nor written, its tasks are not halted, its team is charged all of it. Each life of a node writes its word anew: the search through all orders found that a late word of an earlier life let a rise pass over a node that had been rolled back.

--- a/crates/pebblefold/src/core/commands.rs
+++ b/crates/pebblefold/src/core/commands.rs
@@ -211,6 +211,8 @@
                         });
                     }
                 }
+                // What says where it should be cannot be read: it may be right here.
+                None if job.is_some_and(|j| j.is_open() && j.unreadable) => {}
                 None => {
                     tracing::info!(task = %task, %attempt, machine = %id, "unrecorded task halted");
                     stops.push(Command::Stop {
--- a/crates/pebblefold/src/core/leader.rs
+++ b/crates/pebblefold/src/core/leader.rs
@@ -6,9 +6,11 @@
 use super::handover::heralds::Heralds;
 use super::io::{Io, Waits};
 use super::ledger::{self, Assembly, ChunkSize, Dirty, End, HeadStage, Job, Lane, Watched};
-use super::levels::Level;
+use super::levels::progress::Progress;
+use super::levels::{Level, REMEMBERED};
 use super::rental::{CloudCall, Rental};
 use super::tables::Estimates;
+use super::teams::memory::{self, Memory};
 use super::weak::{self, Decision};
 use super::{Reply, Target};
 use crate::policy::Policy;
@@ -52,6 +54,8 @@
 const LONGEST_REST: Span = Span::millis(4000);
 /// Without contact for this long, nothing is started.
 const START_CONTACT: Span = Span::millis(4000);
+/// Time between two times at which what came of late is stored.
+const MEMORY_EVERY: Span = Span::millis(30_000);
 /// Arrivals kept per class.
 const MOST_ARRIVALS: usize = 2048;
 
@@ -160,6 +164,12 @@
     /// Submissions that were read, whether or not they could be understood.
     submitted: BTreeSet<JobId>,
     pub(super) arrivals: BTreeMap<Class, VecDeque<Arrival>>,
+    /// Chunks whose record has an older form than the level in force writes.
+    pub(super) older: BTreeSet<(JobId, u32)>,
+    pub(super) rewrite_due: Time,
+    /// When what came of late is next stored.
+    memory_due: Time,
+    memory_stored: serde_json::Value,
     pub(super) told: BTreeMap<JobId, (u32, u32)>,
     pub(super) told_caches: BTreeMap<MachineId, Vec<(Image, f64)>>,
 }
@@ -225,6 +235,10 @@
             reclaimed: None,
             submitted: BTreeSet::new(),
             arrivals: BTreeMap::new(),
+            older: BTreeSet::new(),
+            rewrite_due: now,
+            memory_due: now,
+            memory_stored: serde_json::Value::Null,
             told: BTreeMap::new(),
             told_caches: BTreeMap::new(),
             settings,
@@ -259,11 +273,6 @@
         self.is_loaded() && now.since(self.contact) < START_CONTACT
     }
 
-    /// Whether all that is stored has the form of the level in force.
-    pub fn is_rewritten(&self) -> bool {
-        true
-    }
-
     /// Machines that it knows of, and those that have reported under its token.
     pub fn machines_heard(&self) -> (usize, usize) {
         let heard = self.machines.values().filter(|m| m.ours_since.is_some());
@@ -315,6 +324,8 @@
             }
             self.rental_tick(io);
             self.send_heralds(io);
+            self.rewrite(io.now.time);
+            self.store_memory(io.now);
         }
     }
 
@@ -539,6 +550,52 @@
         }
     }
 
+    fn memory(&self) -> Memory {
+        let mut memory = Memory::new(Span::secs(self.policy.floor_window_s));
+        for (class, arrivals) in &self.arrivals {
+            for a in arrivals {
+                memory.note(a.at, class, &a.team, a.machines, a.run_s);
+            }
+        }
+        memory
+    }
+
+    /// Stores what came of late now and then, if the level in force has it.
+    fn store_memory(&mut self, at: super::Now) {
+        if self.level < REMEMBERED || at.time < self.memory_due {
+            return;
+        }
+        self.memory_due = at.time + MEMORY_EVERY;
+        let bytes = self.settings.state_limits.value_bytes;
+        let value = self.memory().store(at.wall, bytes);
+        if value != self.memory_stored {
+            self.memory_stored = value.clone();
+            self.rental.intents.book.put(memory::KEY.into(), value);
+        }
+    }
+
+    /// Takes over what an earlier leader saw come, and that is over by now.
+    fn recall(&mut self, stored: &serde_json::Value) {
+        let Some(missing) = self.memory().missing(stored) else {
+            tracing::error!(key = memory::KEY, "cannot be read; floors begin anew");
+            return;
+        };
+        for (at, class, team, machines, run_s) in missing {
+            let all = self.arrivals.entry(class).or_default();
+            let place = all.partition_point(|a| a.at < at);
+            let arrival = Arrival {
+                at,
+                team,
+                machines,
+                run_s,
+            };
+            all.insert(place, arrival);
+            if all.len() > MOST_ARRIVALS {
+                all.pop_front();
+            }
+        }
+    }
+
     fn load_records(&mut self, now: Time, entries: Vec<Entry>) {
         let submitted = std::mem::take(&mut self.submitted);
         for e in entries {
@@ -551,8 +608,11 @@
             let Some(job) = self.jobs.get_mut(&id) else {
                 continue;
             };
-            if !job.load_chunk(chunk, e.version, &e.value) {
-                tracing::error!(job = %id, chunk, "record cannot be read");
+            if !Progress::is_of(&e.value, REMEMBERED) {
+                self.older.insert((id.clone(), chunk));
+            }
+            if let Err(why) = job.load_chunk(chunk, e.version, &e.value) {
+                tracing::error!(job = %id, key = e.key, %why, "a record cannot be read; its job is left as it is");
             }
         }
         let mut stop = Vec::new();
@@ -588,6 +648,11 @@
     /// Takes over what earlier leaders meant to have done.
     pub(super) fn load_duties(&mut self, now: super::Now, entries: Vec<Entry>) {
         for e in entries {
+            if e.key == memory::KEY {
+                self.recall(&e.value);
+                self.memory_stored = e.value;
+                continue;
+            }
             let go = self.rental.intents.load(&e.key, &e.value, now.wall);
             for id in go {
                 self.meet(now.time, &id)
@@ -759,4 +824,78 @@
         weaken(&[]);
         assert!(answers, "a load that dragged on was not missed");
     }
+
+    /// A leader with a job of three tasks, one of its records this one.
+    fn with_record(stored: serde_json::Value) -> Leader {
+        let mut leader = leader();
+        let spec = crate::testing::submission("wk-1", crate::wire::users::Shape::Array, 3);
+        let job = Job::new(Rc::new(spec), Wall(0), Version(7), 1);
+        leader.jobs.insert("wk-1".into(), job);
+        leader.submitted.insert("wk-1".into());
+        let record = Entry {
+            key: ledger::chunk_key(&"wk-1".into(), 0),
+            value: stored,
+            version: Version(8),
+        };
+        leader.load_records(Time(0), vec![record]);
+        leader
+    }
+
+    // A record that could not be read was taken for an empty one: tasks that ran
+    // were halted, run a second time elsewhere, and their record written over.
+    #[test]
+    fn a_job_with_a_record_from_the_future_is_left_alone() {
+        let future = serde_json::json!({"n": 1, "m": [], "later": true});
+        let seen = |stored: serde_json::Value| {
+            let mut leader = with_record(stored);
+            let id = MachineId::from("host-1");
+            let m = leader.meet(Time(0), &id);
+            (m.ours, m.session) = (true, crate::types::Session(1));
+            let task = ("wk-1/1".into(), Attempt(1), TaskState::Running, None);
+            leader.listed.insert(id.clone(), vec![task]);
+            let halted = !leader.commands(Time(0), &id).is_empty();
+            leader.dirty.note(("wk-1".into(), 0), Time(0), true);
+            let mut io = io_at(1.0);
+            leader.pump(&mut io);
+            let used = leader.team_use()[&Team::from("red")].used.gpus;
+            (halted, leader.lane.flight.is_some(), used)
+        };
+        assert_eq!(seen(future.clone()), (false, false, 3.0));
+        weaken(&[Decision::UnreadableIsLeftAlone]);
+        let harmed = seen(future);
+        weaken(&[]);
+        assert_eq!(harmed, (true, true, 0.0));
+        let good = serde_json::json!({"n": 1, "m": [["host-1", 1, 0, [0]]]});
+        assert_eq!(seen(good), (true, true, 1.0));
+    }
+
+    // While the state service takes few changes a second, new forms must not
+    // keep starts waiting; and all records get theirs in the end.
+    #[test]
+    fn old_records_get_their_form_by_and_by() {
+        let old = serde_json::json!({"n": 1, "d": [], "p": [[0, 1, "host-1", 1]]});
+        let mut leader = with_record(old);
+        let mut written = |leader: &mut Leader, secs: f64| {
+            let mut io = io_at(secs);
+            leader.rewrite(io.now.time);
+            leader.pump(&mut io);
+            leader.lane.flight.is_some()
+        };
+        assert!(!written(&mut leader, 1.0), "the level does not have it yet");
+        assert!(leader.is_rewritten());
+        leader.level = REMEMBERED;
+        assert!(!leader.is_rewritten());
+        let level = leader.writes.level(Time(2_000_000));
+        leader.writes.take(Time(2_000_000), level);
+        assert!(!written(&mut leader, 2.0), "there is more pressing work");
+        leader.writes = Bucket::new(50.0, 50.0);
+        assert!(!written(&mut leader, 3.0), "it settles first");
+        assert!(written(&mut leader, 4.5));
+        let answer = crate::wire::state::Revision {
+            revision: Version(9),
+            failed: Vec::new(),
+        };
+        leader.on_commit(&mut io_at(4.6), Reply::Answer(200, wire::encode(&answer)));
+        assert!(leader.is_rewritten());
+    }
 }
--- a/crates/pebblefold/src/core/ledger.rs
+++ b/crates/pebblefold/src/core/ledger.rs
@@ -14,10 +14,11 @@
 //! Everything below `w/` is watched by the leader.
 
 use super::duty::sweep::Orphan;
-use super::levels::registry;
+use super::levels::progress::{Progress, Unreadable};
+use super::levels::{Level, registry};
 use super::presence::{Placement, Stop};
 use super::weak::{self, Decision};
-use crate::types::{Attempt, JobId, Label, MachineId, Session, Span, Time, Token, Version, Wall};
+use crate::types::{Attempt, JobId, Label, Span, Time, Token, Version, Wall};
 use crate::wire::state::{Condition, Op, Txn};
 use crate::wire::users::{Shape, Submission};
 use serde::{Deserialize, Serialize};
@@ -97,16 +98,6 @@
     s: String,
 }
 
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
-struct ChunkValue {
-    n: u64,
-    d: Vec<(u32, u32)>,
-    p: Vec<(u32, u64, MachineId, u64)>,
-    /// Tasks that are being stopped with time to save.
-    #[serde(default, skip_serializing_if = "Vec::is_empty")]
-    x: Vec<(u32, u32)>,
-}
-
 fn value<T: Serialize>(v: &T) -> Value {
     serde_json::to_value(v).unwrap_or(Value::Null)
 }
@@ -343,6 +334,8 @@
     pub unsaved: BTreeMap<u32, u64>,
     /// Highest attempt ever used.
     pub attempt: Attempt,
+    /// Whether one of its records cannot be read: it is left as it is.
+    pub unreadable: bool,
     /// Scheduling notes, lost with the leader.
     pub notes: super::fleet::JobNotes,
 }
@@ -379,6 +372,7 @@
             chunks: BTreeMap::new(),
             unsaved: BTreeMap::new(),
             attempt: Attempt(0),
+            unreadable: false,
             notes: Default::default(),
         }
     }
@@ -420,8 +414,8 @@
                 || !self.unsaved.contains_key(&task))
     }
 
-    /// The record of a chunk as it should be stored.
-    pub fn chunk_value(&self, size: ChunkSize, chunk: u32) -> Value {
+    /// The record of a chunk as it should be stored while this level is in force.
+    pub fn chunk_value(&self, size: ChunkSize, chunk: u32, level: Level) -> Value {
         let low = chunk * size.0;
         let high = low + size.0;
         let mut stops = Ranges::default();
@@ -432,48 +426,54 @@
                 stops.insert(i);
             }
         }
-        value(&ChunkValue {
-            n: self.attempt.0,
-            d: self.done.within(low, high),
-            p: self
-                .places
-                .range(low..high)
-                .map(|(&i, p)| (i, p.attempt.0, p.machine.clone(), p.session.0))
-                .collect(),
-            x: stops.within(low, high),
-        })
-    }
-
-    /// Takes over a stored record.
-    pub fn load_chunk(&mut self, chunk: u32, version: Version, stored: &Value) -> bool {
-        let Some(v) = read::<ChunkValue>(stored) else {
-            return false;
+        let place = |(&i, p): (&u32, &Placement)| (i, p.attempt, p.machine.clone(), p.session);
+        let progress = Progress {
+            attempt: self.attempt,
+            done: self.done.within(low, high),
+            places: self.places.range(low..high).map(place).collect(),
+            stops: stops.within(low, high),
         };
+        progress.write(level)
+    }
+
+    /// Takes over a stored record. One that cannot be read keeps the whole job from
+    /// being started or written: what it says would be lost, and its tasks may run.
+    ///
+    /// # Errors
+    /// It is damaged, or from a later level.
+    pub fn load_chunk(
+        &mut self,
+        chunk: u32,
+        version: Version,
+        stored: &Value,
+    ) -> Result<(), Unreadable> {
+        let (change, stored_change) = (0, 0);
         self.chunks.insert(
             chunk,
             Chunk {
                 version,
-                change: 0,
-                stored: 0,
+                change,
+                stored: stored_change,
             },
         );
-        self.attempt = self.attempt.max(Attempt(v.n));
-        for (a, b) in v.d {
+        let read = Progress::read(stored);
+        self.unreadable |= read.is_err() && weak::holds(Decision::UnreadableIsLeftAlone);
+        let v = read?;
+        self.attempt = self.attempt.max(v.attempt);
+        for (a, b) in v.done {
             for i in a..b.min(self.spec.tasks) {
                 self.done.insert(i);
                 self.waiting.remove(i);
             }
         }
-        for (i, attempt, machine, session) in v.p {
+        for (i, attempt, machine, session) in v.places {
             self.waiting.remove(i);
-            self.attempt = self.attempt.max(Attempt(attempt));
-            self.places.insert(
-                i,
-                Placement::inherited(machine, Session(session), Attempt(attempt)),
-            );
+            self.attempt = self.attempt.max(attempt);
+            self.places
+                .insert(i, Placement::inherited(machine, session, attempt));
         }
         let grace_s = self.spec.save_s;
-        for (a, b) in v.x {
+        for (a, b) in v.stops {
             for (_, p) in self.places.range_mut(a..b) {
                 p.stop = Some(Stop {
                     grace_s,
@@ -482,7 +482,16 @@
                 });
             }
         }
-        true
+        Ok(())
+    }
+
+    /// Tasks that may be on machines, for what teams hold: of a job with a record
+    /// that cannot be read, all.
+    pub fn held(&self) -> usize {
+        match self.unreadable {
+            true => self.spec.tasks as usize,
+            false => self.places.len(),
+        }
     }
 
     /// Whether a chunk has starts that are neither stored nor sent.
@@ -711,7 +720,9 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::core::levels::TABLE;
     use crate::testing;
+    use crate::types::Session;
     use proptest::prelude::*;
     use std::collections::BTreeSet;
 
@@ -786,8 +797,10 @@
                 job.places.insert(i, place);
             }
             let chunk = size.of(high);
-            let len = json_len(&job.chunk_value(size, chunk));
-            assert!(len <= bytes, "{len} of {bytes}");
+            for step in TABLE {
+                let len = json_len(&job.chunk_value(size, chunk, step.level));
+                assert!(len <= bytes, "{len} of {bytes} at level {}", step.level);
+            }
         }
     }
 }
--- a/crates/pebblefold/src/core/levels/mod.rs
+++ b/crates/pebblefold/src/core/levels/mod.rs
@@ -7,6 +7,7 @@
 //! that compares what each of them wrote about itself; it never falls.
 //! `docs/notes/levels.md` says why.
 
+pub mod progress;
 pub mod registry;
 
 use serde::{Deserialize, Serialize};
--- /dev/null
+++ b/crates/pebblefold/src/core/levels/progress.rs
@@ -0,0 +1,284 @@
+//! The record of a chunk of tasks, in the form of every level.
+//!
+//! | form | value |
+//! | --- | --- |
+//! | before | `{"n": highest attempt, "d": [[from, to], ..] done, "p": [[task, attempt, machine, session], ..], "x": [[from, to], ..] being stopped}` |
+//! | by machine, since level 2 | `{"n": .., "d": [from, to, from, to, ..], "m": [[machine, session, n - attempt, [task, task - the one before, ..]], ..], "x": [from, to, ..]}` |
+//!
+//! Neither reads as the other. A record with more in it is of a later level, and is
+//! refused: what it says would be lost when it is written again.
+
+use super::{Level, REMEMBERED};
+use crate::types::{Attempt, MachineId, Session};
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+use std::collections::BTreeMap;
+
+/// Ranges `[from, to)` of tasks.
+pub type Spans = Vec<(u32, u32)>;
+
+/// Where a task is: its number, attempt, machine and session.
+pub type Place = (u32, Attempt, MachineId, Session);
+
+/// What a record says.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Progress {
+    /// The highest attempt.
+    pub attempt: Attempt,
+    /// Tasks that are done.
+    pub done: Spans,
+    /// Where tasks are, in the order of their numbers.
+    pub places: Vec<Place>,
+    /// Tasks that are being stopped with time to save.
+    pub stops: Spans,
+}
+
+/// Why a record cannot be read.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("in no form up to level {newest}: {why}", newest = super::Range::OURS.high)]
+pub struct Unreadable {
+    why: String,
+}
+
+#[derive(Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Before {
+    n: u64,
+    d: Spans,
+    p: Vec<(u32, u64, MachineId, u64)>,
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    x: Spans,
+}
+
+#[derive(Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct ByMachine {
+    n: u64,
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    d: Vec<u32>,
+    m: Vec<(MachineId, u64, u64, Vec<u32>)>,
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    x: Vec<u32>,
+}
+
+fn flat(spans: &Spans) -> Vec<u32> {
+    spans.iter().flat_map(|&(a, b)| [a, b]).collect()
+}
+
+fn pairs(flat: &[u32]) -> Result<Spans, Unreadable> {
+    let (pairs, rest) = flat.as_chunks::<2>();
+    let good = rest.is_empty() && pairs.iter().all(|[a, b]| a < b);
+    let why = || "fields d, x: not pairs of task numbers".to_string();
+    good.then(|| pairs.iter().map(|&[a, b]| (a, b)).collect())
+        .ok_or_else(|| Unreadable { why: why() })
+}
+
+impl Progress {
+    /// The record as it is to be stored while this level is in force.
+    pub fn write(&self, level: Level) -> Value {
+        let value = if level >= REMEMBERED {
+            serde_json::to_value(self.by_machine())
+        } else {
+            let place = |(i, a, m, s): &Place| (*i, a.0, m.clone(), s.0);
+            serde_json::to_value(Before {
+                n: self.attempt.0,
+                d: self.done.clone(),
+                p: self.places.iter().map(place).collect(),
+                x: self.stops.clone(),
+            })
+        };
+        value.unwrap_or(Value::Null)
+    }
+
+    fn by_machine(&self) -> ByMachine {
+        let mut machines: BTreeMap<(&MachineId, Session, Attempt), Vec<u32>> = BTreeMap::new();
+        for (task, attempt, machine, session) in &self.places {
+            let tasks = machines.entry((machine, *session, *attempt)).or_default();
+            tasks.push(*task);
+        }
+        let one =
+            |((machine, session, attempt), mut tasks): ((&MachineId, _, Attempt), Vec<u32>)| {
+                for i in (1..tasks.len()).rev() {
+                    tasks[i] -= tasks[i - 1];
+                }
+                let session: Session = session;
+                let back = self.attempt.0.saturating_sub(attempt.0);
+                (machine.clone(), session.0, back, tasks)
+            };
+        ByMachine {
+            n: self.attempt.0,
+            d: flat(&self.done),
+            m: machines.into_iter().map(one).collect(),
+            x: flat(&self.stops),
+        }
+    }
+
+    /// Reads a record in any form.
+    ///
+    /// # Errors
+    /// It has none of them, or says more than they do.
+    pub fn read(stored: &Value) -> Result<Progress, Unreadable> {
+        if stored.get("p").is_some() {
+            let v = Before::deserialize(stored).map_err(unreadable)?;
+            let place = |(i, a, m, s)| (i, Attempt(a), m, Session(s));
+            return Ok(Progress {
+                attempt: Attempt(v.n),
+                done: v.d,
+                places: v.p.into_iter().map(place).collect(),
+                stops: v.x,
+            });
+        }
+        let v = ByMachine::deserialize(stored).map_err(unreadable)?;
+        let mut places = Vec::new();
+        for (machine, session, back, tasks) in v.m {
+            let attempt = v.n.checked_sub(back).map(Attempt);
+            let attempt = attempt.ok_or_else(|| Unreadable {
+                why: "field m: an attempt below 0".into(),
+            })?;
+            let mut task = 0u32;
+            for (k, step) in tasks.into_iter().enumerate() {
+                let next = task.checked_add(step).filter(|_| k == 0 || step > 0);
+                task = next.ok_or_else(|| Unreadable {
+                    why: "field m: tasks out of order".into(),
+                })?;
+                places.push((task, attempt, machine.clone(), Session(session)));
+            }
+        }
+        places.sort_by_key(|p| p.0);
+        Ok(Progress {
+            attempt: Attempt(v.n),
+            done: pairs(&v.d)?,
+            places,
+            stops: pairs(&v.x)?,
+        })
+    }
+
+    /// Whether a record has the form that this level writes.
+    pub fn is_of(stored: &Value, level: Level) -> bool {
+        stored.get("m").is_some() == (level >= REMEMBERED)
+    }
+}
+
+fn unreadable(e: serde_json::Error) -> Unreadable {
+    Unreadable { why: e.to_string() }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::super::{BEFORE, FENCED};
+    use super::*;
+    use proptest::prelude::*;
+
+    fn sample() -> Progress {
+        let place = |i, a, m: &str| (i, Attempt(a), m.into(), Session(1));
+        Progress {
+            attempt: Attempt(3),
+            done: vec![(0, 2), (5, 6)],
+            places: vec![
+                place(2, 3, "host-7"),
+                place(3, 3, "host-7"),
+                place(4, 2, "host-8"),
+                place(7, 3, "host-7"),
+            ],
+            stops: vec![(4, 5)],
+        }
+    }
+
+    /// A record of each level as it was first stored; a later change must go on
+    /// reading them.
+    const GOLDEN: [(Level, &str); 3] = [
+        (
+            BEFORE,
+            r#"{"n":3,"d":[[0,2],[5,6]],"p":[[2,3,"host-7",1],[3,3,"host-7",1],[4,2,"host-8",1],[7,3,"host-7",1]],"x":[[4,5]]}"#,
+        ),
+        (
+            FENCED,
+            r#"{"n":3,"d":[[0,2],[5,6]],"p":[[2,3,"host-7",1],[3,3,"host-7",1],[4,2,"host-8",1],[7,3,"host-7",1]],"x":[[4,5]]}"#,
+        ),
+        (
+            REMEMBERED,
+            r#"{"n":3,"d":[0,2,5,6],"m":[["host-7",1,0,[2,1,4]],["host-8",1,1,[4]]],"x":[4,5]}"#,
+        ),
+    ];
+
+    #[test]
+    fn every_level_reads_what_was_once_stored() {
+        assert_eq!(
+            GOLDEN.len(),
+            super::super::TABLE.len(),
+            "a sample of each level"
+        );
+        for (level, text) in GOLDEN {
+            let stored: Value = serde_json::from_str(text).unwrap();
+            assert_eq!(Progress::read(&stored).as_ref(), Ok(&sample()), "{level}");
+            assert_eq!(sample().write(level), stored, "{level}");
+            assert!(Progress::is_of(&stored, level), "{level}");
+        }
+        // What an older build wrote without stops.
+        let old = serde_json::json!({"n": 1, "d": [], "p": []});
+        assert!(Progress::read(&old).is_ok());
+    }
+
+    // A record that is damaged, or says more than this build knows, must not be
+    // taken for an empty one: its tasks would be run a second time.
+    #[test]
+    fn what_is_damaged_or_from_the_future_is_refused() {
+        for text in [
+            "null",
+            "{}",
+            r#"{"n":1,"d":[]}"#,
+            r#"{"n":1,"d":[],"p":[],"q":1}"#,
+            r#"{"n":1,"m":[],"later":true}"#,
+            r#"{"n":1,"m":[],"d":[1]}"#,
+            r#"{"n":1,"m":[["h",1,2,[0]]]}"#,
+            r#"{"n":1,"m":[["h",1,0,[0,0]]]}"#,
+        ] {
+            let stored: Value = serde_json::from_str(text).unwrap();
+            let e = Progress::read(&stored).expect_err(text);
+            assert!(e.to_string().starts_with("in no form up to level"), "{e}");
+        }
+    }
+
+    fn spans() -> impl Strategy<Value = Spans> {
+        let steps = proptest::collection::vec((1u32..5, 1u32..5), 0..6);
+        steps.prop_map(|steps| {
+            let mut at = 0;
+            let mut next = |(gap, len)| {
+                let from = at + gap;
+                at = from + len;
+                (from, at)
+            };
+            steps.into_iter().map(&mut next).collect()
+        })
+    }
+
+    fn progress() -> impl Strategy<Value = Progress> {
+        let places = proptest::collection::btree_map(0u32..64, (0u64..9, 0u8..5, 1u64..3), 0..64);
+        (spans(), places, spans()).prop_map(|(done, places, stops)| {
+            let place = |(i, (a, m, s))| {
+                let machine = format!("host-{m:06}").as_str().into();
+                (i, Attempt(a), machine, Session(s))
+            };
+            Progress {
+                attempt: Attempt(9),
+                done,
+                places: places.into_iter().map(place).collect(),
+                stops,
+            }
+        })
+    }
+
+    proptest! {
+        #![proptest_config(ProptestConfig {
+            cases: 400, failure_persistence: None,
+            rng_seed: proptest::test_runner::RngSeed::Fixed(12), ..Default::default()
+        })]
+        #[test]
+        fn what_is_written_at_any_level_is_read_at_every_later_one(p in progress()) {
+            for step in super::super::TABLE {
+                let stored = p.write(step.level);
+                prop_assert_eq!(Progress::read(&stored), Ok(p.clone()));
+            }
+        }
+    }
+}
--- a/crates/pebblefold/src/core/levels/registry.rs
+++ b/crates/pebblefold/src/core/levels/registry.rs
@@ -57,6 +57,11 @@
     /// Where its policy differs from the default.
     #[serde(default)]
     pub policy: BTreeMap<String, f64>,
+    /// Tells this life of its process from every other one. Each writes its own word:
+    /// one that took an equal word of an earlier life for its own could have it
+    /// written over by what that life sent last, and be passed over by a rise.
+    #[serde(default)]
+    pub life: u64,
 }
 
 /// Why a node does nothing.
@@ -77,7 +82,7 @@
 }
 
 /// What a node knows.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Registry {
     own: Label,
     /// None: as a build that knows no levels.
@@ -115,12 +120,18 @@
 impl Registry {
     /// Nothing known yet. `range`: `None` for a node that behaves as builds did that
     /// knew no levels.
-    pub fn new(own: Label, range: Option<Range>, policy: BTreeMap<String, f64>) -> Registry {
+    pub fn new(
+        own: Label,
+        range: Option<Range>,
+        policy: BTreeMap<String, f64>,
+        life: u64,
+    ) -> Registry {
         let build = BUILD.to_string();
         let record = range.map(|levels| Member {
             levels,
             build,
             policy,
+            life,
         });
         Registry {
             own,
@@ -240,11 +251,12 @@
         }
         // A rise compares what each node wrote: one that has not written yet what
         // it is now could be passed over.
-        let stored = self.members.get(&self.own);
-        let same = |m: &Member| m.levels == record.levels;
-        if !stored.is_some_and(|(m, _)| m.as_ref().is_some_and(same))
-            && weak::holds(Decision::RegisterBeforeActing)
-        {
+        let stored = self.members.get(&self.own).and_then(|(m, _)| m.as_ref());
+        let enough = match weak::holds(Decision::EachLifeRegisters) {
+            true => stored == Some(record),
+            false => stored.is_some_and(|m| m.levels == record.levels),
+        };
+        if !enough && weak::holds(Decision::RegisterBeforeActing) {
             return Err(Refused::Unregistered);
         }
         Ok(())
@@ -279,13 +291,13 @@
     }
 
     /// What this node says in greetings.
-    pub fn tell(&self, life: u64) -> Option<Told> {
+    pub fn tell(&self) -> Option<Told> {
         let record = self.record.as_ref()?;
         Some(Told {
             low: record.levels.low.0,
             high: record.levels.high.0,
             build: record.build.clone(),
-            life,
+            life: record.life,
         })
     }
 
@@ -398,9 +410,9 @@
         })
     }
 
-    /// Whether the forms before the level in force may still be met.
-    pub fn rewrites(&self) -> bool {
-        self.done < self.force
+    /// Up to which level all that is stored has its form.
+    pub fn done(&self) -> Level {
+        self.done
     }
 
     /// What the nodes run and what is waited for, for operators.
--- a/crates/pebblefold/src/core/node.rs
+++ b/crates/pebblefold/src/core/node.rs
@@ -108,8 +108,6 @@
     handing: Option<Time>,
     /// Since when the process is to end.
     stopping: Option<Time>,
-    /// Tells this life of the process from every other one.
-    life: u64,
     /// Whether a change of the level is under way.
     raising: bool,
     /// Why it last did not serve, as logged.
@@ -153,11 +151,11 @@
     ) -> Node {
         let settings = Rc::new(settings);
         let mut io = Io::new(&settings, seed);
-        let registry = Registry::new(settings.label.clone(), range, policy.changed.clone());
+        let life = io.rng.random();
+        let registry = Registry::new(settings.label.clone(), range, policy.changed.clone(), life);
         let highest = Level(policy.highest_level as u32);
         let lease = Span::secs(policy.leader_lease_s);
         Node {
-            life: io.rng.random(),
             raising: false,
             refusing: None,
             io,
@@ -222,6 +220,11 @@
         (self.election.registry.level(), self.refused().is_none())
     }
 
+    /// Up to which level everything stored has its form, as this node knows.
+    pub fn rewritten(&self) -> Level {
+        self.election.registry.done()
+    }
+
     /// Whether a process that is to end may: it leads no more, and users had time to
     /// be led elsewhere.
     pub fn may_end(&self) -> bool {
--- a/crates/pebblefold/src/core/node/peers.rs
+++ b/crates/pebblefold/src/core/node/peers.rs
@@ -62,7 +62,7 @@
             state_ok: self.state_ok(),
             strained: self.pulse.strained || self.stopping.is_some(),
             effort_us: self.pulse.effort_us,
-            levels: self.election.registry.tell(self.life),
+            levels: self.election.registry.tell(),
             counts,
             caches: Vec::new(),
         }
--- a/crates/pebblefold/src/core/placing.rs
+++ b/crates/pebblefold/src/core/placing.rs
@@ -185,7 +185,7 @@
             .collect();
         for job in self.jobs.values() {
             if let Some(t) = teams.get_mut(&job.spec.team) {
-                t.used += job.spec.needs().times(job.places.len() as f64);
+                t.used += job.spec.needs().times(job.held() as f64);
             }
         }
         teams
@@ -194,10 +194,10 @@
     /// What teams hold, and what of that is being stopped.
     pub(super) fn account(&self) -> Account {
         let mut account = Account::new(&self.settings.teams);
-        for job in self.jobs.values().filter(|j| !j.places.is_empty()) {
+        for job in self.jobs.values().filter(|j| j.held() > 0) {
             let stopping = job.places.values().filter(|p| p.stop.is_some()).count();
             let each = Units::of(&job.spec.needs());
-            account.hold(&job.spec.team, each, job.places.len(), stopping);
+            account.hold(&job.spec.team, each, job.held(), stopping);
         }
         account
     }
@@ -293,6 +293,10 @@
         let jobs = self.jobs.iter_mut();
         for (id, job) in jobs.filter(|(_, j)| j.is_open() && !j.waiting.is_empty()) {
             job.notes.waiting_since.get_or_insert(now);
+            if job.unreadable {
+                job.notes.why = "a record of it cannot be read";
+                continue;
+            }
             if now < job.notes.not_before {
                 job.notes.why = "it failed lately";
                 continue;
--- /dev/null
+++ b/crates/pebblefold/src/core/teams/memory.rs
@@ -0,0 +1,172 @@
+//! What came for each class and team of late, as it is stored for a successor: it
+//! reads the jobs that are open, but not those that came and are over, and without
+//! them floors and reserves would take a busy hour for a quiet one.
+
+use crate::types::{Class, Span, Team, Wall};
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+use std::collections::BTreeMap;
+
+/// Where it is stored.
+pub const KEY: &str = "d/f";
+/// Parts that the time looked back over is kept in.
+const PARTS: u64 = 20;
+
+/// What came within one part: machines that it fills, machine seconds, and jobs.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Came(pub f64, pub f64, pub u32);
+
+/// Most arrivals that one part is taken for.
+const MOST_OF_PART: u32 = 200;
+
+/// A class, a team, and what came by part.
+type Line = (Class, Team, Vec<(u64, Came)>);
+
+#[derive(Serialize, Deserialize)]
+struct Stored {
+    /// Length of a part, in milliseconds.
+    t: u64,
+    c: Vec<Line>,
+}
+
+/// What came, by class, team and part.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Memory {
+    part: Span,
+    came: BTreeMap<(Class, Team), BTreeMap<u64, Came>>,
+}
+
+impl Memory {
+    /// Nothing yet, looking back over so much.
+    pub fn new(window: Span) -> Memory {
+        let part = Span(window.0 / PARTS).max(Span::millis(1000));
+        let came = BTreeMap::new();
+        Memory { part, came }
+    }
+
+    fn part_of(&self, at: Wall) -> u64 {
+        at.0 / self.part.as_millis().max(1)
+    }
+
+    /// A job came.
+    pub fn note(&mut self, at: Wall, class: &Class, team: &Team, machines: f64, run_s: f64) {
+        let part = self.part_of(at);
+        let group = (class.clone(), team.clone());
+        let came = self.came.entry(group).or_default().entry(part).or_default();
+        came.0 += machines;
+        came.1 += machines * run_s;
+        came.2 += 1;
+    }
+
+    /// As it is to be stored: no more than so many bytes, the oldest parts left out.
+    pub fn store(&self, now: Wall, bytes: usize) -> Value {
+        let mut oldest = self.part_of(now).saturating_sub(PARTS);
+        loop {
+            let rounded = |c: &Came| Came((c.0 * 100.0).round() / 100.0, c.1.round(), c.2);
+            let lines = self.came.iter().map(|((class, team), parts)| {
+                let parts = parts.range(oldest..).map(|(p, c)| (*p, rounded(c)));
+                (class.clone(), team.clone(), parts.collect())
+            });
+            let stored = Stored {
+                t: self.part.as_millis(),
+                c: lines.filter(|l: &Line| !l.2.is_empty()).collect(),
+            };
+            let empty = stored.c.is_empty();
+            let value = serde_json::to_value(stored).unwrap_or(Value::Null);
+            if empty || value.to_string().len() <= bytes {
+                return value;
+            }
+            oldest += 1;
+        }
+    }
+
+    /// What a stored one says beyond what is known here, as arrivals: when, class,
+    /// team, machines, and for how long. Of each part the greater word counts: what
+    /// is known here is part of what was stored, or came later.
+    pub fn missing(&self, stored: &Value) -> Option<Vec<(Wall, Class, Team, f64, f64)>> {
+        let stored = Stored::deserialize(stored).ok()?;
+        let mut out = Vec::new();
+        for (class, team, parts) in stored.c {
+            let known = self.came.get(&(class.clone(), team.clone()));
+            for (part, came) in parts {
+                // With another window the parts are others: each is put where it was.
+                let middle = Wall(part.saturating_mul(stored.t) + stored.t / 2);
+                let here = known.and_then(|k| k.get(&self.part_of(middle)));
+                let here = here.copied().unwrap_or_default();
+                let (machines, work) = (came.0 - here.0, came.1 - here.1);
+                if machines <= 0.0 || work <= 0.0 {
+                    continue;
+                }
+                // As many jobs as there were, so that none looks larger than it was.
+                let jobs = came.2.saturating_sub(here.2).clamp(1, MOST_OF_PART);
+                let each = machines / f64::from(jobs);
+                for _ in 0..jobs {
+                    out.push((middle, class.clone(), team.clone(), each, work / machines));
+                }
+            }
+        }
+        Some(out)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn full() -> Memory {
+        let mut m = Memory::new(Span::secs(600.0));
+        for i in 0..200u64 {
+            let class = ["urgent", "low"][i as usize % 2].into();
+            m.note(
+                Wall(1_000_000 + i * 3_000),
+                &class,
+                &"red".into(),
+                2.0,
+                30.0,
+            );
+        }
+        m
+    }
+
+    fn sum(all: &[(Wall, Class, Team, f64, f64)]) -> f64 {
+        all.iter()
+            .map(|(.., machines, run_s)| machines * run_s)
+            .sum()
+    }
+
+    // A successor knew of the open jobs only: a class whose work was being done
+    // looked as if nothing had come for it.
+    #[test]
+    fn a_successor_knows_what_came_and_is_over_and_counts_nothing_twice() {
+        let now = Wall(1_600_000);
+        let stored = full().store(now, 8192);
+        let mut successor = Memory::new(Span::secs(600.0));
+        let all = successor.missing(&stored).unwrap();
+        assert!((sum(&all) - 200.0 * 60.0).abs() < 1.0, "{}", sum(&all));
+        // Ten jobs are open and were read.
+        for i in 190..200u64 {
+            let class = ["urgent", "low"][i as usize % 2].into();
+            let at = Wall(1_000_000 + i * 3_000);
+            successor.note(at, &class, &"red".into(), 2.0, 30.0);
+        }
+        let rest = successor.missing(&stored).unwrap();
+        assert!((sum(&rest) - 190.0 * 60.0).abs() < 1.0, "{}", sum(&rest));
+        assert!(rest.iter().all(|a| a.3 < 2.1), "a job larger than any was");
+        assert_eq!(full().missing(&stored), Some(Vec::new()));
+    }
+
+    #[test]
+    fn it_fits_and_a_damaged_one_is_none() {
+        let mut m = full();
+        for i in 0..40 {
+            let team = format!("team-with-a-long-name-{i}").as_str().into();
+            for k in 0..20u64 {
+                m.note(Wall(1_000_000 + k * 30_000), &"low".into(), &team, 1.0, 9.0);
+            }
+        }
+        let stored = m.store(Wall(1_600_000), 8192);
+        assert!(stored.to_string().len() <= 8192);
+        assert!(!m.missing(&stored).unwrap().iter().any(|a| a.3 > 0.1));
+        assert_eq!(m.missing(&serde_json::json!({"t": 1})), None);
+    }
+}
--- a/crates/pebblefold/src/core/teams/mod.rs
+++ b/crates/pebblefold/src/core/teams/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod account;
 pub mod floor;
+pub mod memory;
 
 use crate::core::weak::{self, Decision};
 use crate::types::{Amounts, Class, Team};
--- a/crates/pebblefold/src/core/weak.rs
+++ b/crates/pebblefold/src/core/weak.rs
@@ -33,8 +33,12 @@
     WritesCompareTheLevel,
     /// A node writes down which levels it serves before it does anything.
     RegisterBeforeActing,
+    /// Each life of a node writes that down anew.
+    EachLifeRegisters,
     /// A rise compares what every node wrote of itself.
     RiseComparesMembers,
+    /// A job with a record that cannot be read is neither run nor written.
+    UnreadableIsLeftAlone,
     /// The next level waits until all that is stored has the form of this one.
     RewrittenBeforeNext,
 }
--- a/crates/pebblefold/src/core/writing.rs
+++ b/crates/pebblefold/src/core/writing.rs
@@ -3,7 +3,9 @@
 
 use super::io::Io;
 use super::leader::{Awaits, Fate, Leader};
-use super::ledger::{self, End, Item, TxnBuilder, TxnLimits};
+use super::ledger::{self, End, Item, Job, TxnBuilder, TxnLimits};
+use super::levels::REMEMBERED;
+use super::levels::progress::Progress;
 use super::weak::{self, Decision};
 use super::{Reply, Target};
 use crate::types::{JobId, Span, TaskId, Time, Version};
@@ -12,6 +14,9 @@
 
 /// Settled intents deleted in one transaction.
 const MOST_SETTLED: usize = 8;
+/// Records that get another form at once, and time between two such steps.
+const MOST_REWRITTEN: usize = 4;
+const REWRITE_EVERY: Span = Span::millis(250);
 /// Least time between two commits.
 const COMMIT_GAP: Span = Span::millis(40);
 
@@ -103,8 +108,10 @@
                 break;
             }
             let (id, chunk) = due.clone();
-            // Records of an ended job are only ever deleted.
-            let job = self.jobs.get(&id).filter(|j| j.is_open());
+            // Records of an ended job are only ever deleted, and those of one with
+            // a record that cannot be read stay as they are.
+            let job = self.jobs.get(&id);
+            let job = job.filter(|j| j.is_open() && !j.unreadable);
             let Some((job, c)) = job.and_then(|j| Some((j, j.chunks.get(&chunk)?))) else {
                 self.dirty.forget(&due);
                 continue;
@@ -112,7 +119,7 @@
             let key = ledger::chunk_key(&id, chunk);
             let put = Op::Put {
                 key: key.clone(),
-                value: job.chunk_value(self.chunk_size, chunk),
+                value: job.chunk_value(self.chunk_size, chunk, self.level),
                 lease: None,
             };
             let mut conditions = vec![Condition {
@@ -259,6 +266,49 @@
         }
     }
 
+    /// Notes whether a chunk that was stored has the form of the level in force.
+    fn note_form(&mut self, id: &JobId, chunk: u32, txn: &Txn) {
+        let key = ledger::chunk_key(id, chunk);
+        let value = txn.ops.iter().find_map(|op| match op {
+            Op::Put { key: k, value, .. } if *k == key => Some(value),
+            _ => None,
+        });
+        let of = (id.clone(), chunk);
+        if value.is_some_and(|v| Progress::is_of(v, REMEMBERED)) {
+            self.older.remove(&of);
+        } else {
+            self.older.insert(of);
+        }
+    }
+
+    /// Gives the next records the form of the level in force: a few at a time, and
+    /// only while less than half of what may be written is.
+    pub(super) fn rewrite(&mut self, now: Time) {
+        if self.level < REMEMBERED || now < self.rewrite_due || self.older.is_empty() {
+            return;
+        }
+        self.rewrite_due = now + REWRITE_EVERY;
+        if self.writes.level(now) < self.writes.burst() / 2.0 {
+            return;
+        }
+        let jobs = &self.jobs;
+        let writable =
+            |(id, _): &(JobId, u32)| jobs.get(id).is_some_and(|j| j.is_open() && !j.unreadable);
+        // What is over is deleted, and needs no form.
+        self.older
+            .retain(|c| jobs.get(&c.0).is_some_and(Job::is_open));
+        let next = self.older.iter().filter(|c| writable(c));
+        let next: Vec<(JobId, u32)> = next.take(MOST_REWRITTEN).cloned().collect();
+        for chunk in next {
+            self.dirty.note(chunk, now, false);
+        }
+    }
+
+    /// Whether all that is stored has the form of the level in force.
+    pub fn is_rewritten(&self) -> bool {
+        self.level < REMEMBERED || self.older.is_empty()
+    }
+
     fn again(&mut self, now: Time, item: Item) {
         match item {
             Item::Chunk(id, chunk, _) => self.dirty.note((id, chunk), now, true),
@@ -276,6 +326,7 @@
     fn committed(&mut self, item: Item, txn: &Txn, revision: Version) {
         match item {
             Item::Chunk(id, chunk, change) => {
+                self.note_form(&id, chunk, txn);
                 if let Some(job) = self.jobs.get_mut(&id) {
                     let mut before = change;
                     if let Some(c) = job.chunks.get_mut(&chunk) {
--- /dev/null
+++ b/crates/rehearsal/tests/levels.rs
@@ -0,0 +1,286 @@
+//! Every order of the steps around a rise of the level: three nodes that are put on
+//! an older and a newer build, whose reads, registrations, writes and rises are the
+//! real registry's, over a store that applies what is sent at any later time.
+
+use pebblefold::core::levels::registry::{BUILD, HOLDER, LEVEL, Registry, fence};
+use pebblefold::core::levels::{Level, Range};
+use pebblefold::core::weak::{Decision, weaken};
+use pebblefold::types::{Label, Span, Time, Version};
+use pebblefold::wire::state::{Condition, Entry, Op, Txn};
+use std::collections::{BTreeMap, BTreeSet, HashSet, VecDeque};
+
+const OLDER: Range = Range {
+    low: Level(0),
+    high: Level(1),
+};
+const NEWER: Range = Range {
+    low: Level(0),
+    high: Level(2),
+};
+/// What users write, in the form of the level that its writer goes by.
+const DATA: &str = "job/wk-1";
+
+fn label(n: usize) -> Label {
+    format!("node-{n}").as_str().into()
+}
+
+#[derive(Clone, Debug)]
+struct Node {
+    range: Range,
+    registry: Registry,
+    /// The version of the leader's key under which it leads, if it thinks so.
+    holds: Option<u64>,
+}
+
+impl Node {
+    fn new(n: usize, range: Range, life: u64) -> Node {
+        Node {
+            range,
+            registry: Registry::new(label(n), Some(range), BTreeMap::new(), life),
+            holds: None,
+        }
+    }
+}
+
+#[derive(Clone, Debug)]
+struct World {
+    revision: u64,
+    keys: BTreeMap<String, (serde_json::Value, u64)>,
+    nodes: Vec<Node>,
+    /// Transactions that were sent and may be applied at any time, by who sent them.
+    sent: BTreeSet<(usize, String)>,
+    rolls: u32,
+    writes: u32,
+    claims: u32,
+    broken: Option<&'static str>,
+}
+
+fn number(v: &serde_json::Value) -> u32 {
+    v["level"].as_u64().unwrap_or(0) as u32
+}
+
+impl World {
+    fn level(&self) -> u32 {
+        self.keys.get(LEVEL).map_or(0, |(v, _)| number(v))
+    }
+
+    fn apply(&mut self, txn: &Txn) -> bool {
+        let version = |key: &str| self.keys.get(key).map_or(0, |(_, v)| *v);
+        if txn
+            .conditions
+            .iter()
+            .any(|c| version(&c.key) != c.version.0)
+        {
+            return false;
+        }
+        let before = self.level();
+        self.revision += 1;
+        for op in &txn.ops {
+            if let Op::Put { key, value, .. } = op {
+                let stored = (value.clone(), self.revision);
+                self.keys.insert(key.clone(), stored);
+                if key == DATA && number(value) != before {
+                    self.broken = Some("a write in another form than the level's");
+                }
+            }
+        }
+        if !(before..=before + 1).contains(&self.level()) {
+            self.broken = Some("the level moved by more than a step");
+        }
+        true
+    }
+
+    fn send(&mut self, n: usize, txn: &Txn) {
+        let text = serde_json::to_string(txn).unwrap();
+        self.sent.insert((n, text));
+    }
+
+    fn look(&mut self) {
+        let level = Level(self.level());
+        let reads = |n: &Node| n.registry.serves().is_err() || n.range.has(level);
+        if !self.nodes.iter().all(reads) {
+            self.broken = Some("a node serves what it cannot read");
+        }
+    }
+
+    fn read(&mut self, n: usize) {
+        let entry = |(key, (value, version)): (&String, &(serde_json::Value, u64))| Entry {
+            key: key.clone(),
+            value: value.clone(),
+            version: Version(*version),
+        };
+        let all = self.keys.iter().filter(|(k, _)| k.starts_with("w/"));
+        let entries: Vec<Entry> = all.map(entry).collect();
+        self.nodes[n].registry.load(&entries);
+    }
+
+    fn print(&self) -> String {
+        format!(
+            "{:?}",
+            (
+                &self.keys,
+                &self.nodes,
+                &self.sent,
+                self.rolls,
+                self.writes,
+                self.claims
+            )
+        )
+    }
+
+    fn next(&self) -> Vec<World> {
+        let mut out = Vec::new();
+        let mut step = |change: &dyn Fn(&mut World)| {
+            let mut w = self.clone();
+            change(&mut w);
+            w.look();
+            out.push(w);
+        };
+        let now = Time(0) + Span::secs(100.0);
+        for (n, node) in self.nodes.iter().enumerate() {
+            // Put on the other build, at any time; its process knows nothing then.
+            if self.rolls > 0 && n == 2 {
+                step(&|w| {
+                    w.rolls -= 1;
+                    let other = if node.range == NEWER { OLDER } else { NEWER };
+                    w.nodes[n] = Node::new(n, other, u64::from(w.rolls) + 7);
+                });
+            }
+            // It reads, or its watch tells, as late as may be.
+            step(&|w| w.read(n));
+            if let Some(txn) = node.registry.registration() {
+                step(&|w| w.send(n, &txn));
+            }
+            if node.registry.serves().is_err() {
+                continue;
+            }
+            if self.writes > 0 && n > 0 {
+                step(&|w| {
+                    w.writes -= 1;
+                    let compared = node.registry.fence();
+                    let txn = Txn {
+                        conditions: compared.map(fence).into_iter().collect(),
+                        ops: vec![Op::Put {
+                            key: DATA.into(),
+                            value: serde_json::json!({ "level": node.registry.level() }),
+                            lease: None,
+                        }],
+                    };
+                    w.send(n, &txn);
+                });
+            }
+            // It takes the leader's key, whoever has it.
+            if self.claims > 0 && n == 0 {
+                step(&|w| {
+                    w.claims -= 1;
+                    w.revision += 1;
+                    let version = w.revision;
+                    w.keys
+                        .insert(HOLDER.into(), (serde_json::json!(n), version));
+                    w.nodes[n].holds = Some(version);
+                });
+            }
+            // What it heard in greetings may be as old as can be: all that every
+            // build that ever ran there said.
+            if let Some(version) = node.holds {
+                let mut registry = node.registry.clone();
+                let peers: Vec<Label> = (0..3).filter(|m| *m != n).map(label).collect();
+                for peer in &peers {
+                    let said = Registry::new(peer.clone(), Some(NEWER), BTreeMap::new(), 1).tell();
+                    for ms in (0..=100).map(|s| s * 1000) {
+                        registry.heard(Time(0) + Span::millis(ms), peer, said.clone());
+                    }
+                }
+                if let Ok(rise) = registry.rise(now, &peers, Level(9)) {
+                    let mut conditions = rise.conditions;
+                    conditions.push(Condition {
+                        key: HOLDER.into(),
+                        version: Version(version),
+                    });
+                    let txn = Txn {
+                        conditions,
+                        ops: rise.ops,
+                    };
+                    step(&|w| w.send(n, &txn));
+                }
+            }
+        }
+        for sent in &self.sent {
+            step(&|w| {
+                w.sent.remove(sent);
+                let txn: Txn = serde_json::from_str(&sent.1).unwrap();
+                w.apply(&txn);
+            });
+        }
+        out
+    }
+}
+
+/// Looks through every order up to so many worlds; how many there were, and what
+/// broke.
+fn explore(most: usize) -> (usize, Option<&'static str>) {
+    let at = |n: usize| format!("w/leader/at/{}", label(n));
+    let said = |range: Range| serde_json::json!({"levels": range, "build": BUILD, "policy": {}, "life": 1});
+    let mut keys = BTreeMap::from([
+        (LEVEL.to_string(), (serde_json::json!({"level": 1}), 1)),
+        ("w/leader/done".into(), (serde_json::json!({"level": 1}), 1)),
+    ]);
+    // Two are on the newer build already, one is still to be rolled.
+    let ranges = [NEWER, NEWER, OLDER];
+    for (n, range) in ranges.iter().enumerate() {
+        keys.insert(at(n), (said(*range), 2 + n as u64));
+    }
+    let first = World {
+        revision: 9,
+        keys,
+        nodes: (0..3).map(|n| Node::new(n, ranges[n], 1)).collect(),
+        sent: BTreeSet::new(),
+        rolls: 2,
+        writes: 1,
+        claims: 1,
+        broken: None,
+    };
+    let mut first = first;
+    for n in 0..3 {
+        first.read(n);
+    }
+    let mut seen = HashSet::from([first.print()]);
+    let mut queue = VecDeque::from([first]);
+    while let Some(world) = queue.pop_front() {
+        for next in world.next() {
+            if let Some(what) = next.broken {
+                return (seen.len(), Some(what));
+            }
+            if seen.len() < most && seen.insert(next.print()) {
+                queue.push_back(next);
+            }
+        }
+    }
+    (seen.len(), None)
+}
+
+#[test]
+fn no_order_of_a_rise_and_a_roll_back_does_harm() {
+    let (worlds, broken) = explore(2_000_000);
+    println!("{worlds} worlds");
+    assert_eq!(broken, None);
+    assert!(worlds > 10_000, "{worlds}");
+}
+
+// Without any one of what the argument rests on there is an order that does harm:
+// the search sees what it looks for.
+#[test]
+fn each_decision_is_needed() {
+    for off in [
+        Decision::WritesCompareTheLevel,
+        Decision::RegisterBeforeActing,
+        Decision::EachLifeRegisters,
+        Decision::RiseComparesMembers,
+    ] {
+        weaken(&[off]);
+        let (worlds, broken) = explore(2_000_000);
+        weaken(&[]);
+        println!("{off:?}: {broken:?} after {worlds} worlds");
+        assert!(broken.is_some(), "{off:?} was not missed");
+    }
+}
--- a/crates/rehearsal/tests/rollout.rs
+++ b/crates/rehearsal/tests/rollout.rs
@@ -262,3 +262,30 @@
         ends_well(world, seed);
     }
 }
+
+// Records of the older form are rewritten while work goes on, by whoever leads; a
+// successor goes on where its predecessor was.
+#[test]
+fn records_get_their_new_form_under_work_and_changes_of_leader() {
+    for seed in 0..6 {
+        let mut faults = roll_all(30.0, &[0, 1, 2], None);
+        for i in 0..3 {
+            let (nodes, for_s) = (Nodes::Leader, 0.05);
+            faults.push(at(62.0 + 2.0 * f64::from(i), What::Kill { nodes, for_s }));
+        }
+        // Much is running when the level rises, of jobs that take long.
+        let mut script = day(3, Some("fenced"), faults);
+        script.jobs[0].run_s = Spread::Fixed(60.0);
+        let mut world = start(script, seed);
+        assert_eq!(level(&mut world, 50.0), FENCED);
+        assert_eq!(level(&mut world, 90.0), REMEMBERED);
+        let mut t = 90.0;
+        let done = |world: &Simulated| world.nodes().map(|(_, n)| n.rewritten()).max();
+        while done(&world) < Some(REMEMBERED) && t < 300.0 {
+            t += 1.0;
+            world.play(Time(0) + Span::secs(t), false);
+        }
+        assert!(t < 200.0, "seed {seed}: not rewritten after {t} s");
+        ends_well(world, seed);
+    }
+}
