--- a/crates/pebblefold/src/core/leader.rs
+++ b/crates/pebblefold/src/core/leader.rs
@@ -580,14 +580,14 @@
             tracing::error!(key = memory::KEY, "cannot be read; floors begin anew");
             return;
         };
-        for (at, class, team, machines, run_s) in missing {
-            let all = self.arrivals.entry(class).or_default();
-            let place = all.partition_point(|a| a.at < at);
+        for m in missing {
+            let all = self.arrivals.entry(m.class).or_default();
+            let place = all.partition_point(|a| a.at < m.at);
             let arrival = Arrival {
-                at,
-                team,
-                machines,
-                run_s,
+                at: m.at,
+                team: m.team,
+                machines: m.machines,
+                run_s: m.run_s,
             };
             all.insert(place, arrival);
             if all.len() > MOST_ARRIVALS {
@@ -875,7 +875,7 @@
     fn old_records_get_their_form_by_and_by() {
         let old = serde_json::json!({"n": 1, "d": [], "p": [[0, 1, "host-1", 1]]});
         let mut leader = with_record(old);
-        let mut written = |leader: &mut Leader, secs: f64| {
+        let written = |leader: &mut Leader, secs: f64| {
             let mut io = io_at(secs);
             leader.rewrite(io.now.time);
             leader.pump(&mut io);
--- a/crates/pebblefold/src/core/teams/memory.rs
+++ b/crates/pebblefold/src/core/teams/memory.rs
@@ -19,6 +19,21 @@
 /// Most arrivals that one part is taken for.
 const MOST_OF_PART: u32 = 200;
 
+/// A job that came, as far as is remembered.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Missing {
+    /// About when.
+    pub at: Wall,
+    /// Its class.
+    pub class: Class,
+    /// Its team.
+    pub team: Team,
+    /// Machines that it filled, and for how long.
+    pub machines: f64,
+    /// Seconds.
+    pub run_s: f64,
+}
+
 /// A class, a team, and what came by part.
 type Line = (Class, Team, Vec<(u64, Came)>);
 
@@ -83,7 +98,7 @@
     /// What a stored one says beyond what is known here, as arrivals: when, class,
     /// team, machines, and for how long. Of each part the greater word counts: what
     /// is known here is part of what was stored, or came later.
-    pub fn missing(&self, stored: &Value) -> Option<Vec<(Wall, Class, Team, f64, f64)>> {
+    pub fn missing(&self, stored: &Value) -> Option<Vec<Missing>> {
         let stored = Stored::deserialize(stored).ok()?;
         let mut out = Vec::new();
         for (class, team, parts) in stored.c {
@@ -99,10 +114,14 @@
                 }
                 // As many jobs as there were, so that none looks larger than it was.
                 let jobs = came.2.saturating_sub(here.2).clamp(1, MOST_OF_PART);
-                let each = machines / f64::from(jobs);
-                for _ in 0..jobs {
-                    out.push((middle, class.clone(), team.clone(), each, work / machines));
-                }
+                let one = Missing {
+                    at: middle,
+                    class: class.clone(),
+                    team: team.clone(),
+                    machines: machines / f64::from(jobs),
+                    run_s: work / machines,
+                };
+                out.extend((0..jobs).map(|_| one.clone()));
             }
         }
         Some(out)
@@ -128,10 +147,8 @@
         m
     }
 
-    fn sum(all: &[(Wall, Class, Team, f64, f64)]) -> f64 {
-        all.iter()
-            .map(|(.., machines, run_s)| machines * run_s)
-            .sum()
+    fn sum(all: &[Missing]) -> f64 {
+        all.iter().map(|m| m.machines * m.run_s).sum()
     }
 
     // A successor knew of the open jobs only: a class whose work was being done
@@ -151,7 +168,7 @@
         }
         let rest = successor.missing(&stored).unwrap();
         assert!((sum(&rest) - 190.0 * 60.0).abs() < 1.0, "{}", sum(&rest));
-        assert!(rest.iter().all(|a| a.3 < 2.1), "a job larger than any was");
+        assert!(rest.iter().all(|m| m.machines < 2.1), "a job larger than any was");
         assert_eq!(full().missing(&stored), Some(Vec::new()));
     }
 
@@ -166,7 +183,7 @@
         }
         let stored = m.store(Wall(1_600_000), 8192);
         assert!(stored.to_string().len() <= 8192);
-        assert!(!m.missing(&stored).unwrap().iter().any(|a| a.3 > 0.1));
+        assert!(!m.missing(&stored).unwrap().iter().any(|m| m.machines > 0.1));
         assert_eq!(m.missing(&serde_json::json!({"t": 1})), None);
     }
 }
