--- a/crates/pebblefold/src/core/teams/memory.rs
+++ b/crates/pebblefold/src/core/teams/memory.rs
@@ -168,7 +168,10 @@
         }
         let rest = successor.missing(&stored).unwrap();
         assert!((sum(&rest) - 190.0 * 60.0).abs() < 1.0, "{}", sum(&rest));
-        assert!(rest.iter().all(|m| m.machines < 2.1), "a job larger than any was");
+        assert!(
+            rest.iter().all(|m| m.machines < 2.1),
+            "a job larger than any was"
+        );
         assert_eq!(full().missing(&stored), Some(Vec::new()));
     }
 
