--- a/crates/rehearsal/src/stand.rs
+++ b/crates/rehearsal/src/stand.rs
@@ -14,6 +14,7 @@
 use crate::users::{Planned, Users, plan};
 use crate::worker::{PATIENCE, Times};
 use pebblefold::core::ledger;
+use pebblefold::core::levels::progress::Progress;
 use pebblefold::core::levels::registry;
 use pebblefold::types::{Label, MachineId, Span, Time};
 use pebblefold::wire::cloud::MachineNames;
@@ -89,6 +90,31 @@
     Busy(usize, Span),
 }
 
+/// What the controllers asked the state service to change.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct AskedState {
+    /// Puts and deletes.
+    pub changes: u64,
+    /// Records of chunks among them, and their bytes.
+    pub records: u64,
+    /// Bytes of those.
+    pub bytes: u64,
+}
+
+impl AskedState {
+    fn note(&mut self, txn: &Txn) {
+        self.changes += txn.ops.len() as u64;
+        for op in &txn.ops {
+            if let Op::Put { key, value, .. } = op
+                && key.starts_with(ledger::RECORDS)
+            {
+                self.records += 1;
+                self.bytes += (key.len() + ledger::json_len(value)) as u64;
+            }
+        }
+    }
+}
+
 /// What the stand-ins want done.
 #[derive(Debug)]
 pub enum Out {
@@ -195,6 +221,7 @@
     heals: BTreeMap<(Time, u64), Heal>,
     numbers: u64,
     known_starts: BTreeSet<String>,
+    asked: AskedState,
     leader: Option<usize>,
     lost_calls: BTreeSet<u64>,
     out: Vec<Out>,
@@ -250,6 +277,7 @@
             heals: BTreeMap::new(),
             numbers: 0,
             known_starts: BTreeSet::new(),
+            asked: AskedState::default(),
             leader: None,
             lost_calls: BTreeSet::new(),
             out: Vec::new(),
@@ -284,6 +312,11 @@
         &self.script
     }
 
+    /// What the controllers asked the state service to change so far.
+    pub fn asked_state(&self) -> AskedState {
+        self.asked
+    }
+
     /// The checker.
     pub fn checker(&self) -> &Checker {
         &self.checker
@@ -494,6 +527,7 @@
             && let Some(txn) = decode::<Txn>(&r.body)
         {
             let holds = [registry::STONE, registry::HOLDER];
+            self.asked.note(&txn);
             leads = txn
                 .conditions
                 .iter()
@@ -532,12 +566,13 @@
             else {
                 continue;
             };
-            for p in value["p"].as_array().into_iter().flatten() {
-                if self.known_starts.insert(format!("{job}/{}/{}", p[0], p[1])) {
+            let places = Progress::read(value).map_or(Vec::new(), |p| p.places);
+            for (task, attempt, machine, _) in places {
+                if self.known_starts.insert(format!("{job}/{task}/{attempt}")) {
                     out.push(Noted {
                         moment: Moment::StartCommitted,
                         job: job.into(),
-                        machine: p[2].as_str().map(Into::into),
+                        machine: Some(machine.to_string()),
                     });
                 }
             }
