--- a/crates/pebblefold/src/core/duty/mod.rs
+++ b/crates/pebblefold/src/core/duty/mod.rs
@@ -8,6 +8,7 @@
 pub mod hands;
 pub mod intents;
 pub mod pulse;
+pub mod renting;
 pub mod sweep;
 
 /// Where the duties' records stand.
--- /dev/null
+++ b/crates/pebblefold/src/core/duty/renting.rs
@@ -0,0 +1,75 @@
+//! The renting duty's own state: what the cloud was asked and is to be asked.
+
+use super::hands::Hands;
+use super::intents::{Intents, Market};
+use crate::settings::Settings;
+use crate::types::{MachineId, Span, Time, Token};
+use crate::wire::cloud::{ListedMachine, Rent};
+use crate::wire::pace::{Backoff, Bucket};
+use std::collections::BTreeMap;
+
+/// What a peer answers where the cloud gave it no answer: certainly not
+/// reached, or perhaps; and where it knows a later token than ours.
+pub(in crate::core) const BAD_GATEWAY: u16 = 502;
+pub(in crate::core) const GATEWAY_TIMEOUT: u16 = 504;
+pub(in crate::core) const CONFLICT: u16 = 409;
+
+/// What the one call to the cloud in flight is about.
+#[derive(Clone, Debug)]
+pub enum CloudCall {
+    /// The machine types.
+    Types,
+    /// A page of the machine list.
+    List,
+    /// A request for machines.
+    Rent(Rent),
+    /// Machines to release.
+    Release(Vec<MachineId>),
+}
+
+/// Renting's own state.
+#[derive(Debug)]
+pub struct Rental {
+    pub(in crate::core) calls: Bucket,
+    pub(in crate::core) calling: bool,
+    pub(in crate::core) not_before: Time,
+    pub(in crate::core) backoff: Backoff,
+    /// What the cloud is to do.
+    pub intents: Intents,
+    /// Who calls the cloud.
+    pub hands: Hands,
+    pub(in crate::core) paused: BTreeMap<Market, Time>,
+    pub(in crate::core) list_due: Time,
+    pub(in crate::core) list_every: Span,
+    pub(in crate::core) listing: Vec<ListedMachine>,
+    /// When the last whole list was taken in.
+    pub listed: Option<Time>,
+    pub(in crate::core) types_due: Time,
+    /// Whether the last call released machines.
+    pub(in crate::core) released_last: bool,
+    pub(in crate::core) tend_due: Time,
+}
+
+impl Rental {
+    /// Nothing under way.
+    pub fn new(settings: &Settings, token: Token, now: Time) -> Rental {
+        let peers = settings.peers.iter().map(|p| p.label.clone()).collect();
+        let rate = settings.cloud_rps * 0.9;
+        Rental {
+            calls: Bucket::new(rate, rate.max(1.0)),
+            calling: false,
+            not_before: now,
+            backoff: Backoff::default(),
+            intents: Intents::new(token, settings.list_lag, settings.state_limits.value_bytes),
+            hands: Hands::new(peers),
+            paused: BTreeMap::new(),
+            list_due: now,
+            list_every: Span(settings.list_lag.0 / 2).max(Span::secs(2.0)),
+            listing: Vec::new(),
+            listed: None,
+            types_due: now,
+            released_last: false,
+            tend_due: now,
+        }
+    }
+}
--- a/crates/pebblefold/src/core/duty/sweep.rs
+++ b/crates/pebblefold/src/core/duty/sweep.rs
@@ -3,7 +3,7 @@
 //! written. Each goes only if it is as it was seen and its job's submission is
 //! not there, so that nothing a live job needs is ever removed.
 
-use crate::core::ledger;
+use crate::core::keys;
 use crate::core::weak::{self, Decision};
 use crate::types::{JobId, Version};
 use crate::wire::state::{Condition, Op};
@@ -30,11 +30,11 @@
 
 /// The job that a key is about, if it is one that must not outlive its job.
 fn owner(key: &str) -> Option<JobId> {
-    if let Some((job, _)) = ledger::record(key) {
+    if let Some((job, _)) = keys::record(key) {
         return Some(job);
     }
-    match ledger::watched(key) {
-        ledger::Watched::Part(job, _) | ledger::Watched::End(job) => Some(job),
+    match keys::watched(key) {
+        keys::Watched::Part(job, _) | keys::Watched::End(job) => Some(job),
         _ => None,
     }
 }
@@ -66,7 +66,7 @@
                 version: o.version,
             };
             let gone = Condition {
-                key: ledger::job_key(&o.job),
+                key: keys::job_key(&o.job),
                 version: Version(0),
             };
             let key = o.key.clone();
--- a/crates/pebblefold/src/core/fleet.rs
+++ b/crates/pebblefold/src/core/fleet.rs
@@ -1,180 +1,14 @@
-//! Machines and their workers' reports, as the leader sees them.
+//! Workers' reports, as the leader sees them.
 
 use super::io::Io;
 use super::leader::{Fate, Leader};
 use super::ledger::Job;
+use super::machine::Held;
 use super::presence::{Phase, Placement, Verdict};
-use super::tables::Cache;
 use super::{Now, RequestId};
-use crate::types::{
-    Amounts, Attempt, JobId, Kind, MachineId, Session, Span, Tally, TaskId, Time, Zone,
-};
-use crate::wire::cloud::MachineStage;
+use crate::types::{Amounts, Attempt, MachineId, Span, TaskId, Time};
 use crate::wire::workers::{Report, ReportedTask, TaskState, Why};
-use std::collections::{BTreeMap, BTreeSet};
-use std::net::SocketAddrV4;
-
-/// How far a machine's return has come.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Leaving {
-    /// It stays.
-    No,
-    /// It gets no new work; it goes when empty.
-    Drain,
-    /// Its release is due or asked for, whatever is on it.
-    Release,
-}
-
-/// A machine.
-#[derive(Debug)]
-pub struct Machine {
-    /// Where direct commands go.
-    pub addr: Option<SocketAddrV4>,
-    /// Its type, once known.
-    pub kind: Option<Kind>,
-    /// Its zone, once known.
-    pub zone: Option<Zone>,
-    /// Whether it is a spot machine.
-    pub spot: bool,
-    /// Newest message: its session.
-    pub session: Session,
-    /// Newest message: its number.
-    pub tally: Tally,
-    /// When it last reported.
-    pub reported: Option<Time>,
-    /// When we last answered a report with 200.
-    pub answered: Option<Time>,
-    /// Whether its newest report carried our token.
-    pub ours: bool,
-    /// When the first report did.
-    pub ours_since: Option<Time>,
-    /// Unrecorded tasks on it, and what they take.
-    pub strays: Amounts,
-    /// When the cloud takes it, if noticed.
-    pub taken_at: Option<Time>,
-    /// Its state in the cloud's list, and its age there.
-    pub listed: Option<(MachineStage, Span)>,
-    /// When a list last had it.
-    pub listed_at: Option<Time>,
-    /// When we first heard of it.
-    pub known: Time,
-    /// Whether its tasks were written off.
-    pub lost: bool,
-    /// Whether it is being returned.
-    pub leaving: Leaving,
-    /// Why.
-    pub why: &'static str,
-    /// Its images.
-    pub cache: Cache,
-    /// It gets no work before this time.
-    pub aside: Option<Time>,
-    /// When high-priority work was last placed here.
-    pub last_high: Option<Time>,
-    /// Since when it has nothing to do.
-    pub idle: Option<Time>,
-    /// Jobs that failed here, and when.
-    pub faults: BTreeMap<JobId, Time>,
-    /// Tasks placed here.
-    pub tasks: BTreeSet<TaskId>,
-    /// What they take together.
-    pub used: Amounts,
-}
-
-impl Machine {
-    /// One just heard of.
-    pub fn new(now: Time) -> Machine {
-        Machine {
-            addr: None,
-            kind: None,
-            zone: None,
-            spot: false,
-            session: Session(0),
-            tally: Tally(0),
-            reported: None,
-            answered: None,
-            ours: false,
-            ours_since: None,
-            strays: Amounts::default(),
-            taken_at: None,
-            listed: None,
-            listed_at: None,
-            known: now,
-            lost: false,
-            leaving: Leaving::No,
-            why: "",
-            aside: None,
-            cache: Cache::default(),
-            last_high: None,
-            idle: None,
-            faults: BTreeMap::new(),
-            tasks: BTreeSet::new(),
-            used: Amounts::default(),
-        }
-    }
-
-    /// It is to be released.
-    pub fn send_back(&mut self, why: &'static str) {
-        if self.leaving != Leaving::Release {
-            (self.leaving, self.why) = (Leaving::Release, why);
-        }
-    }
-
-    /// Notes a task placed here.
-    pub fn take(&mut self, task: TaskId, needs: Amounts) {
-        if self.tasks.insert(task) {
-            self.used += needs;
-        }
-    }
-
-    /// Notes that a task is not here any more.
-    pub fn release(&mut self, task: &TaskId, needs: Amounts) {
-        if self.tasks.remove(task) {
-            self.used -= needs;
-        }
-        if self.tasks.is_empty() {
-            // What rounding leaves must not add up.
-            self.used = Amounts::default();
-        }
-    }
-
-    /// Whether new work may go here.
-    pub fn usable(&self, now: Time, silence: Span) -> bool {
-        self.ours
-            && !self.lost
-            && self.leaving == Leaving::No
-            && self.taken_at.is_none()
-            && self.aside.is_none_or(|t| now >= t)
-            && self.reported.is_some_and(|t| now.since(t) < silence)
-    }
-}
-
-/// Notes on a job that only scheduling needs.
-#[derive(Clone, Debug, Default)]
-pub struct JobNotes {
-    /// Failures in a row.
-    pub failures: u32,
-    /// Not to be placed before this time.
-    pub not_before: Time,
-    /// Machines on which it failed.
-    pub failed_on: BTreeSet<MachineId>,
-    /// Since when it has tasks waiting.
-    pub waiting_since: Option<Time>,
-    /// Why it waits, for operators.
-    pub why: &'static str,
-    /// Whether it counts within its team's guarantee.
-    pub entitled: bool,
-    /// Why its tasks were last stopped, for operators.
-    pub last_stop: Option<&'static str>,
-}
-
-/// A report whose answer waits a moment for a commit.
-#[derive(Debug)]
-pub struct Held {
-    request: RequestId,
-    until: Time,
-    /// Cycles run when it was held; `None`: held until there is work.
-    cycles: Option<u64>,
-}
+use std::collections::BTreeMap;
 
 /// Time between looks for held reports that are due.
 const HELD_LOOK: Span = Span::millis(20);
@@ -541,7 +375,9 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::core::machine::Machine;
     use crate::testing::{io_at, leader};
+    use crate::types::Amounts;
 
     // A direct command can bring our token to a worker whose lease an older
     // leader renewed after our last 200: its lease ends later than that 200
--- a/crates/pebblefold/src/core/leader.rs
+++ b/crates/pebblefold/src/core/leader.rs
@@ -1,14 +1,14 @@
 //! The leading controller: loads what is recorded, follows changes, places
 //! work every cycle and writes its decisions ahead of sending them.
 
+use super::duty::renting::{CloudCall, Rental};
 use super::duty::{self, aside::Asides, sweep::Sweep};
-use super::fleet::{Held, Leaving, Machine};
 use super::handover::heralds::Heralds;
 use super::io::{Io, Waits};
 use super::ledger::{self, Assembly, ChunkSize, Dirty, End, HeadStage, Job, Lane, Watched};
 use super::levels::progress::Progress;
 use super::levels::{Level, REMEMBERED};
-use super::rental::{CloudCall, Rental};
+use super::machine::{Held, Leaving, Machine};
 use super::tables::Estimates;
 use super::teams::memory::{self, Memory};
 use super::weak::{self, Decision};
--- a/crates/pebblefold/src/core/ledger.rs
+++ b/crates/pebblefold/src/core/ledger.rs
@@ -1,64 +1,21 @@
 //! Durable records: what stands in the state service and how it is written.
 //!
-//! | key | value | life |
-//! | --- | --- | --- |
-//! | `w/leader`, `w/leader/...` | who leads, bound to a lease, its version is the token; levels: `levels/registry.rs` | |
-//! | `job/REF` | stage and task count; done and cancel race on its version | for ever |
-//! | `w/j/REF`, `w/p/REF/N` | when accepted, and the submission in pieces | until nothing of the job can run |
-//! | `w/x/REF` | how the job ended | likewise |
-//! | `r/REF/C` | tasks of chunk C: highest attempt, done ranges, placements | likewise |
-//! | `types` | the machine types last read from the cloud | |
-//! | `d/h/NAME`, `d/x/NAME` | a hire, a release: meant, maybe asked for | until settled |
-//! | `d/m/MACHINE` | why a machine gets no work for a while | while it is there |
-//!
-//! Everything below `w/` is watched by the leader.
+//! Its keys: [`super::keys`].
 
 use super::duty::sweep::Orphan;
+pub use super::keys::*;
+use super::levels::Level;
 use super::levels::progress::{Progress, Unreadable};
-use super::levels::{Level, registry};
 use super::presence::{Placement, Stop};
 use super::weak::{self, Decision};
-use crate::types::{Attempt, JobId, Label, Span, Time, Token, Version, Wall};
+use crate::types::{Attempt, JobId, Label, MachineId, Span, Time, Token, Version, Wall};
 use crate::wire::state::{Condition, Op, Txn};
 use crate::wire::users::{Shape, Submission};
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
-/// What the leader watches.
-pub const WATCHED: &str = "w/";
-/// Progress records.
-pub const RECORDS: &str = "r/";
-/// The machine types.
-pub const TYPES: &str = "types";
-/// Submissions.
-pub const JOBS: &str = "w/j/";
-/// Further pieces of long submissions.
-pub const PARTS: &str = "w/p/";
-/// Ends of jobs that still have records.
-pub const ENDS: &str = "w/x/";
-
-/// The key of a job's head.
-pub fn head_key(id: &JobId) -> String {
-    format!("job/{id}")
-}
-/// The key of a job's submission.
-pub fn job_key(id: &JobId) -> String {
-    format!("{JOBS}{id}")
-}
-/// The key of a job's end.
-pub fn end_key(id: &JobId) -> String {
-    format!("{ENDS}{id}")
-}
-fn part_key(id: &JobId, part: u32) -> String {
-    format!("{PARTS}{id}/{part}")
-}
-/// The key of a chunk of tasks.
-pub fn chunk_key(id: &JobId, chunk: u32) -> String {
-    format!("{RECORDS}{id}/{chunk}")
-}
-
 /// Who leads.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct LeaderValue {
@@ -309,6 +266,25 @@
     pub stored: u64,
 }
 
+/// Notes on a job that only scheduling needs.
+#[derive(Clone, Debug, Default)]
+pub struct JobNotes {
+    /// Failures in a row.
+    pub failures: u32,
+    /// Not to be placed before this time.
+    pub not_before: Time,
+    /// Machines on which it failed.
+    pub failed_on: BTreeSet<MachineId>,
+    /// Since when it has tasks waiting.
+    pub waiting_since: Option<Time>,
+    /// Why it waits, for operators.
+    pub why: &'static str,
+    /// Whether it counts within its team's guarantee.
+    pub entitled: bool,
+    /// Why its tasks were last stopped, for operators.
+    pub last_stop: Option<&'static str>,
+}
+
 /// A job in the leader's memory.
 #[derive(Debug)]
 pub struct Job {
@@ -337,7 +313,7 @@
     /// Whether one of its records cannot be read: it is left as it is.
     pub unreadable: bool,
     /// Scheduling notes, lost with the leader.
-    pub notes: super::fleet::JobNotes,
+    pub notes: JobNotes,
 }
 
 /// Tasks in one chunk.
@@ -523,43 +499,6 @@
     parts: BTreeMap<(JobId, u32), String>,
 }
 
-/// What a watched key is about.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Watched {
-    /// The leader's key, the level in force, or what a node says of itself.
-    Office,
-    /// A submission.
-    Job(JobId),
-    /// A further piece of one.
-    Part(JobId, u32),
-    /// A job's end.
-    End(JobId),
-    /// Something else.
-    Other,
-}
-
-/// Tells what a key below `w/` is about.
-pub fn watched(key: &str) -> Watched {
-    if key.starts_with(registry::PREFIX) {
-        Watched::Office
-    } else if let Some(id) = key.strip_prefix(JOBS) {
-        Watched::Job(id.into())
-    } else if let Some(id) = key.strip_prefix(ENDS) {
-        Watched::End(id.into())
-    } else if let Some((id, part)) = key.strip_prefix(PARTS).and_then(|k| k.rsplit_once('/')) {
-        part.parse()
-            .map_or(Watched::Other, |p| Watched::Part(id.into(), p))
-    } else {
-        Watched::Other
-    }
-}
-
-/// Tells which job and chunk a key below `r/` is about.
-pub fn record(key: &str) -> Option<(JobId, u32)> {
-    let (id, chunk) = key.strip_prefix(RECORDS)?.rsplit_once('/')?;
-    Some((id.into(), chunk.parse().ok()?))
-}
-
 impl Assembly {
     /// Keeps a further piece until its submission is read.
     pub fn part(&mut self, id: JobId, part: u32, v: &Value) {
@@ -724,7 +663,6 @@
     use crate::testing;
     use crate::types::Session;
     use proptest::prelude::*;
-    use std::collections::BTreeSet;
 
     proptest! {
         #![proptest_config(ProptestConfig {
--- a/crates/pebblefold/src/core/losses.rs
+++ b/crates/pebblefold/src/core/losses.rs
@@ -1,10 +1,10 @@
 //! How tasks leave their machines: done, ended early, or proven gone.
 
 use super::Now;
-use super::fleet::*;
 use super::io::Io;
 use super::leader::Leader;
 use super::ledger::End;
+use super::machine::*;
 use super::weak::{self, Decision};
 use crate::types::{MachineId, Span, TaskId, Time, Zone};
 use crate::wire::cloud::MachineStage;
--- /dev/null
+++ b/crates/pebblefold/src/core/machine.rs
@@ -0,0 +1,153 @@
+//! A machine as the leader knows it.
+
+use super::RequestId;
+use super::tables::Cache;
+use crate::types::{Amounts, JobId, Kind, Session, Span, Tally, TaskId, Time, Zone};
+use crate::wire::cloud::MachineStage;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddrV4;
+
+/// How far a machine's return has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Leaving {
+    /// It stays.
+    No,
+    /// It gets no new work; it goes when empty.
+    Drain,
+    /// Its release is due or asked for, whatever is on it.
+    Release,
+}
+
+/// A machine.
+#[derive(Debug)]
+pub struct Machine {
+    /// Where direct commands go.
+    pub addr: Option<SocketAddrV4>,
+    /// Its type, once known.
+    pub kind: Option<Kind>,
+    /// Its zone, once known.
+    pub zone: Option<Zone>,
+    /// Whether it is a spot machine.
+    pub spot: bool,
+    /// Newest message: its session.
+    pub session: Session,
+    /// Newest message: its number.
+    pub tally: Tally,
+    /// When it last reported.
+    pub reported: Option<Time>,
+    /// When we last answered a report with 200.
+    pub answered: Option<Time>,
+    /// Whether its newest report carried our token.
+    pub ours: bool,
+    /// When the first report did.
+    pub ours_since: Option<Time>,
+    /// Unrecorded tasks on it, and what they take.
+    pub strays: Amounts,
+    /// When the cloud takes it, if noticed.
+    pub taken_at: Option<Time>,
+    /// Its state in the cloud's list, and its age there.
+    pub listed: Option<(MachineStage, Span)>,
+    /// When a list last had it.
+    pub listed_at: Option<Time>,
+    /// When we first heard of it.
+    pub known: Time,
+    /// Whether its tasks were written off.
+    pub lost: bool,
+    /// Whether it is being returned.
+    pub leaving: Leaving,
+    /// Why.
+    pub why: &'static str,
+    /// Its images.
+    pub cache: Cache,
+    /// It gets no work before this time.
+    pub aside: Option<Time>,
+    /// When high-priority work was last placed here.
+    pub last_high: Option<Time>,
+    /// Since when it has nothing to do.
+    pub idle: Option<Time>,
+    /// Jobs that failed here, and when.
+    pub faults: BTreeMap<JobId, Time>,
+    /// Tasks placed here.
+    pub tasks: BTreeSet<TaskId>,
+    /// What they take together.
+    pub used: Amounts,
+}
+
+impl Machine {
+    /// One just heard of.
+    pub fn new(now: Time) -> Machine {
+        Machine {
+            addr: None,
+            kind: None,
+            zone: None,
+            spot: false,
+            session: Session(0),
+            tally: Tally(0),
+            reported: None,
+            answered: None,
+            ours: false,
+            ours_since: None,
+            strays: Amounts::default(),
+            taken_at: None,
+            listed: None,
+            listed_at: None,
+            known: now,
+            lost: false,
+            leaving: Leaving::No,
+            why: "",
+            aside: None,
+            cache: Cache::default(),
+            last_high: None,
+            idle: None,
+            faults: BTreeMap::new(),
+            tasks: BTreeSet::new(),
+            used: Amounts::default(),
+        }
+    }
+
+    /// It is to be released.
+    pub fn send_back(&mut self, why: &'static str) {
+        if self.leaving != Leaving::Release {
+            (self.leaving, self.why) = (Leaving::Release, why);
+        }
+    }
+
+    /// Notes a task placed here.
+    pub fn take(&mut self, task: TaskId, needs: Amounts) {
+        if self.tasks.insert(task) {
+            self.used += needs;
+        }
+    }
+
+    /// Notes that a task is not here any more.
+    pub fn release(&mut self, task: &TaskId, needs: Amounts) {
+        if self.tasks.remove(task) {
+            self.used -= needs;
+        }
+        if self.tasks.is_empty() {
+            // What rounding leaves must not add up.
+            self.used = Amounts::default();
+        }
+    }
+
+    /// Whether new work may go here.
+    pub fn usable(&self, now: Time, silence: Span) -> bool {
+        self.ours
+            && !self.lost
+            && self.leaving == Leaving::No
+            && self.taken_at.is_none()
+            && self.aside.is_none_or(|t| now >= t)
+            && self.reported.is_some_and(|t| now.since(t) < silence)
+    }
+}
+
+/// A report whose answer waits a moment for a commit.
+#[derive(Debug)]
+pub struct Held {
+    /// The request.
+    pub request: RequestId,
+    /// When it is answered at the latest.
+    pub until: Time,
+    /// Cycles run when it was held; `None`: held until there is work.
+    pub cycles: Option<u64>,
+}
--- a/crates/pebblefold/src/core/node.rs
+++ b/crates/pebblefold/src/core/node.rs
@@ -9,6 +9,7 @@
 mod verdict;
 
 use super::duty::pulse::Pulse;
+use super::duty::renting::BAD_GATEWAY;
 use super::election::{Election, Outcome};
 use super::intake::Intake;
 use super::io::{Io, Timed, Waits};
@@ -16,7 +17,6 @@
 use super::ledger;
 use super::levels::registry::{Refused, Registry};
 use super::levels::{Level, Range};
-use super::rental::BAD_GATEWAY;
 use super::suspicion::judge::Judge;
 use super::{CallId, Input, Now, Output, Reply, RequestId, Side, Target};
 use crate::http;
--- a/crates/pebblefold/src/core/placing.rs
+++ b/crates/pebblefold/src/core/placing.rs
@@ -3,10 +3,10 @@
 
 use super::commands::Record;
 use super::cycle::{Cycle, Pace, TeamUse, Want};
-use super::fleet::Machine;
 use super::io::Io;
 use super::leader::Leader;
 use super::ledger::Job;
+use super::machine::Machine;
 use super::preempt::{self, Victim, Victims};
 use super::presence::Phase;
 use super::tables::Row;
--- a/crates/pebblefold/src/core/rental.rs
+++ b/crates/pebblefold/src/core/rental.rs
@@ -1,56 +1,19 @@
 //! Renting and returning machines.
 
 use super::cycle::{Cycle, Pace, Want};
-use super::duty::hands::Hands;
-use super::duty::intents::{Intents, MOST_RENTED, Market};
-use super::fleet::Leaving;
+use super::duty::intents::{MOST_RENTED, Market};
+use super::duty::renting::{BAD_GATEWAY, CONFLICT, CloudCall, GATEWAY_TIMEOUT};
 use super::io::Io;
 use super::leader::{Awaits, Fate, Leader};
+use super::machine::Leaving;
 use super::tables::{Cache, Row};
 use super::{Reply, Target};
-use crate::settings::{ObjectiveKind, Settings};
-use crate::types::{Label, MachineId, Span, Time, Token, Zone};
+use crate::settings::ObjectiveKind;
+use crate::types::{Label, MachineId, Span, Time, Zone};
 use crate::wire;
 use crate::wire::cloud::{MachineList, MachineNames, MachineStage, MachineTypes, Rent};
-use crate::wire::pace::{Backoff, Bucket};
 use std::collections::{BTreeMap, HashMap};
 
-/// What the one call to the cloud in flight is about.
-#[derive(Clone, Debug)]
-pub enum CloudCall {
-    /// The machine types.
-    Types,
-    /// A page of the machine list.
-    List,
-    /// A request for machines.
-    Rent(Rent),
-    /// Machines to release.
-    Release(Vec<MachineId>),
-}
-
-/// Renting's own state.
-#[derive(Debug)]
-pub struct Rental {
-    calls: Bucket,
-    calling: bool,
-    not_before: Time,
-    backoff: Backoff,
-    /// What the cloud is to do.
-    pub intents: Intents,
-    /// Who calls the cloud.
-    pub hands: Hands,
-    paused: BTreeMap<Market, Time>,
-    list_due: Time,
-    list_every: Span,
-    listing: Vec<crate::wire::cloud::ListedMachine>,
-    /// When the last whole list was taken in.
-    pub listed: Option<Time>,
-    types_due: Time,
-    /// Whether the last call released machines.
-    released_last: bool,
-    tend_due: Time,
-}
-
 /// Machines in each zone.
 type Crowds = HashMap<Zone, u32>;
 
@@ -61,41 +24,12 @@
 
 /// Time between looks for intents that are settled.
 const TEND_EVERY: Span = Span::millis(1000);
-/// What a peer answers where the cloud gave it no answer: certainly not
-/// reached, or perhaps; and where it knows a later token than ours.
-pub(super) const BAD_GATEWAY: u16 = 502;
-pub(super) const GATEWAY_TIMEOUT: u16 = 504;
-pub(super) const CONFLICT: u16 = 409;
 /// How long a call to the cloud may take, and longer by a peer.
 const CALL: Span = Span::millis(5000);
 const CALL_BY_PEER: Span = Span::millis(6000);
 /// Time between looks at the machine types.
 const TYPES_EVERY: Span = Span::millis(60_000);
 
-impl Rental {
-    /// Nothing under way.
-    pub fn new(settings: &Settings, token: Token, now: Time) -> Rental {
-        let peers = settings.peers.iter().map(|p| p.label.clone()).collect();
-        let rate = settings.cloud_rps * 0.9;
-        Rental {
-            calls: Bucket::new(rate, rate.max(1.0)),
-            calling: false,
-            not_before: now,
-            backoff: Backoff::default(),
-            intents: Intents::new(token, settings.list_lag, settings.state_limits.value_bytes),
-            hands: Hands::new(peers),
-            paused: BTreeMap::new(),
-            list_due: now,
-            list_every: Span(settings.list_lag.0 / 2).max(Span::secs(2.0)),
-            listing: Vec::new(),
-            listed: None,
-            types_due: now,
-            released_last: false,
-            tend_due: now,
-        }
-    }
-}
-
 impl Leader {
     /// Makes the next call to the cloud, if one is due.
     pub(super) fn rental_tick(&mut self, io: &mut Io) {
--- a/crates/pebblefold/src/core/telling.rs
+++ b/crates/pebblefold/src/core/telling.rs
@@ -1,8 +1,8 @@
 //! What the leader tells peers and operators.
 
 use super::Now;
-use super::fleet::{Leaving, Machine};
 use super::leader::Leader;
+use super::machine::{Leaving, Machine};
 use super::presence::Phase;
 use super::teams::account::Units;
 use super::teams::floor::{Floors, Group};
