Leaders get back what they told; what fetching takes outlives its leader; policies that differ

Need: a leader whose process was back at once led on without knowing of any image on any machine, as only followers remembered; fetch times were lost with every leader; nodes under different policies did not say so.

--- a/crates/pebblefold/src/core/handover/mod.rs
+++ b/crates/pebblefold/src/core/handover/mod.rs
@@ -2,3 +2,4 @@
 //! here knows the leader, or any other part.
 
 pub mod heralds;
+pub mod keepsake;
--- a/crates/pebblefold/src/core/leader.rs
+++ b/crates/pebblefold/src/core/leader.rs
@@ -172,6 +172,7 @@
     memory_stored: serde_json::Value,
     pub(super) told: BTreeMap<JobId, (u32, u32)>,
     pub(super) told_caches: BTreeMap<MachineId, Vec<(Image, f64)>>,
+    pub(super) told_fetches: BTreeMap<Image, u64>,
 }
 
 impl Leader {
@@ -241,6 +242,7 @@
             memory_stored: serde_json::Value::Null,
             told: BTreeMap::new(),
             told_caches: BTreeMap::new(),
+            told_fetches: BTreeMap::new(),
             settings,
             policy,
         };
--- a/crates/pebblefold/src/core/levels/registry.rs
+++ b/crates/pebblefold/src/core/levels/registry.rs
@@ -415,6 +415,15 @@
         self.done
     }
 
+    /// A node that runs under another policy than this one, and where that differs
+    /// from the default.
+    pub fn other_policy(&self) -> Option<(&Label, &BTreeMap<String, f64>)> {
+        let own = &self.record.as_ref()?.policy;
+        let said = self.members.iter();
+        let said = said.filter_map(|(label, (m, _))| Some((label, &m.as_ref()?.policy)));
+        said.into_iter().find(|(_, policy)| *policy != own)
+    }
+
     /// What the nodes run and what is waited for, for operators.
     pub fn inspect(&self, now: Time, peers: &[Label], highest: Level) -> Value {
         let nodes: Vec<Value> = peers
@@ -432,15 +441,11 @@
                 })
             })
             .collect();
-        let all = peers.iter().chain([&self.own]);
-        let policies = all.filter_map(|l| self.members.get(l)?.0.as_ref().map(|m| &m.policy));
-        let mut policies: Vec<_> = policies.collect();
-        policies.dedup();
         serde_json::json!({
             "in_force": self.level(), "name": self.level().name(), "rewritten": self.done,
             "serves": self.serves().err().map_or("yes".into(), |e| format!("no: {e}")),
             "waits_for": self.rise(now, peers, highest).err(),
-            "one_policy": policies.len() <= 1, "nodes": nodes,
+            "one_policy": self.other_policy().is_none(), "nodes": nodes,
         })
     }
 }
@@ -604,6 +609,20 @@
         );
     }
 
+    #[test]
+    fn another_policy_is_named() {
+        assert_eq!(registry(Vec::new()).other_policy(), None);
+        let mut said = member("c", 2, 4);
+        said.value["policy"] = serde_json::json!({"doubt": 0.0});
+        let r = registry(vec![said]);
+        let (label, policy) = r.other_policy().unwrap();
+        assert_eq!((label.as_str(), policy["doubt"]), ("c", 0.0));
+        assert_eq!(
+            r.inspect(at(1.0), &["c".into()], Level(9))["one_policy"],
+            false
+        );
+    }
+
     // It woke up after the rise with an older build's eyes.
     #[test]
     fn beyond_its_build_a_node_does_nothing_and_says_why() {
--- a/crates/pebblefold/src/core/node.rs
+++ b/crates/pebblefold/src/core/node.rs
@@ -11,6 +11,7 @@
 use super::duty::pulse::Pulse;
 use super::duty::renting::BAD_GATEWAY;
 use super::election::{Election, Outcome};
+use super::handover::keepsake::Keepsake;
 use super::intake::Intake;
 use super::io::{Io, Timed, Waits};
 use super::leader::{Fate, Leader};
@@ -22,7 +23,7 @@
 use crate::http;
 use crate::policy::Policy;
 use crate::settings::Settings;
-use crate::types::{Image, Label, MachineId, Span, Time, Token};
+use crate::types::{Label, MachineId, Span, Time, Token};
 use crate::wire;
 use crate::wire::cloud::MachineTypes;
 use rand::RngExt;
@@ -96,8 +97,8 @@
     passing: BTreeMap<MachineId, Passing>,
     /// Peers that missed what was last told.
     missed: BTreeSet<Label>,
-    /// Images on machines, as the last leader told.
-    caches: BTreeMap<MachineId, (Time, Vec<(Image, f64)>)>,
+    /// What leaders told that no record has.
+    keepsake: Keepsake,
     types: Option<MachineTypes>,
     types_due: Time,
     types_calling: bool,
@@ -110,6 +111,8 @@
     stopping: Option<Time>,
     /// Whether a change of the level is under way.
     raising: bool,
+    /// Whether a node runs under another policy, as logged.
+    policies: bool,
     /// Why it last did not serve, as logged.
     refusing: Option<Refused>,
 }
@@ -130,8 +133,6 @@
 /// How long users are led away from a node that is to end: the balancer looks
 /// twice, a second apart.
 const USERS_LEAVE: Span = Span::millis(2500);
-/// Machines whose images are remembered for a change of leader.
-const MOST_CACHES: usize = 4000;
 /// Counts told to peers at once.
 const MOST_COUNTS: usize = 300;
 
@@ -158,6 +159,7 @@
         Node {
             raising: false,
             refusing: None,
+            policies: false,
             io,
             waits: Waits::default(),
             election: Election::new(settings.label.clone(), lease, registry, highest),
@@ -166,7 +168,7 @@
             peers: BTreeMap::new(),
             passing: BTreeMap::new(),
             missed: BTreeSet::new(),
-            caches: BTreeMap::new(),
+            keepsake: Keepsake::default(),
             types: None,
             types_due: Time(0),
             types_calling: false,
@@ -395,9 +397,13 @@
                     now,
                     self.types.as_ref().unwrap_or(&none),
                 );
-                for (id, (_, images)) in std::mem::take(&mut self.caches) {
+                let kept = self.keepsake.take();
+                for (id, images) in kept.machines {
                     leader.inherit_cache(now, &id, &images);
                 }
+                for (image, took) in kept.fetches {
+                    leader.estimates.note(&image, took);
+                }
                 self.election.keep(&mut self.io, lease, token);
                 leader.tick(&mut self.io);
                 self.leader = Some(leader);
@@ -447,6 +453,7 @@
     use super::*;
     use crate::policy::DEFAULT_SCRIPT;
     use crate::testing;
+    use crate::types::Image;
     use crate::wire::peers::Greeting;
 
     // Nodes that were started again during an outage said for all of it that they
@@ -467,6 +474,7 @@
             levels: None,
             counts: Vec::new(),
             caches: Vec::new(),
+            fetches: Vec::new(),
         };
         node.heard(peer(false));
         assert!(node.is_ready(), "the outage is everybody's");
@@ -555,6 +563,43 @@
         assert_eq!(kept(&mut node), Some((3, node.io.now.time)));
     }
 
+    // A leader whose process was back at once led on without knowing of any image.
+    #[test]
+    fn peers_give_a_leader_back_what_it_told_them_in_an_earlier_life() {
+        let node = |n| {
+            let settings = testing::settings(n);
+            let policy = Policy::from_script(DEFAULT_SCRIPT, &settings).unwrap();
+            Node::new(settings, policy, 1)
+        };
+        let (mut leader, mut peer) = (node(0), node(1));
+        let id = MachineId::from("host-1");
+        let images = vec![(Image::from("img"), 5.0)];
+        let fetches = vec![(Image::from("img"), 9000)];
+        peer.keepsake
+            .note(Time(1), Token(4), vec![(id.clone(), images)], fetches);
+        leader.leader = Some(testing::leader());
+        let told = wire::encode(&leader.greeting(Vec::new()));
+        peer.greeted(RequestId(1), &told);
+        let Some(Output::Answer(_, answer)) = peer.io.take_outputs().pop() else {
+            panic!("no answer");
+        };
+        let answer: Greeting = wire::decode(&answer.body).unwrap();
+        assert_eq!(answer.caches.len(), 1);
+        leader.heard(answer);
+        leader.greet();
+        assert!(
+            !leader.knows(&id),
+            "a machine that is gone is not brought back"
+        );
+        let l = leader.leader.as_mut().unwrap();
+        l.meet(Time(2), &id);
+        leader.greet();
+        let l = leader.leader.as_ref().unwrap();
+        assert_eq!(l.machines[&id].cache.images().count(), 1);
+        let cold = l.estimates.of(&"img".into(), 5.0, None);
+        assert_eq!(cold, Span::secs(9.0));
+    }
+
     // While one peer was down everything was told from the beginning again
     // every second, and the others never heard of more than the first machines.
     #[test]
--- a/crates/pebblefold/src/core/node/levels.rs
+++ b/crates/pebblefold/src/core/node/levels.rs
@@ -36,6 +36,13 @@
             }
             self.refusing = refused;
         }
+        let other = self.election.registry.other_policy();
+        if other.is_some() != std::mem::replace(&mut self.policies, other.is_some()) {
+            match other {
+                Some((node, policy)) => tracing::warn!(%node, ?policy, "runs under another policy"),
+                None => tracing::info!("all run under one policy"),
+            }
+        }
         let (peers, highest) = (self.labels(), self.highest());
         let Some(leader) = self.leader.as_mut().filter(|l| l.is_loaded()) else {
             self.raising = false;
--- a/crates/pebblefold/src/core/node/peers.rs
+++ b/crates/pebblefold/src/core/node/peers.rs
@@ -1,12 +1,10 @@
 //! What the nodes tell one another, and readiness.
 
-use super::{
-    Awaits, GREET_EVERY, MOST_CACHES, MOST_COUNTS, Node, PEER_FRESH, PeerView, STATE_FRESH,
-};
+use super::{Awaits, GREET_EVERY, MOST_COUNTS, Node, PEER_FRESH, PeerView, STATE_FRESH};
 use crate::core::leader::Fate;
 use crate::core::levels::registry::Refused;
 use crate::core::{Reply, RequestId, Target};
-use crate::types::{JobId, Label};
+use crate::types::{JobId, Label, Span};
 use crate::wire;
 use crate::wire::peers::Greeting;
 
@@ -65,6 +63,7 @@
             levels: self.election.registry.tell(),
             counts,
             caches: Vec::new(),
+            fetches: Vec::new(),
         }
     }
 
@@ -76,7 +75,12 @@
             .unwrap_or_default();
         let mut greeting = self.greeting(counts);
         if let Some(leader) = &mut self.leader {
+            let known = self.keepsake.take_known(|id| leader.knows(id));
+            for (id, images) in known {
+                leader.inherit_cache(self.io.now.time, &id, &images);
+            }
             greeting.caches = leader.changed_caches();
+            greeting.fetches = leader.changed_fetches();
         }
         let body = wire::encode(&greeting);
         for p in &self.settings.peers {
@@ -112,9 +116,25 @@
         let Some(g) = wire::decode::<Greeting>(body) else {
             return self.io.answer_status(id, 400);
         };
+        let leads = g.leads.then_some(g.token);
         self.heard(g);
-        let body = wire::encode(&self.greeting(Vec::new()));
-        self.io.answer_body(id, body);
+        let mut answer = self.greeting(Vec::new());
+        if let Some(token) = leads.filter(|_| self.leader.is_none()) {
+            // By the order of the names, so that no two peers begin alike.
+            let names = self.settings.peers.iter().map(|p| &p.label);
+            let before = names.filter(|l| **l < self.settings.label).count();
+            let from = before as f64 / (self.settings.peers.len() as f64 + 1.0);
+            answer.caches = self.keepsake.give(token, from);
+            let fetches = self.keepsake.fetches();
+            answer.fetches = match answer.caches.is_empty() {
+                true => Vec::new(),
+                false => fetches
+                    .map(|(i, s)| (i.clone(), s.as_millis()))
+                    .take(MOST_COUNTS)
+                    .collect(),
+            };
+        }
+        self.io.answer_body(id, wire::encode(&answer));
     }
 
     pub(super) fn heard(&mut self, g: Greeting) {
@@ -124,17 +144,12 @@
         self.intake.note_counts(g.counts);
         let now = self.io.now.time;
         self.election.registry.heard(now, &g.label, g.levels);
-        if self.leader.is_none() {
-            for (id, images) in g.caches {
-                self.caches.insert(id, (now, images));
-            }
-            while self.caches.len() > MOST_CACHES
-                && let Some((old, _)) = self.caches.iter().min_by_key(|(_, (t, _))| *t)
-            {
-                let old = old.clone();
-                self.caches.remove(&old);
+        if let Some(leader) = &mut self.leader {
+            for (image, ms) in &g.fetches {
+                leader.estimates.learn(image, Span::millis(*ms));
             }
         }
+        self.keepsake.note(now, g.token, g.caches, g.fetches);
         self.peers.insert(
             g.label,
             PeerView {
--- a/crates/pebblefold/src/core/tables.rs
+++ b/crates/pebblefold/src/core/tables.rs
@@ -118,6 +118,18 @@
         self.latest.insert(image.clone(), took);
     }
 
+    /// Takes over what an earlier leader saw, where this one saw nothing yet.
+    pub fn learn(&mut self, image: &Image, took: Span) {
+        if !self.latest.contains_key(image) {
+            self.note(image, took);
+        }
+    }
+
+    /// All that is known.
+    pub fn all(&self) -> impl Iterator<Item = (&Image, Span)> {
+        self.latest.iter().map(|(i, t)| (i, *t))
+    }
+
     /// What fetching an image should take: its latest time; for one not seen
     /// yet, its size over the type's rate, if known; else the largest known.
     pub fn of(&self, image: &Image, gb: f64, rate: Option<f64>) -> Span {
--- a/crates/pebblefold/src/core/telling.rs
+++ b/crates/pebblefold/src/core/telling.rs
@@ -12,6 +12,8 @@
 
 /// Machines, and jobs, that one answer to an operator shows.
 const MOST_SHOWN: usize = 200;
+/// Fetch times told to peers at once.
+const MOST_FETCHES: usize = 200;
 /// Machines whose images are told to peers at once.
 const MOST_CACHES: usize = 100;
 
@@ -58,10 +60,24 @@
         out
     }
 
+    /// Fetch times that changed since the last call.
+    pub fn changed_fetches(&mut self) -> Vec<(Image, u64)> {
+        let told = &mut self.told_fetches;
+        let changed = self.estimates.all().filter_map(|(image, took)| {
+            let ms = took.as_millis();
+            let news = told.get(image) != Some(&ms);
+            news.then(|| (image.clone(), ms))
+        });
+        let changed: Vec<(Image, u64)> = changed.take(MOST_FETCHES).collect();
+        told.extend(changed.iter().cloned());
+        changed
+    }
+
     /// A peer missed what was told: tells everything once more.
     pub fn tell_again(&mut self) {
         self.told.clear();
         self.told_caches.clear();
+        self.told_fetches.clear();
     }
 
     /// Takes over what the last leader told of a machine's images.
@@ -71,7 +87,10 @@
             .entry(id.clone())
             .or_insert_with(|| Machine::new(now));
         for (image, gb) in images {
-            m.cache.fetched(image, *gb, now, f64::INFINITY);
+            // What is known of it since is newer.
+            if m.cache.remaining(image, now).is_none() {
+                m.cache.fetched(image, *gb, now, f64::INFINITY);
+            }
         }
     }
 
--- a/crates/wire/src/peers.rs
+++ b/crates/wire/src/peers.rs
@@ -86,7 +86,10 @@
     #[serde(default)]
     pub counts: Vec<(JobId, u32, u32)>,
     /// From the leader: images and their sizes on machines where they changed,
-    /// so that a successor need not learn them anew.
+    /// so that a successor need not learn them anew. To it: what earlier leaders told.
     #[serde(default)]
     pub caches: Vec<(MachineId, Vec<(Image, f64)>)>,
+    /// From the leader: what fetching images last took, in milliseconds.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub fetches: Vec<(Image, u64)>,
 }
