--- a/crates/rehearsal/tests/rollout.rs
+++ b/crates/rehearsal/tests/rollout.rs
@@ -6,7 +6,8 @@
 use pebblefold::core::levels::{BEFORE, FENCED, Level, REMEMBERED};
 use pebblefold::types::{Span, Time};
 use pebblefold_rehearsal::script::{
-    Build, CutMode, Fault, JobShape, LastWrite, Nodes, PowerLoss, Script, Side, Spread, What,
+    Build, CutMode, Fault, JobPriority, JobShape, LastWrite, Nodes, PowerLoss, Script, Side,
+    Spread, What,
 };
 use pebblefold_rehearsal::simulated::Simulated;
 use rand::rngs::StdRng;
@@ -289,3 +290,36 @@
         ends_well(world, seed);
     }
 }
+
+// Hires that an older build wrote down, a clean-up and work stopped for more urgent
+// work, in the middle of a rise: a successor of the new build finishes all of it.
+#[test]
+fn a_rise_among_rentals_and_reclaims_loses_none() {
+    for seed in 0..4 {
+        let mut faults = roll_all(30.0, &[0, 1, 2], None);
+        for (at_s, for_s) in [(56.4, 3.0), (60.5, 0.05), (67.0, 3.0)] {
+            let nodes = Nodes::Leader;
+            faults.push(at(at_s, What::Kill { nodes, for_s }));
+        }
+        let mut s = day(3, Some("before"), faults);
+        for m in &mut s.cluster.machines {
+            m.capacity += 60;
+        }
+        let mut low = jobs(JobShape::Array, 20, 6.0);
+        (low.priority, low.team, low.from_s) = (JobPriority::Low, "blue".into(), 40.0);
+        let mut urgent = jobs(JobShape::Array, 30, 8.0);
+        (urgent.priority, urgent.from_s, urgent.over_s) = (JobPriority::High, 54.0, 12.0);
+        s.jobs.extend([low, urgent]);
+        let mut world = start(s, seed);
+        assert_eq!(level(&mut world, 120.0), REMEMBERED);
+        let v = world.rehearse();
+        sound(&v, seed);
+        assert_eq!(
+            v.accepted,
+            v.done + v.cancelled,
+            "seed {seed}: {}",
+            v.text()
+        );
+        assert!(v.renting.hired > 20, "seed {seed}: {:?}", v.renting);
+    }
+}
