--- a/crates/pebblefold/src/core/ledger.rs
+++ b/crates/pebblefold/src/core/ledger.rs
@@ -423,15 +423,11 @@
         version: Version,
         stored: &Value,
     ) -> Result<(), Unreadable> {
-        let (change, stored_change) = (0, 0);
-        self.chunks.insert(
-            chunk,
-            Chunk {
-                version,
-                change,
-                stored: stored_change,
-            },
-        );
+        let there = Chunk {
+            version,
+            ..Chunk::default()
+        };
+        self.chunks.insert(chunk, there);
         let read = Progress::read(stored);
         self.unreadable |= read.is_err() && weak::holds(Decision::UnreadableIsLeftAlone);
         let v = read?;
