--- a/crates/rehearsal/benches/detection.rs
+++ b/crates/rehearsal/benches/detection.rs
@@ -2,13 +2,19 @@
 //! alone beside suspicion and verdict. Run with
 //! `cargo bench -p pebblefold-rehearsal --bench detection [-- SEEDS]`; simulated.
 
+use pebblefold::core::handover::heralds::{Heralds, Need};
+use pebblefold::core::handover::keepsake::Keepsake;
 use pebblefold::core::suspicion::accrual::Accrual;
+use pebblefold::core::suspicion::judge::Judge;
 use pebblefold::policy::DEFAULT_SCRIPT;
-use pebblefold::types::{Span, Time, Token};
+use pebblefold::types::{Label, MachineId, Span, Time, Token};
+use pebblefold::wire::encode;
+use pebblefold::wire::peers::{Ask, Beat, Opinion};
 use pebblefold_rehearsal::script::{CutMode, Fault, Nodes, PowerLoss, Script, Side, What};
 use pebblefold_rehearsal::simulated::Simulated;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
+use std::time::Instant;
 
 /// Steady work on forty machines.
 fn script(nodes: usize) -> Script {
@@ -295,6 +301,86 @@
     changes.iter().sum()
 }
 
+/// What opinions cost: bytes on the net and processor time.
+fn costs() {
+    let label = Label::from("controller-0");
+    let token = Token(123_456);
+    let beat = Beat {
+        label: label.clone(),
+        token,
+        state_ms: 250,
+        late_ms: 50,
+    };
+    let ask = Ask {
+        token,
+        no_state: false,
+    };
+    let opinion = Opinion {
+        label: label.clone(),
+        token,
+        agrees: true,
+        came: 3,
+    };
+    let bytes = [
+        encode(&beat).len(),
+        encode(&ask).len(),
+        encode(&opinion).len(),
+    ];
+    println!("\nbytes of a beat, a question, an opinion, without headers: {bytes:?}");
+    let mut judge = Judge::new(5, 8.0);
+    judge.follow(Some(&(label, token)));
+    let n = 1_000_000u64;
+    let begun = Instant::now();
+    for i in 0..n {
+        let now = Time(0) + Span::millis(50 * i);
+        judge.tick(now);
+        if i % 5 == 0 {
+            judge.heard(now, &beat);
+        }
+        std::hint::black_box(judge.step(now, 0));
+    }
+    println!(
+        "a tick of a judge: {:.0} ns",
+        begun.elapsed().as_nanos() as f64 / n as f64
+    );
+    for machines in [1_800u32, 18_000] {
+        let ids: Vec<MachineId> = (0..machines)
+            .map(|i| format!("host-{i:06}").as_str().into())
+            .collect();
+        let begun = Instant::now();
+        let mut heralds = Heralds::new(Time(0), Span::secs(8.0));
+        for id in &ids {
+            heralds.note(Time(0), Need::Busy, id.clone());
+        }
+        let mut told = 0;
+        for tick in 0..200u64 {
+            let now = Time(0) + Span::millis(50 * tick);
+            told += heralds.next(now, ids.len()).len();
+        }
+        let herald = begun.elapsed();
+        let mut kept = Keepsake::default();
+        let images = vec![("image-1".into(), 7.0), ("image-2".into(), 9.0)];
+        let all = ids.iter().map(|id| (id.clone(), images.clone())).collect();
+        kept.note(Time(1), Token(1), all, Vec::new());
+        let begun = Instant::now();
+        let (mut parts, mut bytes) = (0u32, 0);
+        loop {
+            let part = kept.give(Token(2), 0.25);
+            if part.is_empty() {
+                break;
+            }
+            parts += 1;
+            bytes += encode(&part).len();
+        }
+        println!(
+            "{machines} machines: {told} told who leads in 10 s, {:.1} ms in all; images given back in {parts} parts of {} bytes, {:.2} ms each",
+            herald.as_secs_f64() * 1e3,
+            bytes / parts.max(1) as usize,
+            begun.elapsed().as_secs_f64() * 1e3 / f64::from(parts.max(1)),
+        );
+    }
+}
+
 fn main() {
     let seeds = std::env::args().skip(1).find_map(|a| a.parse().ok());
     let seeds: u64 = seeds.unwrap_or(10);
@@ -330,4 +416,5 @@
         );
     }
     false_alarms(seeds);
+    costs();
 }
