--- a/crates/pebblefold/src/core/election.rs
+++ b/crates/pebblefold/src/core/election.rs
@@ -627,11 +627,11 @@
 
     /// The last call made, and what its answer is for.
     fn called(e: &mut Election, io: &mut Io) -> (Call, Awaits) {
-        let calls = io.take_outputs().into_iter().filter_map(|o| match o {
+        let mut calls = io.take_outputs().into_iter().filter_map(|o| match o {
             Output::Call(c) => Some(c),
             _ => None,
         });
-        let call = calls.last().expect("a call");
+        let call = calls.next_back().expect("a call");
         let what = e.waits.take(call.id).expect("waited for");
         (call, what)
     }
