--- a/crates/pebblefold/src/core/election.rs
+++ b/crates/pebblefold/src/core/election.rs
@@ -388,12 +388,11 @@
                 if let Some(r) = wire::decode::<Revision>(&body) {
                     self.registry.registered(r.revision);
                 }
-                // A virgin store has one change more now.
-                self.standing = if self.virgin {
-                    Standing::Unknown
-                } else {
-                    self.standing
-                };
+                // A new store has one change more now. Otherwise the watch goes on
+                // from what was read: what others changed since was not seen yet.
+                if self.virgin {
+                    self.standing = Standing::Unknown;
+                }
             }
             // Something else was stored meanwhile, or this was after all.
             _ => {
