Notes of a job's records go with it

Need: found by reading: while a level is held back, chunks noted as being of the older form stayed noted after their job was gone, for as long as one leader lives. Change: jobs are forgotten in one place, with what is noted of their records. Measured (test): nothing is left after a job ends; before, one note a chunk.

--- a/crates/pebblefold/src/core/writing.rs
+++ b/crates/pebblefold/src/core/writing.rs
@@ -279,6 +279,16 @@
         }
     }
 
+    /// Nothing of a job is left, here or stored. What is noted of its records goes
+    /// too: where a level is held back for weeks it would pile up.
+    fn forget(&mut self, id: &JobId) {
+        let job = self.jobs.remove(id);
+        for chunk in job.iter().flat_map(|j| j.chunks.keys()) {
+            self.older.remove(&(id.clone(), *chunk));
+        }
+        self.told.remove(id);
+    }
+
     /// Notes whether a chunk that was stored has the form of the level in force.
     fn note_form(&mut self, id: &JobId, chunk: u32, txn: &Txn) {
         let key = ledger::chunk_key(id, chunk);
@@ -375,18 +385,15 @@
                 }
             }
             Item::Close(id) => {
-                if let Some(job) = self.jobs.remove(&id) {
+                if let Some(job) = self.jobs.get(&id) {
                     tracing::info!(job = %id, team = %job.spec.team, class = %job.spec.class, "done");
                 }
-                self.told.remove(&id);
+                self.forget(&id);
             }
             Item::Note(key, Some(_)) => self.rental.intents.stored(&key),
             Item::Note(_, None) => {}
             Item::Sweep(_) => self.sweep.deleted += 1,
-            Item::Drop(id, true) => {
-                self.jobs.remove(&id);
-                self.told.remove(&id);
-            }
+            Item::Drop(id, true) => self.forget(&id),
             Item::Drop(id, false) => {
                 if let Some(job) = self.jobs.get_mut(&id) {
                     job.chunks.retain(|&c, _| {
@@ -493,6 +500,7 @@
                 let here = Placement::inherited("host-1".into(), Session(1), Attempt(1));
                 job.places.insert(0, here);
             }
+            leader.older.insert((id.clone(), 0));
             leader.finishing.insert(id.clone());
             let (txn, items) = leader.gather(Time(1_000_000)).unwrap();
             let keys = txn.ops.iter().map(|op| match op {
@@ -508,7 +516,9 @@
             for item in items {
                 leader.committed(item, &txn, Version(10));
             }
-            (keys.join(" "), leader.jobs.contains_key(&id))
+            let left = leader.jobs.contains_key(&id);
+            assert_eq!(leader.older.is_empty(), !left, "notes of it pile up");
+            (keys.join(" "), left)
         };
         let (keys, left) = ended(false);
         assert_eq!(
