--- a/crates/rehearsal/tests/rollout.rs
+++ b/crates/rehearsal/tests/rollout.rs
@@ -5,6 +5,7 @@
 use common::*;
 use pebblefold::core::levels::{BEFORE, FENCED, Level, REMEMBERED};
 use pebblefold::types::{Span, Time};
+use pebblefold_rehearsal::report::Verdict;
 use pebblefold_rehearsal::script::{
     Build, CutMode, Fault, JobPriority, JobShape, LastWrite, Nodes, PowerLoss, Script, Side,
     Spread, What,
@@ -70,15 +71,12 @@
 }
 
 /// Plays on to the end: no rule broken, every job with one final answer.
-fn ends_well(world: Simulated, seed: u64) {
+fn ends_well(world: Simulated, seed: u64) -> Verdict {
     let v = world.rehearse();
     sound(&v, seed);
-    assert_eq!(
-        v.accepted,
-        v.done + v.cancelled,
-        "seed {seed}: {}",
-        v.text()
-    );
+    let text = v.text();
+    assert_eq!(v.accepted, v.done + v.cancelled, "seed {seed}: {text}");
+    v
 }
 
 #[test]
@@ -312,14 +310,7 @@
         s.jobs.extend([low, urgent]);
         let mut world = start(s, seed);
         assert_eq!(level(&mut world, 120.0), REMEMBERED);
-        let v = world.rehearse();
-        sound(&v, seed);
-        assert_eq!(
-            v.accepted,
-            v.done + v.cancelled,
-            "seed {seed}: {}",
-            v.text()
-        );
+        let v = ends_well(world, seed);
         assert!(v.renting.hired > 20, "seed {seed}: {:?}", v.renting);
     }
 }
