A test that switches RewrittenBeforeNext off

Need: of the decisions of levels this one had no test that fails without it. Change: in the rehearsals' tests, over the real registry. Measured: with the decision off the level rises before the last one's records are rewritten; on, it waits.

--- a/crates/rehearsal/tests/levels.rs
+++ b/crates/rehearsal/tests/levels.rs
@@ -284,3 +284,30 @@
         assert!(broken.is_some(), "{off:?} was not missed");
     }
 }
+
+// A level that came before all records had the form of the last one would leave
+// records two forms old, which its builds need not read.
+#[test]
+fn the_next_level_waits_for_the_last_ones_records() {
+    let three = Range {
+        low: Level(0),
+        high: Level(3),
+    };
+    let mut alone = Registry::new(label(0), Some(three), BTreeMap::new(), 1);
+    let level = |key: &str, n: u32| Entry {
+        key: key.into(),
+        value: serde_json::json!({ "level": n }),
+        version: Version(1),
+    };
+    alone.load(&[level(LEVEL, 2), level("w/leader/done", 1)]);
+    alone.registered(Version(2));
+    let rises = |r: &Registry| r.rise(Time(0), &[], Level(9)).is_ok();
+    assert!(!rises(&alone));
+    weaken(&[Decision::RewrittenBeforeNext]);
+    let early = rises(&alone);
+    weaken(&[]);
+    assert!(early, "the decision was not missed");
+    alone.load(&[level(LEVEL, 2), level("w/leader/done", 2)]);
+    alone.registered(Version(2));
+    assert!(rises(&alone));
+}
