--- a/crates/pebblefold/src/cli.rs
+++ b/crates/pebblefold/src/cli.rs
@@ -1,5 +1,6 @@
 //! The daemon's command line. What people use is `pebblectl`.
 
+use crate::core::contact::Bounds;
 use crate::policy::Policy;
 use crate::settings::Settings;
 use crate::{driver, logging};
@@ -90,12 +91,13 @@
         Some(Verb::Check { config, policy }) => match load(&config, policy.as_deref()) {
             Err(e) => fail(BAD_INPUT, e),
             Ok((settings, policy)) => {
-                let hold = settings.hold_without_contact();
+                let bounds = Bounds::new(&settings.workers);
                 println!(
                     "{}",
                     serde_json::json!({
                         "node": settings.label,
-                        "answers_without_contact_s": hold.map(|h| h.as_secs()),
+                        "answers_without_contact_s": bounds.hold().as_secs(),
+                        "cancelled_may_run_over_s": bounds.over().as_secs(),
                         "policy": policy,
                     })
                 );
--- a/crates/pebblefold/src/core/commands.rs
+++ b/crates/pebblefold/src/core/commands.rs
@@ -239,14 +239,15 @@
                 let Some(job) = self.jobs.get_mut(&t.job) else {
                     continue;
                 };
-                let (needs, open) = (job.spec.needs(), job.is_open());
+                let wanted = job.is_open() && !self.contact.is_told(&t.job);
+                let needs = job.spec.needs();
                 let Some(p) = job.places.get(&t.index) else {
                     continue;
                 };
                 // Written ahead: only what is stored may be sent.
                 let stored =
                     job.is_stored(size, t.index, p.change) || !weak::holds(Decision::WriteAhead);
-                if !p.unsent() || !stored || !open || p.session != session || !needs.fits(&free) {
+                if !p.unsent() || !stored || !wanted || p.session != session || !needs.fits(&free) {
                     continue;
                 }
                 free -= needs;
--- a/crates/pebblefold/src/core/intake.rs
+++ b/crates/pebblefold/src/core/intake.rs
@@ -64,6 +64,8 @@
     /// Task counts as the leader last told, for display.
     pub counts: BTreeMap<JobId, (u32, u32)>,
     polls: Polls,
+    /// Jobs whose users were told that they are cancelled, and not the peers yet.
+    pub confirmed: Vec<JobId>,
     /// Calls under way.
     pub waits: Waits<Awaits>,
 }
@@ -94,6 +96,9 @@
         if self.finals.insert(id.clone(), head).is_some() {
             return;
         }
+        if head.s == HeadStage::Cancelled {
+            self.confirmed.push(id.clone());
+        }
         self.counts.remove(id);
         self.order.push_back(id.clone());
         if self.order.len() > MOST_FINALS
--- a/crates/pebblefold/src/core/leader.rs
+++ b/crates/pebblefold/src/core/leader.rs
@@ -1,6 +1,7 @@
 //! The leading controller: loads what is recorded, follows changes, places
 //! work every cycle and writes its decisions ahead of sending them.
 
+use super::contact::{Bounds, Contact};
 use super::duty::renting::{CloudCall, Rental};
 use super::duty::{self, aside::Asides, sweep::Sweep};
 use super::handover::heralds::Heralds;
@@ -11,7 +12,6 @@
 use super::machine::{Held, Leaving, Machine};
 use super::tables::Estimates;
 use super::teams::memory::{self, Memory};
-use super::weak::{self, Decision};
 use super::{Reply, Target};
 use crate::policy::Policy;
 use crate::settings::Settings;
@@ -38,8 +38,6 @@
     StepDown(&'static str),
 }
 
-/// Hold of the leader's watch.
-const WATCH_HOLD: Span = Span::millis(1000);
 /// Time between looks for machines that fell silent or are gone.
 const LOOK_EVERY: Span = Span::millis(200);
 /// Least time between two cycles.
@@ -52,8 +50,8 @@
 const CYCLES_LEAVE: f64 = 3.0;
 /// And at most this.
 const LONGEST_REST: Span = Span::millis(4000);
-/// Without contact for this long, nothing is started.
-const START_CONTACT: Span = Span::millis(4000);
+/// Changes of the state service that no rate bounds, as when leases end.
+const MOST_AT_ONCE: u64 = 10_000;
 /// Time between two times at which what came of late is stored.
 const MEMORY_EVERY: Span = Span::millis(30_000);
 /// Arrivals kept per class.
@@ -113,12 +111,11 @@
     pub waits: Waits<Awaits>,
     /// When it took office.
     pub office: Time,
-    /// When the last answered read of changes was sent.
-    pub contact: Time,
+    /// Until when its word counts.
+    pub contact: Contact,
     load: Load,
-    /// When the first page of the load was asked for, and its revision: what is
-    /// loaded is no newer than that.
-    first_read: Option<(Time, Version)>,
+    /// The revision of the load's first page: changes are followed from there.
+    first_read: Option<Version>,
     assembly: Assembly,
     revision: Version,
     watching: bool,
@@ -154,8 +151,6 @@
     pub(super) listed: BTreeMap<MachineId, Listed>,
     pub(super) direct: BTreeMap<MachineId, Vec<TaskId>>,
     pub(super) heralds: Heralds,
-    pub(super) inherited_wait: Span,
-    hold: Option<Span>,
     pub(super) rental: Rental,
     pub(super) asides: Asides,
     pub(super) sweep: Sweep,
@@ -185,8 +180,7 @@
         now: Time,
         types: &MachineTypes,
     ) -> Leader {
-        let hold = settings.hold_without_contact();
-        let lease_time = settings.workers.lease.scaled(1.001) + Span::secs(2.0);
+        let bounds = Bounds::new(&settings.workers);
         let limits = settings.state_limits;
         let mut leader = Leader {
             token,
@@ -196,7 +190,7 @@
             lease,
             waits: Waits::default(),
             office: now,
-            contact: now,
+            contact: Contact::new(bounds, now),
             load: Load::Watched(Vec::new()),
             first_read: None,
             assembly: Assembly::default(),
@@ -228,8 +222,6 @@
             listed: BTreeMap::new(),
             direct: BTreeMap::new(),
             heralds: Heralds::new(now, settings.workers.report),
-            inherited_wait: hold.unwrap_or(Span::ZERO) + lease_time,
-            hold,
             rental: Rental::new(&settings, token, now),
             asides: Asides::default(),
             sweep: Sweep::default(),
@@ -259,20 +251,17 @@
 
     /// Whether everything recorded has been read.
     pub fn is_loaded(&self) -> bool {
-        matches!(self.load, Load::Done)
+        self.contact.is_loaded()
     }
 
-    /// Whether reports may be answered: everything is loaded, and the last
-    /// contact is not so old that a cancellation told since could be missed.
+    /// Whether reports may be answered.
     pub fn may_answer(&self, now: Time) -> bool {
-        let most = self.hold.unwrap_or(WATCH_HOLD + Span::millis(500));
-        let held = now.since(self.contact) < most || !weak::holds(Decision::BoundedHold);
-        self.is_loaded() && held
+        self.contact.may_answer(now)
     }
 
     /// Whether tasks may be started.
     pub fn may_start(&self, now: Time) -> bool {
-        self.is_loaded() && now.since(self.contact) < START_CONTACT
+        self.contact.may_start(now)
     }
 
     /// Machines that it knows of, and those that have reported under its token.
@@ -353,11 +342,7 @@
             Load::Records(got) => (page(ledger::RECORDS, got), Span::secs(3.0)),
             Load::Duties(got) => (page(duty::PREFIX, got), Span::secs(3.0)),
             Load::Done => {
-                // Without contact, what has changed is wanted at once.
-                let hold = match self.may_start(io.now.time) {
-                    true => WATCH_HOLD,
-                    false => Span::ZERO,
-                };
+                let hold = self.contact.watch(io.now.time);
                 (
                     format!(
                         "/changes?starts={}&since={}&hold_ms={}",
@@ -365,7 +350,7 @@
                         self.revision,
                         hold.as_millis()
                     ),
-                    WATCH_HOLD + Span::secs(3.0),
+                    hold + Span::secs(3.0),
                 )
             }
         };
@@ -412,8 +397,14 @@
         let Some(changes) = wire::decode::<Changes>(&body) else {
             return Fate::StepDown("changes could not be read");
         };
-        self.contact = self.contact.max(sent);
-        self.apply(io, changes)
+        let fate = self.apply(io, changes);
+        self.contact.showed(sent);
+        for id in self.contact.refuted() {
+            if self.jobs.get(&id).is_some_and(Job::is_open) {
+                tracing::error!(job = %id, "said to be cancelled by a peer, and is not; it goes on");
+            }
+        }
+        fate
     }
 
     fn on_page(&mut self, now: super::Now, sent: Time, body: &[u8]) -> Fate {
@@ -423,7 +414,8 @@
         let more = page.more;
         // Changes are followed from the first page on; what a later page
         // already shows is applied twice without harm.
-        let (asked, revision) = *self.first_read.get_or_insert((sent, page.revision));
+        let revision = *self.first_read.get_or_insert(page.revision);
+        self.contact.page(sent);
         match &mut self.load {
             Load::Watched(got) => {
                 got.extend(page.items);
@@ -450,12 +442,7 @@
                     let got = std::mem::take(got);
                     self.load_duties(now, got);
                     self.load = Load::Done;
-                    // A cancellation, or another leader, since the first page
-                    // may not have been seen, however new the last one is.
-                    self.contact = match weak::holds(Decision::LoadIsAsOldAsItsFirstRead) {
-                        true => asked,
-                        false => sent,
-                    };
+                    self.contact.loaded(sent);
                     tracing::info!(token = %self.token, jobs = self.jobs.len(), machines = self.machines.len(), "leading");
                 }
             }
@@ -752,6 +739,28 @@
         }
     }
 
+    /// A peer told a job's user that it is cancelled: nothing of it is wanted any more,
+    /// whether or not the state service can be read. Nothing is deleted on a word.
+    pub fn hear_cancelled(&mut self, now: Time, id: &JobId) {
+        let Some(job) = self.jobs.get(id).filter(|j| j.is_open()) else {
+            return;
+        };
+        let tasks: Vec<u32> = job.places.keys().copied().collect();
+        if self.contact.told(now, id) {
+            tracing::info!(job = %id, tasks = tasks.len(), "cancelled, as a peer says");
+            self.stop_tasks(now, id, &tasks, 0.0, "a peer says that it is cancelled");
+        }
+    }
+
+    /// Whether somebody may hold this token: one that was given before what is known
+    /// by now would be known too, and so many changes there cannot be since.
+    pub fn may_be(&self, now: Time, token: Token) -> bool {
+        let rate = self.settings.state_limits.write_rps * 2.0;
+        let since = (self.contact.age(now).as_secs() * rate) as u64;
+        let most = self.revision.0.saturating_add(since + MOST_AT_ONCE);
+        (self.revision.0 + 1..=most).contains(&token.0)
+    }
+
     /// A commit found that a job's head is not open any more.
     pub(super) fn ended_elsewhere(&mut self, now: Time, id: &JobId) {
         if self.jobs.get(id).is_some_and(Job::is_open) {
@@ -784,7 +793,7 @@
 mod tests {
     use super::*;
     use crate::core::levels::registry;
-    use crate::core::weak::weaken;
+    use crate::core::weak::{Decision, weaken};
     use crate::testing::{io_at, leader};
 
     /// How old its contact is when a leader has loaded, where the pages of the
@@ -810,7 +819,7 @@
         assert!(leader.is_loaded());
         let now = Time(0) + Span::secs(t);
         let (answers, starts) = (leader.may_answer(now), leader.may_start(now));
-        (now.since(leader.contact).as_secs(), answers, starts)
+        (leader.contact.age(now).as_secs(), answers, starts)
     }
 
     // A slow load once counted as contact when its last page was asked for,
--- a/crates/pebblefold/src/core/losses.rs
+++ b/crates/pebblefold/src/core/losses.rs
@@ -169,7 +169,7 @@
     pub fn expire(&mut self, io: &mut Io) {
         let now = io.now.time;
         let mut lease = self.settings.workers.lease.scaled(1.0005) + Span::secs(1.0);
-        let inherited = self.office + self.inherited_wait;
+        let inherited = self.office + self.contact.inherited();
         let mut dead = Vec::new();
         for (id, m) in &mut self.machines {
             if m.lost || m.tasks.is_empty() {
--- a/crates/pebblefold/src/core/mod.rs
+++ b/crates/pebblefold/src/core/mod.rs
@@ -2,6 +2,7 @@
 //! write and answer comes out. Nothing here does I/O or reads a clock.
 
 mod commands;
+pub mod contact;
 pub mod cycle;
 pub mod duty;
 pub mod election;
--- a/crates/pebblefold/src/core/node.rs
+++ b/crates/pebblefold/src/core/node.rs
@@ -14,7 +14,7 @@
 use super::handover::keepsake::Keepsake;
 use super::intake::Intake;
 use super::io::{Io, Timed, Waits};
-use super::leader::{Fate, Leader};
+use super::leader::{self, Fate, Leader};
 use super::ledger;
 use super::levels::registry::{Refused, Registry};
 use super::levels::{Level, Range};
@@ -23,11 +23,11 @@
 use crate::http;
 use crate::policy::Policy;
 use crate::settings::Settings;
-use crate::types::{Label, MachineId, Span, Time, Token};
+use crate::types::{JobId, Label, MachineId, Span, Time, Token};
 use crate::wire;
 use crate::wire::cloud::MachineTypes;
 use rand::RngExt;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::rc::Rc;
 
 /// What the node itself waits for.
@@ -67,6 +67,8 @@
     heard: Time,
     token: Token,
     leads: bool,
+    /// Whether the holder of that token answers workers, as far as it knows.
+    loaded: bool,
     state_ok: bool,
     strained: bool,
     effort_us: u64,
@@ -103,6 +105,10 @@
     types_due: Time,
     types_calling: bool,
     greet_due: Time,
+    /// When it last greeted.
+    greeted: Time,
+    /// Jobs whose users were told here that they are cancelled, and when.
+    cancelled: VecDeque<(JobId, Time)>,
     pulse: Pulse,
     judge: Judge,
     /// Until when a peer that was told to may take this node's place.
@@ -115,10 +121,17 @@
     policies: bool,
     /// Why it last did not serve, as logged.
     refusing: Option<Refused>,
+    /// When the state service last answered anything at all, or this life began.
+    state_spoke: Option<Time>,
 }
 
 /// Time between greetings.
 const GREET_EVERY: Span = Span::millis(1000);
+/// Least time between two, where there is news of cancellations, how long that is told,
+/// and of how many jobs.
+const GREET_GAP: Span = Span::millis(200);
+const CANCELLED_KEPT: Span = Span::millis(10_000);
+const MOST_CANCELLED: usize = 200;
 /// Contact with the state service older than this counts as none.
 const STATE_FRESH: Span = Span::millis(5000);
 /// How long a peer's word counts.
@@ -159,6 +172,7 @@
         Node {
             raising: false,
             refusing: None,
+            state_spoke: None,
             policies: false,
             io,
             waits: Waits::default(),
@@ -173,6 +187,8 @@
             types_due: Time(0),
             types_calling: false,
             greet_due: Time(0),
+            greeted: Time(0),
+            cancelled: VecDeque::new(),
             pulse: Pulse::default(),
             judge: Judge::new(settings.peers.len() + 1, policy.doubt),
             handing: None,
@@ -185,6 +201,7 @@
     /// Takes an input; returns what to do.
     pub fn handle(&mut self, now: Now, input: Input) -> Vec<Output> {
         self.io.now = now;
+        self.state_spoke.get_or_insert(now.time);
         self.io.level = self.election.registry.fence();
         match input {
             Input::Tick => self.tick(),
@@ -201,6 +218,7 @@
                 }
             }
         }
+        self.spread_cancelled();
         if let Some(leader) = &mut self.leader {
             leader.advance(&mut self.io);
         }
@@ -349,10 +367,15 @@
 
     /// Hands a reply to the part that waits for it.
     fn reply(&mut self, id: CallId, reply: Reply) {
+        let spoke = matches!(reply, Reply::Answer(..)).then_some(self.io.now.time);
         if let Some(what) = self.leader.as_mut().and_then(|l| l.waits.take(id)) {
+            if !matches!(what, leader::Awaits::Cloud(..)) {
+                self.state_spoke = self.state_spoke.max(spoke);
+            }
             return self.lead(|leader, io| leader.on_reply(io, what, reply));
         }
         if let Some(what) = self.election.waits.take(id) {
+            self.state_spoke = self.state_spoke.max(spoke);
             let outcome = self.election.on_reply(&mut self.io, what, reply);
             self.stand(outcome);
         } else if let Some(what) = self.intake.waits.take(id) {
@@ -417,7 +440,11 @@
         let Some(leader) = self.leader.as_mut() else {
             return;
         };
+        let loaded = leader.is_loaded();
         let fate = act(leader, &mut self.io);
+        if leader.is_loaded() && !loaded {
+            self.greet_due = self.io.now.time;
+        }
         for change in leader.news.drain(..) {
             self.election.registry.apply(&change);
         }
@@ -468,6 +495,8 @@
             label: "node-1".into(),
             token: Token(0),
             leads: false,
+            loaded: false,
+            cancelled: Vec::new(),
             state_ok,
             strained: false,
             effort_us: 0,
@@ -518,6 +547,7 @@
             heard: Time(5_000_000),
             token: Token(5),
             leads: false,
+            loaded: true,
             state_ok: true,
             strained: false,
             effort_us: 0,
--- a/crates/pebblefold/src/core/node/peers.rs
+++ b/crates/pebblefold/src/core/node/peers.rs
@@ -1,10 +1,13 @@
 //! What the nodes tell one another, and readiness.
 
-use super::{Awaits, GREET_EVERY, MOST_COUNTS, Node, PEER_FRESH, PeerView, STATE_FRESH};
-use crate::core::leader::Fate;
+use super::{
+    Awaits, CANCELLED_KEPT, GREET_EVERY, GREET_GAP, MOST_CANCELLED, MOST_COUNTS, Node, PEER_FRESH,
+    PeerView, STATE_FRESH,
+};
+use crate::core::leader::{Fate, Leader};
 use crate::core::levels::registry::Refused;
 use crate::core::{Reply, RequestId, Target};
-use crate::types::{JobId, Label, Span};
+use crate::types::{JobId, Label, Span, Time};
 use crate::wire;
 use crate::wire::peers::Greeting;
 
@@ -15,7 +18,7 @@
             .leader
             .as_ref()
             .filter(|l| l.is_loaded())
-            .map(|l| l.contact);
+            .map(|l| l.contact.shown());
         leading
             .max(self.election.contact)
             .is_some_and(|t| now.since(t) < STATE_FRESH)
@@ -35,6 +38,17 @@
         let now = self.io.now.time;
         let fit = |p: &PeerView| p.state_ok && now.since(p.heard) < PEER_FRESH;
         let better = self.peers.values().any(fit);
+        // One that hears nothing from the state service, not even a refusal, nor from
+        // any peer is cut off itself: users would only wait here for nothing.
+        let silent = |t: Time| now.since(t) > STATE_FRESH;
+        let alone = !self.settings.peers.is_empty()
+            && self
+                .peers
+                .values()
+                .all(|p| now.since(p.heard) >= PEER_FRESH);
+        if alone && self.state_spoke.is_some_and(silent) {
+            return false;
+        }
         if !self.state_ok() || self.stopping.is_some() {
             return !better;
         }
@@ -48,15 +62,16 @@
 
     pub(super) fn greeting(&self, counts: Vec<(JobId, u32, u32)>) -> Greeting {
         let seen = self.election.leader.as_ref().map(|(_, t)| *t);
+        let own = self.leader.as_ref().map(|l| l.token);
+        let token = own.max(seen).unwrap_or_default();
+        let answers = |p: &PeerView| p.leads && p.loaded && p.token == token;
+        let cancelled = self.cancelled.iter().rev().take(MOST_CANCELLED);
         Greeting {
             label: self.settings.label.clone(),
-            token: self
-                .leader
-                .as_ref()
-                .map(|l| l.token)
-                .max(seen)
-                .unwrap_or_default(),
+            token,
             leads: self.leader.is_some(),
+            loaded: self.leads() || self.peers.values().any(answers),
+            cancelled: cancelled.map(|(id, _)| id.clone()).collect(),
             state_ok: self.state_ok(),
             strained: self.pulse.strained || self.stopping.is_some(),
             effort_us: self.pulse.effort_us,
@@ -67,7 +82,24 @@
         }
     }
 
+    /// Peers are told at once that a job's user was told that it is cancelled, so that
+    /// the leader stops it also while it cannot read so; and again for a while, as
+    /// greetings get lost.
+    pub(super) fn spread_cancelled(&mut self) {
+        let now = self.io.now.time;
+        self.cancelled
+            .retain(|(_, at)| now.since(*at) < CANCELLED_KEPT);
+        for id in std::mem::take(&mut self.intake.confirmed) {
+            if let Some(leader) = &mut self.leader {
+                leader.hear_cancelled(now, &id);
+            }
+            self.cancelled.push_back((id, now));
+            self.greet_due = self.greet_due.min(self.greeted + GREET_GAP).max(now);
+        }
+    }
+
     pub(super) fn greet(&mut self) {
+        self.greeted = self.io.now.time;
         let counts = self
             .leader
             .as_mut()
@@ -148,6 +180,9 @@
             for (image, ms) in &g.fetches {
                 leader.estimates.learn(image, Span::millis(*ms));
             }
+            for id in &g.cancelled {
+                leader.hear_cancelled(now, id);
+            }
         }
         self.keepsake.note(now, g.token, g.caches, g.fetches);
         self.peers.insert(
@@ -156,12 +191,16 @@
                 heard: now,
                 token: g.token,
                 leads: g.leads,
+                loaded: g.loaded,
                 state_ok: g.state_ok,
                 strained: g.strained,
                 effort_us: g.effort_us,
             },
         );
-        if self.leader.as_ref().is_some_and(|l| g.token > l.token) {
+        // A successor that has not read everything yet answers no worker, and may not
+        // for long: until then this one does, as long as its contact lets it.
+        let deposes = |l: &Leader| g.token > l.token && g.loaded && l.may_be(now, g.token);
+        if self.leader.as_ref().is_some_and(deposes) {
             self.end_leadership(Fate::Deposed(g.token));
         }
     }
--- a/crates/pebblefold/src/core/node/reports.rs
+++ b/crates/pebblefold/src/core/node/reports.rs
@@ -102,10 +102,14 @@
         let told = self
             .peers
             .iter()
-            .filter(|(_, p)| p.leads && now.since(p.heard) < PEER_FRESH)
-            .map(|(l, p)| (l.clone(), p.token));
-        told.chain(self.election.leader.clone())
-            .max_by_key(|(_, t)| *t)
+            .filter(|(_, p)| p.leads && now.since(p.heard) < PEER_FRESH);
+        let told = told.map(|(l, p)| (p.loaded, p.token, l.clone()));
+        let read = self.election.leader.clone();
+        // One that has loaded answers workers; a successor that has not may be long in
+        // coming.
+        told.chain(read.map(|(l, t)| (false, t, l)))
+            .max()
+            .map(|(_, t, l)| (l, t))
             .filter(|(l, _)| *l != self.settings.label)
     }
 }
--- a/crates/pebblefold/src/core/placing.rs
+++ b/crates/pebblefold/src/core/placing.rs
@@ -297,6 +297,10 @@
                 job.notes.why = "a record of it cannot be read";
                 continue;
             }
+            if self.contact.is_told(id) {
+                job.notes.why = "it is cancelled, as a peer says";
+                continue;
+            }
             if now < job.notes.not_before {
                 job.notes.why = "it failed lately";
                 continue;
--- a/crates/pebblefold/src/core/telling.rs
+++ b/crates/pebblefold/src/core/telling.rs
@@ -237,7 +237,7 @@
             .collect();
         serde_json::json!({
             "token": self.token, "in_office_s": now.since(self.office).as_secs(),
-            "contact_s_ago": now.since(self.contact).as_secs(), "loaded": self.is_loaded(),
+            "contact_s_ago": self.contact.age(now).as_secs(), "loaded": self.is_loaded(),
             "cycles": self.cycles, "duties": self.duties(at),
             "shares": self.teams(at),
             "totals": {"machines": self.machines.len(), "jobs": self.jobs.len()},
--- a/crates/pebblefold/src/settings.rs
+++ b/crates/pebblefold/src/settings.rs
@@ -405,14 +405,4 @@
             clock_error: Span::secs(s.clock_error_ms / 1000.0),
         })
     }
-
-    /// H of the safety argument: how long a leader that has lost contact may
-    /// go on answering reports. A cancellation committed after its last read
-    /// is unknown to it, and the tasks it keeps alive must still be gone
-    /// within `cancel`. `None`: not at all.
-    pub fn hold_without_contact(&self) -> Option<Span> {
-        let margin = Span::secs(2.0);
-        let spent = self.workers.lease.scaled(1.001) + margin;
-        (self.workers.cancel > spent).then(|| Span(self.workers.cancel.0 - spent.0))
-    }
 }
--- a/crates/rehearsal/src/fleet.rs
+++ b/crates/rehearsal/src/fleet.rs
@@ -270,7 +270,8 @@
 
     /// Whether an answer to this ticket would still be heard.
     pub fn awaits(&self, now: Time, machine: &str, ticket: u64) -> bool {
-        self.acts(now, machine) && self.workers.get(machine).is_some_and(|w| w.awaits(ticket))
+        let w = self.workers.get(machine);
+        self.acts(now, machine) && w.is_some_and(|w| w.awaits(ticket) && !w.is_deaf(now))
     }
 
     /// Tasks that an answer to a report would start.
--- a/crates/rehearsal/src/script.rs
+++ b/crates/rehearsal/src/script.rs
@@ -693,6 +693,31 @@
         /// How long.
         for_s: f64,
     },
+    /// Transactions get no answer and are carried out 2 to 12 s later, after newer ones.
+    LateWrites {
+        /// Which share of them.
+        share: f64,
+        /// How long.
+        for_s: f64,
+    },
+    /// Of workers' reports a copy arrives again, from 2 s to well over a lease later.
+    LateReports {
+        /// Of which share of them.
+        share: f64,
+        /// How long.
+        for_s: f64,
+    },
+    /// Machines' reports arrive; answers and direct commands to them are lost.
+    MachineDeaf {
+        /// How many that have tasks; with `zone` alone, all there.
+        #[serde(default)]
+        count: u32,
+        /// Only in this zone.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        zone: Option<String>,
+        /// How long.
+        for_s: f64,
+    },
     /// The answer at this moment is lost.
     LoseAnswer {},
 }
--- a/crates/rehearsal/src/script/check.rs
+++ b/crates/rehearsal/src/script/check.rs
@@ -162,6 +162,9 @@
                 What::SitePower { zone, .. }
                 | What::Vanish {
                     zone: Some(zone), ..
+                }
+                | What::MachineDeaf {
+                    zone: Some(zone), ..
                 } if !zone_known(zone) => bad(
                     path!["faults", i, "zone"],
                     format!("no zone {zone}; there are {}", zones()),
@@ -189,6 +192,14 @@
                     path!["faults", i, "nodes"],
                     format!("no controller {n}; they are 0 to {}", nodes - 1),
                 ),
+                What::LateWrites { share, .. } | What::LateReports { share, .. }
+                    if !(0.0..=1.0).contains(share) =>
+                {
+                    bad(
+                        path!["faults", i, "share"],
+                        format!("{share} is no share; it has to lie between 0 and 1"),
+                    );
+                }
                 What::Roll {
                     build: Some(name), ..
                 } if self.build(Some(name)).is_none() => bad(
--- a/crates/rehearsal/src/stand.rs
+++ b/crates/rehearsal/src/stand.rs
@@ -24,8 +24,8 @@
 use pebblefold_state::cut::CutDisk;
 use pebblefold_state::{Asker, Disk, Limits, Outcome, Service, StorageError, Ticket};
 use pebblefold_wire::http::Request;
-use rand::SeedableRng;
 use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
 use serde::Serialize;
 use std::collections::{BTreeMap, BTreeSet};
 use std::path::PathBuf;
@@ -161,6 +161,10 @@
     CloudOut,
     CloudShort,
     Fast(Vec<(String, f64)>),
+    /// A controller's transaction is carried out at last.
+    Write(usize, Request),
+    /// A copy of a machine's report to a controller arrives.
+    Report(String, usize, Vec<u8>),
 }
 
 /// What a moment is about.
@@ -212,6 +216,9 @@
     checker: Checker,
     director: Director,
     links: Links,
+    /// Which share of transactions, and of reports' copies, comes late, and until when.
+    late_writes: (f64, Time),
+    late_reports: (f64, Time),
     rng: StdRng,
     /// Who sent which ticket.
     sent: BTreeMap<u64, (Host, Time)>,
@@ -270,6 +277,8 @@
             checker,
             director: Director::new(&script.faults),
             links: Links::new(delays),
+            late_writes: (0.0, Time(0)),
+            late_reports: (0.0, Time(0)),
             rng,
             sent: BTreeMap::new(),
             next_ticket: 1,
@@ -526,6 +535,12 @@
         if r.path == "/commit"
             && let Some(txn) = decode::<Txn>(&r.body)
         {
+            let (share, until) = self.late_writes;
+            if now < until && !txn.ops.is_empty() && self.rng.random_bool(share) {
+                let after = Span::secs(self.rng.random_range(2.0..12.0));
+                self.heal_at(now + after, Heal::Write(node, r.clone()));
+                return self.give(call, Host::State, node, Returned::Silence);
+            }
             let holds = [registry::STONE, registry::HOLDER];
             self.asked.note(&txn);
             leads = txn
@@ -637,6 +652,10 @@
             // A machine that is gone is silent.
             return self.give(call, Host::Machine(machine.into()), node, Returned::Silence);
         }
+        let deaf = |w: &crate::worker::Worker| w.is_deaf(now);
+        if self.fleet.workers().get(machine).is_some_and(deaf) {
+            return self.give(call, Host::Machine(machine.into()), node, Returned::Silence);
+        }
         if !self.fleet.acts(now, machine) {
             self.stalled.push((call, node, machine.into(), r));
             return;
@@ -783,6 +802,13 @@
             for class in &s.completes {
                 self.moment(now, Moment::DoneReported, Some(class), &about);
             }
+            let (share, until) = self.late_reports;
+            if now < until && self.rng.random_bool(share) {
+                let most = self.script.cluster.workers.lease_s * 2.0;
+                let after = Span::secs(self.rng.random_range(2.0..most.max(3.0)));
+                let copy = Heal::Report(s.machine.clone(), s.node, s.body.clone());
+                self.heal_at(now + after, copy);
+            }
             let from = Host::Machine(s.machine);
             self.sent.insert(s.ticket, (from.clone(), now));
             self.out.push(Out::Send {
--- a/crates/rehearsal/src/stand/faults.rs
+++ b/crates/rehearsal/src/stand/faults.rs
@@ -4,9 +4,10 @@
 use crate::checker::Seen;
 use crate::links::{Group, Host};
 use crate::script::{LastWrite, Moment, Nodes, PowerLoss, Side, What};
+use crate::worker::PATIENCE;
 use pebblefold::types::{Span, Time};
-use pebblefold_state::Asker;
 use pebblefold_state::cut::Left;
+use pebblefold_state::{Asker, Ticket};
 use rand::RngExt;
 
 impl Stand {
@@ -258,6 +259,22 @@
                 let (a, b) = (self.group(a, about), self.group(b, about));
                 self.links.cut(a, b, *one_way, *mode, until(*for_s));
             }
+            What::LateWrites { share, for_s } => self.late_writes = (*share, until(*for_s)),
+            What::LateReports { share, for_s } => self.late_reports = (*share, until(*for_s)),
+            What::MachineDeaf { count, zone, for_s } => {
+                let there = |w: &crate::worker::Worker| {
+                    zone.as_ref().is_none_or(|z| w.machine.zone.as_str() == z)
+                };
+                let names = match count {
+                    0 => self.pick_machines(usize::MAX, there),
+                    n => self.pick_machines(*n as usize, |w| there(w) && !w.tasks.is_empty()),
+                };
+                for m in names {
+                    if let Some(w) = self.fleet.worker(&m) {
+                        w.deaf = Some(until(*for_s));
+                    }
+                }
+            }
             What::LoseAnswer {} => self.lost_calls.extend(about.call),
         }
     }
@@ -305,6 +322,29 @@
                     }
                 }
             }
+            Heal::Write(node, r) => {
+                self.numbers += 1;
+                // Nobody waits for its answer any more.
+                let ticket = Ticket(u64::MAX - self.numbers);
+                if let Some(state) = &mut self.state {
+                    state.handle(now, Asker(node as u32), ticket, &r);
+                }
+                self.flush(now);
+            }
+            Heal::Report(machine, node, body) => {
+                self.next_ticket += 1;
+                let (ticket, from) = (self.next_ticket, Host::Machine(machine));
+                self.sent.insert(ticket, (from.clone(), now));
+                self.out.push(Out::Send {
+                    ticket,
+                    from,
+                    node,
+                    method: "POST",
+                    path: "/checkin".into(),
+                    body,
+                    patience: PATIENCE,
+                });
+            }
             Heal::CloudOut => self.cloud.out = false,
             Heal::CloudShort => self.cloud.short = false,
             Heal::Fast(before) => {
--- a/crates/rehearsal/src/worker.rs
+++ b/crates/rehearsal/src/worker.rs
@@ -85,6 +85,8 @@
     link: Link,
     /// It hangs until then.
     pub hung: Option<Time>,
+    /// Until then it hears nothing that is sent to it.
+    pub deaf: Option<Time>,
     /// It is taken then, and has been told so.
     pub taken: Option<Time>,
     /// How fast its tasks run.
@@ -127,6 +129,7 @@
             fetch_gb_per_s: kind.fetch_gb_per_s * rng.random_range(0.7..1.3),
             link: Link::new(pace, nodes, now, rng),
             hung: None,
+            deaf: None,
             taken: None,
             speed: rng.random_range(0.95..1.05),
             tasks: BTreeMap::new(),
@@ -140,6 +143,11 @@
         self.hung.is_some_and(|t| now < t)
     }
 
+    /// Whether what is sent to it is lost.
+    pub fn is_deaf(&self, now: Time) -> bool {
+        self.deaf.is_some_and(|t| now < t)
+    }
+
     /// Its report now.
     pub fn report(&mut self, now: Time) -> Report {
         let tally = self.link.count();
--- a/crates/wire/src/peers.rs
+++ b/crates/wire/src/peers.rs
@@ -61,6 +61,10 @@
     pub life: u64,
 }
 
+fn yes() -> bool {
+    true
+}
+
 /// A node's word about itself, sent to each peer about once a second and
 /// answered in kind.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -71,6 +75,10 @@
     pub token: Token,
     /// Whether it holds that token itself.
     pub leads: bool,
+    /// Whether it has read everything recorded and answers workers; builds that do
+    /// not say so are taken to.
+    #[serde(default = "yes")]
+    pub loaded: bool,
     /// Whether the state service answers it.
     pub state_ok: bool,
     /// Whether it has lately had more to do than it could.
@@ -82,6 +90,9 @@
     /// Its build; none from builds that know no levels.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub levels: Option<Told>,
+    /// Jobs whose users it lately told that they are cancelled.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub cancelled: Vec<JobId>,
     /// From the leader: task counts that changed, for display.
     #[serde(default)]
     pub counts: Vec<(JobId, u32, u32)>,
