--- a/crates/pebblefold/src/core/commands.rs
+++ b/crates/pebblefold/src/core/commands.rs
@@ -156,6 +156,7 @@
         let commands = self.commands(now, id);
         if let Some(m) = self.machines.get_mut(id) {
             m.answered = Some(now);
+            m.hearing.answered(now);
         }
         let body = wire::encode(&ReportAnswer {
             token: self.token,
@@ -188,7 +189,8 @@
                 // Cleared only once nothing can start it again and, if it is
                 // done, once that is stored.
                 let kept = why == Some(Why::Done)
-                    && job.is_some_and(|j| !j.is_service() && !j.done_is_stored(task.index));
+                    && job.is_some_and(|j| !j.is_service() && !j.done_is_stored(task.index))
+                    && weak::holds(Decision::DoneBeforeClear);
                 if ours && place.is_none() && !kept {
                     forgets.push(Command::Forget {
                         task: text,
--- a/crates/pebblefold/src/core/contact.rs
+++ b/crates/pebblefold/src/core/contact.rs
@@ -66,7 +66,10 @@
     /// For how long after a leader took office an earlier one's answers may keep
     /// alive what runs on a machine that is silent.
     pub fn inherited(&self) -> Span {
-        self.hold + self.lease
+        match weak::holds(Decision::OldLeadersAnswersCount) {
+            true => self.hold + self.lease,
+            false => Span::ZERO,
+        }
     }
 
     /// How long the leader's watch may be held: contact has to be younger than H for
--- a/crates/pebblefold/src/core/fleet.rs
+++ b/crates/pebblefold/src/core/fleet.rs
@@ -1,12 +1,14 @@
 //! Workers' reports, as the leader sees them.
 
+use super::hearing::Sign;
 use super::io::Io;
 use super::leader::{Fate, Leader};
 use super::ledger::Job;
 use super::machine::Held;
 use super::presence::{Phase, Placement, Verdict};
+use super::weak::{self, Decision};
 use super::{Now, RequestId};
-use crate::types::{Amounts, Attempt, MachineId, Span, TaskId, Time};
+use crate::types::{Amounts, Attempt, MachineId, Session, Span, TaskId, Time};
 use crate::wire::workers::{Report, ReportedTask, TaskState, Why};
 use std::collections::BTreeMap;
 
@@ -34,7 +36,16 @@
         let now = io.now.time;
         if report.token > self.token {
             io.answer_status(request, 421);
-            return Fate::Deposed(report.token);
+            if self.may_be(now, report.token) {
+                return Fate::Deposed(report.token);
+            }
+            tracing::error!(machine = %report.machine, token = %report.token, "a report carries a token that nobody was given; it changes nothing");
+            return Fate::Stay;
+        }
+        if report.session == Session(0) {
+            tracing::error!(machine = %report.machine, "a report of session 0, which no worker has; it changes nothing");
+            io.answer_status(request, 400);
+            return Fate::Stay;
         }
         if !self.may_answer(now) {
             io.answer_later(request, 503, 1);
@@ -47,11 +58,13 @@
         }
         let ours = report.token == self.token;
         let machine = self.meet(now, &report.machine);
-        if (report.session, report.tally) <= (machine.session, machine.tally) {
+        let older = (report.session, report.tally) <= (machine.session, machine.tally);
+        if older && weak::holds(Decision::NewestReportCounts) {
             // Held back by the network; its sender no longer waits.
             io.answer_later(request, 503, 1);
             return Fate::Stay;
         }
+        let before = (machine.session, machine.ours);
         if report.session > machine.session {
             machine.cache.give_up(|_| false);
             machine.lost = false;
@@ -71,9 +84,11 @@
         if let Some(held) = self.held.remove(&report.machine) {
             io.answer_later(held.request, 503, 1);
         }
-        let freed = self.take_in(io.now, &report);
+        let (freed, took) = self.take_in(io.now, &report);
         self.note_listed(&report);
-        if report.notice_s.is_some() {
+        self.note_hearing(now, &report, before, took);
+        // One without our token may be an old copy, and its notice another's.
+        if report.notice_s.is_some() && ours {
             self.drain_noticed(io, &report.machine);
         }
         let id = &report.machine;
@@ -182,8 +197,47 @@
         (waits, ready && !waits)
     }
 
-    /// Compares a report with the placements; true if it freed room.
-    pub(super) fn take_in(&mut self, at: Now, report: &Report) -> bool {
+    /// Looks at whether a machine hears what it is answered. Starts that never reached
+    /// one that does not go elsewhere: that they did not arrive is proved.
+    fn note_hearing(
+        &mut self,
+        now: Time,
+        report: &Report,
+        (session, ours): (Session, bool),
+        took: Sign,
+    ) {
+        let lease = self.settings.workers.lease;
+        let Some(m) = self.machines.get_mut(&report.machine) else {
+            return;
+        };
+        let sign = if session != Session(0) && report.session > session {
+            Sign::NewSession
+        } else if m.ours && !ours {
+            Sign::Took
+        } else if !m.ours {
+            Sign::OlderToken
+        } else {
+            took
+        };
+        if m.hearing.reported(now, lease, sign) {
+            tracing::info!(machine = %report.machine, ?sign, "reports and does not hear its answers; no new work goes there");
+        }
+        if m.hearing.hears() {
+            return;
+        }
+        let here: Vec<TaskId> = m.tasks.iter().cloned().collect();
+        for task in here {
+            let place = self.jobs.get(&task.job);
+            let place = place.and_then(|j| j.places.get(&task.index));
+            if place.is_some_and(Placement::unsent) {
+                self.gone(now, &task, "its machine does not hear");
+            }
+        }
+    }
+
+    /// Compares a report with the placements: whether it freed room, and what it
+    /// shows of starts that were sent.
+    pub(super) fn take_in(&mut self, at: Now, report: &Report) -> (bool, Sign) {
         let now = at.time;
         let id = &report.machine;
         let mut listed: BTreeMap<TaskId, &ReportedTask> = BTreeMap::new();
@@ -205,15 +259,23 @@
                     strays += j.spec.needs();
                 }
             } else if t.why == Some(Why::Done) {
-                self.task_done(now, &task);
+                // A result is one whenever it was reported, but only of an attempt
+                // that there was.
+                let given = |j: &Job| (1..=j.attempt.0).contains(&t.attempt.0);
+                if job.is_some_and(given) {
+                    self.task_done(now, &task);
+                } else if job.is_some() {
+                    tracing::error!(task = %task, attempt = %t.attempt, machine = %id, "done, as a report says, by an attempt that was never given; it proves nothing");
+                }
             }
         }
         let Some(machine) = self.machines.get_mut(id) else {
-            return false;
+            return (false, Sign::None);
         };
         machine.strays = strays;
         let placed: Vec<TaskId> = machine.tasks.iter().cloned().collect();
         let mut freed = false;
+        let mut took = Sign::None;
         for task in placed {
             let seen = listed.get(&task).copied();
             let Some(job) = self.jobs.get_mut(&task.job) else {
@@ -223,6 +285,9 @@
             let Some(p) = job.places.get_mut(&task.index) else {
                 continue;
             };
+            if matches!(p.phase, Phase::Sent(_)) && seen.is_some() {
+                took = Sign::Took;
+            }
             match p.judge(report.session, report.tally, report.token, self.token, seen) {
                 Verdict::Absent if p.phase == Phase::Inherited && p.stop.is_none() && open => {
                     freed = true;
@@ -240,7 +305,12 @@
                 Verdict::Undelivered if p.stop.is_some() || !open => {
                     self.gone(now, &task, "never arrived");
                 }
-                Verdict::Undelivered => p.phase = Phase::Unsent,
+                Verdict::Undelivered => {
+                    p.phase = Phase::Unsent;
+                    if took == Sign::None {
+                        took = Sign::Missed;
+                    }
+                }
                 Verdict::Present => {
                     if let Some(t) = seen {
                         freed |= self.seen(at, &task, t);
@@ -248,7 +318,7 @@
                 }
             }
         }
-        freed
+        (freed, took)
     }
 
     /// A placed task was reported; true if it ended.
--- a/crates/pebblefold/src/core/machine.rs
+++ b/crates/pebblefold/src/core/machine.rs
@@ -1,6 +1,7 @@
 //! A machine as the leader knows it.
 
 use super::RequestId;
+use super::hearing::Hearing;
 use super::tables::Cache;
 use crate::types::{Amounts, JobId, Kind, Session, Span, Tally, TaskId, Time, Zone};
 use crate::wire::cloud::MachineStage;
@@ -41,6 +42,8 @@
     pub ours: bool,
     /// When the first report did.
     pub ours_since: Option<Time>,
+    /// Whether it hears what it is answered.
+    pub hearing: Hearing,
     /// Unrecorded tasks on it, and what they take.
     pub strays: Amounts,
     /// When the cloud takes it, if noticed.
@@ -87,6 +90,7 @@
             answered: None,
             ours: false,
             ours_since: None,
+            hearing: Hearing::default(),
             strays: Amounts::default(),
             taken_at: None,
             listed: None,
@@ -133,6 +137,7 @@
     /// Whether new work may go here.
     pub fn usable(&self, now: Time, silence: Span) -> bool {
         self.ours
+            && self.hearing.hears()
             && !self.lost
             && self.leaving == Leaving::No
             && self.taken_at.is_none()
--- a/crates/pebblefold/src/core/mod.rs
+++ b/crates/pebblefold/src/core/mod.rs
@@ -8,6 +8,7 @@
 pub mod election;
 pub mod fleet;
 pub mod handover;
+pub mod hearing;
 pub mod intake;
 pub mod io;
 pub mod keys;
--- a/crates/pebblefold/src/core/presence.rs
+++ b/crates/pebblefold/src/core/presence.rs
@@ -1,6 +1,7 @@
 //! Where a task may be. A placement stands from the moment it is to be
 //! recorded until there is proof that the task is not on its machine.
 
+use super::weak::{self, Decision};
 use crate::types::{Attempt, MachineId, Session, Tally, Time, Token};
 use crate::wire::workers::{ReportedTask, TaskState};
 
@@ -109,7 +110,8 @@
         if session > self.session {
             return Verdict::Absent;
         }
-        if listed.is_some() || token != ours {
+        let theirs = token != ours && weak::holds(Decision::AbsenceNeedsOurToken);
+        if listed.is_some() || theirs {
             return Verdict::Present;
         }
         match self.phase {
--- a/crates/pebblefold/src/core/rental.rs
+++ b/crates/pebblefold/src/core/rental.rs
@@ -317,6 +317,15 @@
                 {
                     m.send_back("put aside");
                 }
+                // It is paid, and nothing can be had of it.
+                _ if m.tasks.is_empty()
+                    && m.hearing
+                        .deaf_for(now)
+                        .is_some_and(|t| t > Span::secs(self.policy.silent_release_s)) =>
+                {
+                    tracing::info!(machine = %id, "reports and does not hear, released");
+                    m.send_back("does not hear");
+                }
                 _ if m.lost && matches!(m.listed, Some((MachineStage::Failed, _))) => {
                     m.send_back("failed");
                 }
--- a/crates/pebblefold/src/core/telling.rs
+++ b/crates/pebblefold/src/core/telling.rs
@@ -185,6 +185,7 @@
                     "machine": id, "kind": m.kind, "zone": m.zone, "spot": m.spot,
                     "session": m.session, "reported_s_ago": age(m.reported),
                     "usable": m.usable(now, self.silence()), "lost": m.lost,
+                    "deaf_s": m.hearing.deaf_for(now).map(|t| t.as_secs()),
                     "leaving": m.leaving != Leaving::No, "taken_in_s": m.taken_at.map(|t| t.since(now).as_secs()),
                     "images": m.cache.images().map(|(i, _)| i).collect::<Vec<_>>(),
                     "tasks": m.tasks.iter().map(|t| {
--- a/crates/pebblefold/src/core/weak.rs
+++ b/crates/pebblefold/src/core/weak.rs
@@ -39,6 +39,17 @@
     RiseComparesMembers,
     /// A job with a record that cannot be read is neither run nor written.
     UnreadableIsLeftAlone,
+    /// What a silent machine had from an earlier leader stands for as long as that one
+    /// may have answered it, and for a lease.
+    OldLeadersAnswersCount,
+    /// A report proves absence only under our own token.
+    AbsenceNeedsOurToken,
+    /// A report older than one that was heard proves nothing.
+    NewestReportCounts,
+    /// A result is stored before its worker may forget it.
+    DoneBeforeClear,
+    /// A record is written only over the version that was read or written last.
+    RecordsCompareVersions,
     /// The next level waits until all that is stored has the form of this one.
     RewrittenBeforeNext,
 }
--- a/crates/pebblefold/src/core/writing.rs
+++ b/crates/pebblefold/src/core/writing.rs
@@ -135,10 +135,14 @@
                 value: job.chunk_value(self.chunk_size, chunk, self.level),
                 lease: None,
             };
-            let mut conditions = vec![Condition {
-                key,
-                version: c.version,
-            }];
+            let mut conditions = Vec::new();
+            // However late this one is carried out, no newer record is written over.
+            if weak::holds(Decision::RecordsCompareVersions) {
+                conditions.push(Condition {
+                    key,
+                    version: c.version,
+                });
+            }
             // Whatever this node has not heard of yet, and however late it is:
             // no start is stored once the job's end is.
             if job.starts_in(self.chunk_size, chunk) && weak::holds(Decision::StartsNeedAnOpenJob) {
