Writes from one room, searched: what may be carried out late

Cause: a transaction without an answer may be carried out after newer ones; what each compares was spread over writing and intake, and argued only one by one.

--- a/crates/pebblefold/src/core/intake.rs
+++ b/crates/pebblefold/src/core/intake.rs
@@ -11,7 +11,7 @@
 use crate::types::{Amounts, JobId, Span, Version};
 use crate::wire;
 use crate::wire::cloud::MachineTypes;
-use crate::wire::state::{Condition, Entry, Op, Revision, Txn};
+use crate::wire::state::{Entry, Revision, Txn};
 use crate::wire::users::{JobAnswer, Refusal, Shape, Stage, Submission, valid_id};
 use std::collections::{BTreeMap, VecDeque};
 
@@ -444,19 +444,7 @@
         version: Version,
         tries: u32,
     ) {
-        let value = ledger::head_value(HeadStage::Cancelled, head.n);
-        let put = |key: String| Op::Put {
-            key,
-            value: value.clone(),
-            lease: None,
-        };
-        let txn = Txn {
-            conditions: vec![Condition {
-                key: ledger::head_key(id),
-                version,
-            }],
-            ops: vec![put(ledger::head_key(id)), put(ledger::end_key(id))],
-        };
+        let txn = ledger::cancel_txn(id, head, version);
         self.commit(io, request, txn, Step::Cancel(id.clone(), tries));
     }
 }
--- a/crates/pebblefold/src/core/ledger.rs
+++ b/crates/pebblefold/src/core/ledger.rs
@@ -152,6 +152,25 @@
     })
 }
 
+/// What a write compares, and what it changes.
+pub type Write = (Vec<Condition>, Vec<Op>);
+
+fn put(key: String, value: Value) -> Op {
+    let lease = None;
+    Op::Put { key, value, lease }
+}
+
+/// The transaction that cancels a job whose head was read open at this version: of it
+/// and the one that calls the job done, one comes through.
+pub fn cancel_txn(id: &JobId, head: Head, version: Version) -> Txn {
+    let value = head_value(HeadStage::Cancelled, head.n);
+    let key = head_key(id);
+    Txn {
+        conditions: vec![Condition { key, version }],
+        ops: vec![put(head_key(id), value.clone()), put(end_key(id), value)],
+    }
+}
+
 /// A set of task numbers, kept as ranges.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Ranges {
@@ -286,7 +305,7 @@
 }
 
 /// A job in the leader's memory.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Job {
     /// As submitted.
     pub spec: Rc<Submission>,
@@ -412,6 +431,66 @@
         progress.write(level)
     }
 
+    /// Stores a chunk.
+    pub fn chunk_write(&self, size: ChunkSize, chunk: u32, level: Level) -> Write {
+        let key = chunk_key(&self.spec.id, chunk);
+        let version = self.chunks.get(&chunk).map_or(Version(0), |c| c.version);
+        let mut conditions = Vec::new();
+        // However late this one is carried out, no newer record is written over.
+        if weak::holds(Decision::RecordsCompareVersions) {
+            let key = key.clone();
+            conditions.push(Condition { key, version });
+        }
+        // Whatever this node has not heard of yet, and however late it is: no start is
+        // stored once the job's end is.
+        if self.starts_in(size, chunk) && weak::holds(Decision::StartsNeedAnOpenJob) {
+            conditions.push(self.is_still_open());
+        }
+        let value = self.chunk_value(size, chunk, level);
+        (conditions, vec![put(key, value)])
+    }
+
+    fn is_still_open(&self) -> Condition {
+        Condition {
+            key: head_key(&self.spec.id),
+            version: self.version,
+        }
+    }
+
+    /// Calls it done; what may run of it stays on record.
+    pub fn finish_write(&self) -> Write {
+        let id = &self.spec.id;
+        let head = head_value(HeadStage::Done, self.spec.tasks);
+        let ops = vec![put(head_key(id), head.clone()), put(end_key(id), head)];
+        (vec![self.is_still_open()], ops)
+    }
+
+    /// Calls it done and deletes all else: of a job of which nothing is anywhere, the
+    /// head says all that is still asked for.
+    pub fn close_write(&self) -> Write {
+        let id = &self.spec.id;
+        let head = head_value(HeadStage::Done, self.spec.tasks);
+        let gone = self.keys().into_iter().filter(|k| *k != end_key(id));
+        let mut ops = vec![put(head_key(id), head)];
+        ops.extend(gone.map(|key| Op::Delete { key }));
+        (vec![self.is_still_open()], ops)
+    }
+
+    /// Deletes what is stored of a job that is over, as far as there is room for so many
+    /// changes; whether that is all.
+    pub fn drop_write(&self, room: usize) -> (Vec<Op>, bool) {
+        let keys = self.keys();
+        let mut n = keys.len().min(room);
+        let last = n == keys.len();
+        // A submission without its end looks open to a successor, which would start it
+        // anew: they go together or not yet.
+        if n + 1 == keys.len() && weak::holds(Decision::EndOutlivesSubmission) {
+            n -= 1;
+        }
+        let ops = keys.into_iter().take(n);
+        (ops.map(|key| Op::Delete { key }).collect(), last)
+    }
+
     /// Takes over a stored record. One that cannot be read keeps the whole job from
     /// being started or written: what it says would be lost, and its tasks may run.
     ///
--- a/crates/pebblefold/src/core/writing.rs
+++ b/crates/pebblefold/src/core/writing.rs
@@ -6,11 +6,10 @@
 use super::ledger::{self, End, Item, Job, TxnBuilder, TxnLimits};
 use super::levels::REMEMBERED;
 use super::levels::progress::Progress;
-use super::weak::{self, Decision};
 use super::{Reply, Target};
 use crate::types::{JobId, Span, TaskId, Time, Version};
 use crate::wire;
-use crate::wire::state::{Condition, Op, Revision, Txn};
+use crate::wire::state::{Op, Revision, Txn};
 
 /// Settled intents deleted in one transaction.
 const MOST_SETTLED: usize = 8;
@@ -87,31 +86,15 @@
             if job.end != Some(End::Done { written: false }) {
                 continue;
             }
-            let head = ledger::head_value(ledger::HeadStage::Done, job.spec.tasks);
-            let put = |key: String| Op::Put {
-                key,
-                value: head.clone(),
-                lease: None,
-            };
-            let condition = Condition {
-                key: ledger::head_key(&id),
-                version: job.version,
-            };
-            // If nothing of it is anywhere any more, it ends and goes at once: its
-            // head says all that is still asked for.
+            // If nothing of it is anywhere any more, it ends and goes at once.
             if job.places.is_empty() {
-                let gone = job
-                    .keys()
-                    .into_iter()
-                    .filter(|k| *k != ledger::end_key(&id));
-                let mut ops = vec![put(ledger::head_key(&id))];
-                ops.extend(gone.map(|key| Op::Delete { key }));
-                if b.add(Item::Close(id.clone()), vec![condition.clone()], ops) {
+                let (conditions, ops) = job.close_write();
+                if b.add(Item::Close(id.clone()), conditions, ops) {
                     continue;
                 }
             }
-            let ops = vec![put(ledger::head_key(&id)), put(ledger::end_key(&id))];
-            if !b.add(Item::Finish(id.clone()), vec![condition], ops) {
+            let (conditions, ops) = job.finish_write();
+            if !b.add(Item::Finish(id.clone()), conditions, ops) {
                 self.finishing.insert(id);
             }
         }
@@ -129,29 +112,9 @@
                 self.dirty.forget(&due);
                 continue;
             };
-            let key = ledger::chunk_key(&id, chunk);
-            let put = Op::Put {
-                key: key.clone(),
-                value: job.chunk_value(self.chunk_size, chunk, self.level),
-                lease: None,
-            };
-            let mut conditions = Vec::new();
-            // However late this one is carried out, no newer record is written over.
-            if weak::holds(Decision::RecordsCompareVersions) {
-                conditions.push(Condition {
-                    key,
-                    version: c.version,
-                });
-            }
-            // Whatever this node has not heard of yet, and however late it is:
-            // no start is stored once the job's end is.
-            if job.starts_in(self.chunk_size, chunk) && weak::holds(Decision::StartsNeedAnOpenJob) {
-                conditions.push(Condition {
-                    key: ledger::head_key(&id),
-                    version: job.version,
-                });
-            }
-            if !b.add(Item::Chunk(id, chunk, c.change), conditions, vec![put]) {
+            let (conditions, ops) = job.chunk_write(self.chunk_size, chunk, self.level);
+            let change = c.change;
+            if !b.add(Item::Chunk(id, chunk, change), conditions, ops) {
                 break;
             }
             self.dirty.forget(&due);
@@ -170,19 +133,8 @@
             if !over || !job.places.is_empty() {
                 continue;
             }
-            let keys = job.keys();
-            let mut n = keys.len().min(b.room());
-            let last = n == keys.len();
-            // A submission without its end looks open to a successor, which
-            // would start it anew: they go together or not yet.
-            if n + 1 == keys.len() && weak::holds(Decision::EndOutlivesSubmission) {
-                n -= 1;
-            }
-            let ops = keys[..n]
-                .iter()
-                .map(|k| Op::Delete { key: k.clone() })
-                .collect();
-            if n == 0 || !b.add(Item::Drop(id.clone(), last), Vec::new(), ops) {
+            let (ops, last) = job.drop_write(b.room());
+            if ops.is_empty() || !b.add(Item::Drop(id.clone(), last), Vec::new(), ops) {
                 again.push(id);
                 break;
             }
@@ -419,9 +371,10 @@
     use crate::core::leader::Leader;
     use crate::core::ledger::{End, Job};
     use crate::core::presence::Placement;
-    use crate::core::weak::weaken;
+    use crate::core::weak::{Decision, weaken};
     use crate::testing::{leader, submission};
     use crate::types::{Attempt, Session, Wall};
+    use crate::wire::state::Condition;
     use crate::wire::users::Shape;
     use std::rc::Rc;
 
--- /dev/null
+++ b/crates/rehearsal/tests/late_writes.rs
@@ -0,0 +1,509 @@
+//! Every order of the steps around a job whose transactions may be carried out late,
+//! after newer ones of the same controller: a user that submits and cancels through
+//! any node, leaders that come and go, one task on one machine. The transactions are
+//! the real ledger's, and so is what is read back.
+
+use pebblefold::core::ledger::{self, Assembly, ChunkSize, End, Head, HeadStage, Job, TxnLimits};
+use pebblefold::core::levels::TABLE;
+use pebblefold::core::levels::progress::Progress;
+use pebblefold::core::presence::{Phase, Placement};
+use pebblefold::core::weak::{Decision, weaken};
+use pebblefold::types::{Attempt, JobId, Session, Version, Wall};
+use pebblefold::wire::state::{Condition, Op, Txn};
+use pebblefold::wire::users::{Priority, Shape, Submission};
+use serde_json::Value;
+use std::collections::{BTreeMap, HashSet};
+
+const HOLDER: &str = "w/leader/holder";
+const SIZE: ChunkSize = ChunkSize(64);
+/// More worlds than this are a fault of the search.
+const MOST: usize = 600_000;
+
+fn id() -> JobId {
+    "wk-1".into()
+}
+
+fn spec() -> Submission {
+    Submission {
+        id: id(),
+        class: "urgent".into(),
+        team: "red".into(),
+        shape: Shape::Array,
+        priority: Priority::Normal,
+        tasks: 1,
+        cpus: 4.0,
+        gpus: 1.0,
+        memory_gb: 16.0,
+        image: "img".into(),
+        image_gb: 1.0,
+        kinds: None,
+        zone: None,
+        one_zone: false,
+        spread: false,
+        spot: true,
+        estimate_s: 30.0,
+        checkpoint_s: 0.0,
+        save_s: 0.0,
+        deadline_s: None,
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Kind {
+    Chunk(u64),
+    Finish,
+    Close,
+    Drop(bool),
+}
+
+#[derive(Clone, Debug)]
+struct Leader {
+    token: u64,
+    job: Option<Job>,
+    /// Its one transaction, and whether an answer to it was lost.
+    flight: Option<(Txn, Kind)>,
+    doubtful: bool,
+}
+
+/// What becomes of a transaction that is sent.
+#[derive(Clone, Copy, PartialEq)]
+enum Outcome {
+    Answered,
+    AnswerLost,
+    Late,
+}
+
+#[derive(Clone, Debug, Default)]
+struct World {
+    keys: BTreeMap<String, (Value, u64)>,
+    revision: u64,
+    /// Transactions that may be carried out at any time.
+    late: Vec<Txn>,
+    losses: u8,
+    submits: u8,
+    cancels: u8,
+    lives: u8,
+    /// The head as a node read it that is to cancel the job.
+    read: Option<(Head, Version)>,
+    leader: Option<Leader>,
+    /// The attempt that runs, how many were begun, and whether one has completed.
+    running: Option<u64>,
+    complete: bool,
+    /// The highest attempt that was ever stored.
+    stored: u64,
+    broken: Option<&'static str>,
+}
+
+impl World {
+    fn head(&self) -> Option<HeadStage> {
+        let (value, _) = self.keys.get(&ledger::head_key(&id()))?;
+        ledger::read::<Head>(value).map(|h| h.s)
+    }
+
+    fn places(&self) -> Vec<u64> {
+        let record = self.keys.get(&ledger::chunk_key(&id(), 0));
+        let read = record.and_then(|(value, _)| Progress::read(value).ok());
+        let places = read.map_or(Vec::new(), |p| p.places);
+        places.into_iter().map(|(_, a, ..)| a.0).collect()
+    }
+
+    /// Carries a transaction out; the keys whose conditions failed.
+    fn apply(&mut self, txn: &Txn) -> Vec<String> {
+        let version = |key: &str| self.keys.get(key).map_or(0, |(_, v)| *v);
+        let fails = |c: &&Condition| version(&c.key) != c.version.0;
+        let failed: Vec<String> = txn
+            .conditions
+            .iter()
+            .filter(fails)
+            .map(|c| c.key.clone())
+            .collect();
+        if !failed.is_empty() {
+            return failed;
+        }
+        let before = self.head();
+        self.revision += 1;
+        for op in &txn.ops {
+            match op {
+                Op::Put { key, value, .. } => {
+                    let value = (value.clone(), self.revision);
+                    self.keys.insert(key.clone(), value);
+                }
+                Op::Delete { key } => {
+                    self.keys.remove(key);
+                }
+            }
+        }
+        let highest = self.places().into_iter().max().unwrap_or(0);
+        if highest > self.stored {
+            self.stored = highest;
+            if before != Some(HeadStage::Open) {
+                self.broken = Some("a start was stored after the job's end");
+            }
+        }
+        if before.is_some() && before != Some(HeadStage::Open) && self.head() != before {
+            self.broken = Some("a final state was taken back");
+        }
+        Vec::new()
+    }
+
+    fn look(&mut self) {
+        let has = |key: String| self.keys.contains_key(&key);
+        let over = matches!(self.head(), Some(HeadStage::Done | HeadStage::Cancelled));
+        if over && has(ledger::job_key(&id())) && !has(ledger::end_key(&id())) {
+            self.broken = Some("a job that is over looks open to a successor");
+        }
+        if self.head() == Some(HeadStage::Done) && !self.complete {
+            self.broken = Some("a job is called done before its task is");
+        }
+        if let Some(attempt) = self.running
+            && self.head() == Some(HeadStage::Open)
+            && !self.places().contains(&attempt)
+        {
+            self.broken = Some("a task runs that no record has");
+        }
+    }
+
+    /// What a leader reads when it takes office.
+    fn load(&self) -> Option<Job> {
+        let (value, version) = self.keys.get(&ledger::job_key(&id()))?;
+        let mut job = Assembly::default().job(&id(), Version(*version), value)?;
+        if let Some((value, version)) = self.keys.get(&ledger::chunk_key(&id(), 0)) {
+            job.load_chunk(0, Version(*version), value).ok()?;
+        }
+        job.end = self.end();
+        if job.end.is_none() && job.done.len() == 1 {
+            job.end = Some(End::Done { written: false });
+        }
+        Some(job)
+    }
+
+    fn end(&self) -> Option<End> {
+        let (value, _) = self.keys.get(&ledger::end_key(&id()))?;
+        Some(match ledger::read::<Head>(value)?.s {
+            HeadStage::Done => End::Done { written: true },
+            _ => End::Cancelled,
+        })
+    }
+
+    /// The leader's transaction was answered with this.
+    fn answered(&mut self, txn: &Txn, kind: Kind, failed: &[String], revision: u64) {
+        let Some(l) = &mut self.leader else { return };
+        let doubtful = std::mem::take(&mut l.doubtful);
+        l.flight = None;
+        if !failed.is_empty() {
+            let head = failed.contains(&ledger::head_key(&id()));
+            let other = failed.iter().any(|k| *k != ledger::head_key(&id()));
+            if doubtful || other {
+                self.leader = None;
+            } else if head && let (Kind::Chunk(_), Some(job)) = (kind, &mut l.job) {
+                job.end = Some(End::Cancelled);
+                job.places.retain(|_, p| !p.unsent());
+            }
+            return;
+        }
+        let Some(job) = &mut l.job else { return };
+        match kind {
+            Kind::Chunk(change) => {
+                let c = job.chunks.entry(0).or_default();
+                c.version = Version(revision);
+                c.stored = c.stored.max(change);
+                job.unsaved.retain(|_, n| *n > change);
+            }
+            Kind::Finish => job.end = Some(End::Done { written: true }),
+            Kind::Close | Kind::Drop(true) => l.job = None,
+            Kind::Drop(false) => {
+                let gone = |key: &str| {
+                    let deletes = |op: &Op| matches!(op, Op::Delete { key: k } if k == key);
+                    txn.ops.iter().any(deletes)
+                };
+                job.chunks
+                    .retain(|&c, _| !gone(&ledger::chunk_key(&id(), c)));
+            }
+        }
+    }
+
+    /// What the leader writes next, if anything.
+    fn gather(&self) -> Option<(Txn, Kind)> {
+        let l = self.leader.as_ref()?;
+        let job = l.job.as_ref()?;
+        let level = TABLE.last().unwrap().level;
+        let chunk = job.chunks.get(&0).copied().unwrap_or_default();
+        let (mut conditions, ops, kind) = match job.end {
+            Some(End::Done { written: false }) if job.places.is_empty() => {
+                let (c, ops) = job.close_write();
+                (c, ops, Kind::Close)
+            }
+            Some(End::Done { written: false }) => {
+                let (c, ops) = job.finish_write();
+                (c, ops, Kind::Finish)
+            }
+            Some(_) if job.places.is_empty() => {
+                // Room for a part of it only, where there is a part.
+                let room = (job.keys().len() - 1).max(2);
+                let (ops, last) = job.drop_write(room);
+                (Vec::new(), ops, Kind::Drop(last))
+            }
+            None if chunk.change > chunk.stored => {
+                let (c, ops) = job.chunk_write(SIZE, 0, level);
+                (c, ops, Kind::Chunk(chunk.change))
+            }
+            _ => return None,
+        };
+        let holds = Condition {
+            key: HOLDER.into(),
+            version: Version(l.token),
+        };
+        conditions.insert(0, holds);
+        let txn = Txn { conditions, ops };
+        (!txn.ops.is_empty()).then_some((txn, kind))
+    }
+
+    /// Sends a transaction; whether it was carried out, if the sender hears of it.
+    fn send(&mut self, txn: &Txn, outcome: Outcome) -> Option<Vec<String>> {
+        if outcome != Outcome::Answered {
+            self.losses -= 1;
+        }
+        match outcome {
+            Outcome::Answered => Some(self.apply(txn)),
+            Outcome::AnswerLost => {
+                self.apply(txn);
+                None
+            }
+            Outcome::Late => {
+                self.late.push(txn.clone());
+                None
+            }
+        }
+    }
+
+    fn next(&self) -> Vec<World> {
+        let mut out = Vec::new();
+        let mut step = |change: &dyn Fn(&mut World)| {
+            let mut w = self.clone();
+            change(&mut w);
+            w.look();
+            out.push(w);
+        };
+        let lost = [Outcome::AnswerLost, Outcome::Late];
+        let outcomes = || {
+            let lost = lost.into_iter().filter(|_| self.losses > 0);
+            lost.chain([Outcome::Answered])
+        };
+        for n in 0..self.late.len() {
+            step(&|w| {
+                let txn = w.late.remove(n);
+                w.apply(&txn);
+            });
+        }
+        // A user, through any node.
+        if self.submits > 0 {
+            let limits = TxnLimits {
+                ops: 48,
+                value_bytes: 8192,
+            };
+            let txn = ledger::accept_txn(&spec(), Wall(0), limits).unwrap();
+            for outcome in outcomes() {
+                step(&|w| {
+                    w.submits -= 1;
+                    w.send(&txn, outcome);
+                });
+            }
+        }
+        if self.cancels > 0
+            && self.read.is_none()
+            && let Some((value, version)) = self.keys.get(&ledger::head_key(&id()))
+            && let Some(head) = ledger::read::<Head>(value).filter(|h| h.s == HeadStage::Open)
+        {
+            step(&|w| w.read = Some((head, Version(*version))));
+        }
+        if let Some((head, version)) = self.read {
+            let txn = ledger::cancel_txn(&id(), head, version);
+            for outcome in outcomes() {
+                step(&|w| {
+                    w.read = None;
+                    w.cancels -= 1;
+                    w.send(&txn, outcome);
+                });
+            }
+        }
+        // Somebody takes the key, and loads.
+        if self.lives > 0 {
+            step(&|w| {
+                w.lives -= 1;
+                w.revision += 1;
+                let token = w.revision;
+                w.keys.insert(HOLDER.into(), (Value::Null, token));
+                w.leader = Some(Leader {
+                    token,
+                    job: w.load(),
+                    flight: None,
+                    doubtful: false,
+                });
+            });
+        }
+        let Some(l) = &self.leader else { return out };
+        // Its watch tells, some time.
+        step(&|w| {
+            let (end, loaded) = (w.end(), w.load());
+            let Some(l) = &mut w.leader else { return };
+            match &mut l.job {
+                None => l.job = loaded.filter(|j| j.end.is_none()),
+                Some(job) if end == Some(End::Cancelled) && job.end != end => {
+                    job.end = end;
+                    job.places.retain(|_, p| !p.unsent());
+                }
+                Some(_) => {}
+            }
+        });
+        match &l.flight {
+            Some((txn, kind)) => {
+                for outcome in outcomes() {
+                    step(&|w| match w.send(txn, outcome) {
+                        Some(failed) => w.answered(txn, *kind, &failed, w.revision),
+                        None => {
+                            if let Some(l) = &mut w.leader {
+                                l.doubtful = true;
+                            }
+                        }
+                    });
+                }
+            }
+            None => {
+                if let Some(flight) = self.gather() {
+                    step(&|w| {
+                        if let Some(l) = &mut w.leader {
+                            l.flight = Some(flight.clone());
+                        }
+                    });
+                }
+            }
+        }
+        let Some(job) = &l.job else { return out };
+        let with = |w: &mut World, change: &dyn Fn(&mut Job)| {
+            if let Some(job) = w.leader.as_mut().and_then(|l| l.job.as_mut()) {
+                change(job);
+            }
+        };
+        let place = job.places.get(&0);
+        if job.is_open() && place.is_none() && job.waiting.contains(0) && job.attempt.0 < 2 {
+            step(&|w| {
+                with(w, &|job| {
+                    job.waiting.remove(0);
+                    job.attempt = Attempt(job.attempt.0 + 1);
+                    let change = job.touch(SIZE, 0);
+                    let here = Placement {
+                        change,
+                        phase: Phase::Unsent,
+                        ..Placement::inherited("host-1".into(), Session(1), job.attempt)
+                    };
+                    job.places.insert(0, here);
+                });
+            });
+        }
+        if let Some(p) = place {
+            let leaves = |job: &mut Job| {
+                job.places.remove(&0);
+                job.touch(SIZE, 0);
+            };
+            if p.unsent() && job.is_open() && job.is_stored(SIZE, 0, p.change) {
+                let attempt = p.attempt.0;
+                step(&|w| {
+                    w.running = Some(attempt);
+                    with(w, &|job| {
+                        if let Some(p) = job.places.get_mut(&0) {
+                            p.phase = Phase::Inherited;
+                        }
+                    });
+                });
+            }
+            if !p.unsent() {
+                // It completes, is halted, or its machine is lost: proved, and heard.
+                if self.running == Some(p.attempt.0) {
+                    step(&|w| {
+                        (w.running, w.complete) = (None, true);
+                        with(w, &|job| {
+                            leaves(job);
+                            job.done.insert(0);
+                            if job.end.is_none() {
+                                job.end = Some(End::Done { written: false });
+                            }
+                        });
+                    });
+                }
+                step(&|w| {
+                    w.running = None;
+                    with(w, &|job| {
+                        leaves(job);
+                        if job.is_open() {
+                            job.waiting.insert(0);
+                        }
+                    });
+                });
+            }
+        }
+        out
+    }
+}
+
+/// Looks through every order; how many worlds there were, and what broke.
+fn explore() -> (usize, Option<&'static str>) {
+    let first = World {
+        revision: 1,
+        keys: BTreeMap::from([(HOLDER.into(), (Value::Null, 1))]),
+        losses: 2,
+        submits: 2,
+        cancels: 1,
+        lives: 1,
+        leader: Some(Leader {
+            token: 1,
+            job: None,
+            flight: None,
+            doubtful: false,
+        }),
+        ..World::default()
+    };
+    let print = |w: &World| {
+        use std::hash::{DefaultHasher, Hash, Hasher};
+        let mut h = DefaultHasher::new();
+        format!("{w:?}").hash(&mut h);
+        h.finish()
+    };
+    let mut seen = HashSet::from([print(&first)]);
+    let mut todo = vec![first];
+    while let Some(world) = todo.pop() {
+        for next in world.next() {
+            if let Some(what) = next.broken {
+                return (seen.len(), Some(what));
+            }
+            assert!(seen.len() < MOST, "more worlds than meant");
+            if seen.insert(print(&next)) {
+                todo.push(next);
+            }
+        }
+    }
+    (seen.len(), None)
+}
+
+#[test]
+fn no_order_of_late_writes_does_harm() {
+    let (worlds, broken) = explore();
+    println!("{worlds} worlds: two transactions late or unanswered, a successor");
+    assert_eq!(broken, None);
+    assert!(worlds > 10_000, "{worlds}");
+}
+
+// Without any one of what the writes compare there is an order that does harm.
+#[test]
+fn each_comparison_is_needed() {
+    for off in [
+        Decision::RecordsCompareVersions,
+        Decision::StartsNeedAnOpenJob,
+        Decision::EndOutlivesSubmission,
+    ] {
+        weaken(&[off]);
+        let (worlds, broken) = explore();
+        weaken(&[]);
+        println!("{off:?}: {broken:?} after {worlds} worlds");
+        assert!(broken.is_some(), "{off:?} was not missed");
+    }
+}
