Records of what cannot be; tests of touched rooms in files of their own

Cause: a record that names a task its job does not have, an attempt never given or a session of 0 was taken at its word; tests stood inside six source files that this stretch touched.

--- a/crates/pebblefold/src/core/contact/tests.rs
+++ b/crates/pebblefold/src/core/contact/tests.rs
@@ -114,7 +114,7 @@
     c.showed(at(2.0));
     assert!(c.refuted().is_empty(), "sent no later than it was told");
     c.showed(at(2.1));
-    assert_eq!(c.refuted(), [id.clone()]);
+    assert_eq!(c.refuted(), ["wk-1".into()]);
     assert!(!c.is_told(&id));
     for n in 0..2 * MOST_TOLD {
         c.told(at(5.0), &format!("wk-{n}").as_str().into());
--- a/crates/pebblefold/src/core/fleet.rs
+++ b/crates/pebblefold/src/core/fleet.rs
@@ -443,32 +443,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use crate::core::machine::Machine;
-    use crate::testing::{io_at, leader};
-    use crate::types::Amounts;
-
-    // A direct command can bring our token to a worker whose lease an older
-    // leader renewed after our last 200: its lease ends later than that 200
-    // says, and its tasks run on after they were written off.
-    #[test]
-    fn a_lease_counts_from_the_first_report_with_our_token() {
-        let mut leader = leader();
-        let mut m = Machine::new(Time(0));
-        let task = TaskId::parse("wk-1/0").unwrap();
-        m.take(task, Amounts::default());
-        m.answered = Some(Time(10_000_000));
-        m.ours_since = Some(Time(100_000_000));
-        let id = MachineId::from("host-1");
-        leader.machines.insert(id.clone(), m);
-        let mut lost_at = |secs: f64| {
-            leader.expire(&mut io_at(secs));
-            leader.machines[&id].lost
-        };
-        // The fixture's lease is 10 s.
-        assert!(!lost_at(105.0));
-        assert!(!lost_at(110.5));
-        assert!(lost_at(111.5));
-    }
-}
+mod tests;
--- /dev/null
+++ b/crates/pebblefold/src/core/fleet/tests.rs
@@ -0,0 +1,202 @@
+use super::*;
+use crate::core::machine::Machine;
+use crate::core::{Output, Reply};
+use crate::testing::submission;
+use crate::testing::{io_at, leader};
+use crate::types::Amounts;
+use crate::types::{Tally, Token, Version, Wall};
+use crate::wire;
+use crate::wire::state::Changes;
+use crate::wire::users::Shape;
+use std::rc::Rc;
+
+// A direct command can bring our token to a worker whose lease an older
+// leader renewed after our last 200: its lease ends later than that 200
+// says, and its tasks run on after they were written off.
+#[test]
+fn a_lease_counts_from_the_first_report_with_our_token() {
+    let mut leader = leader();
+    let mut m = Machine::new(Time(0));
+    let task = TaskId::parse("wk-1/0").unwrap();
+    m.take(task, Amounts::default());
+    m.answered = Some(Time(10_000_000));
+    m.ours_since = Some(Time(100_000_000));
+    let id = MachineId::from("host-1");
+    leader.machines.insert(id.clone(), m);
+    let mut lost_at = |secs: f64| {
+        leader.expire(&mut io_at(secs));
+        leader.machines[&id].lost
+    };
+    // The fixture's lease is 10 s.
+    assert!(!lost_at(105.0));
+    assert!(!lost_at(110.5));
+    assert!(lost_at(111.5));
+}
+
+/// A leader that has loaded, with a job of two tasks on a machine that has reported
+/// under its token.
+fn leading() -> (Leader, MachineId) {
+    let mut leader = leader();
+    leader.contact.page(Time(0));
+    leader.contact.loaded(Time(0));
+    let spec = submission("wk-1", Shape::Array, 2);
+    let job = Job::new(Rc::new(spec), Wall(0), Version(7), 1);
+    leader.jobs.insert("wk-1".into(), job);
+    let id = MachineId::from("host-1");
+    hears(&mut leader, 1.0, report(1, 5));
+    for index in 0..2 {
+        let job = "wk-1".into();
+        leader.put(Time(1_000_000), &TaskId { job, index }, &id, Attempt(1));
+    }
+    for chunk in leader
+        .jobs
+        .get_mut(&"wk-1".into())
+        .unwrap()
+        .chunks
+        .values_mut()
+    {
+        chunk.stored = chunk.change;
+    }
+    (leader, id)
+}
+
+/// A report of this number that carries this token, without tasks.
+fn report(tally: u64, token: u64) -> Report {
+    Report {
+        machine: "host-1".into(),
+        addr: "10.1.0.1:9000".into(),
+        kind: "g4".into(),
+        zone: "z0".into(),
+        spot: true,
+        session: Session(1),
+        tally: Tally(tally),
+        token: Token(token),
+        notice_s: None,
+        tasks: Vec::new(),
+    }
+}
+
+fn task(name: &str, attempt: u64, state: TaskState, why: Option<Why>) -> ReportedTask {
+    ReportedTask {
+        task: name.into(),
+        attempt: Attempt(attempt),
+        state,
+        why,
+        saved: None,
+    }
+}
+
+/// What it answers, and what becomes of it.
+fn hears(leader: &mut Leader, secs: f64, report: Report) -> (u16, Fate) {
+    let mut io = io_at(secs);
+    let fate = leader.on_report(&mut io, RequestId(1), report, false);
+    let answer = io.take_outputs().into_iter().find_map(|o| match o {
+        Output::Answer(_, a) => Some(a.status),
+        _ => None,
+    });
+    (answer.expect("an answer"), fate)
+}
+
+// A successor that heard an old copy of a report first took its notice for the
+// machine's, and stopped what ran there.
+#[test]
+fn a_notice_counts_only_with_our_token() {
+    for (token, stopped) in [(4, 0), (5, 2)] {
+        let (mut leader, _) = leading();
+        let running = |i| task(&format!("wk-1/{i}"), 1, TaskState::Running, None);
+        let told = Report {
+            notice_s: Some(8.0),
+            tasks: (0..2).map(running).collect(),
+            ..report(2, token)
+        };
+        hears(&mut leader, 2.0, told);
+        let places = leader.jobs[&"wk-1".into()].places.values();
+        assert_eq!(
+            places.filter(|p| p.stop.is_some()).count(),
+            stopped,
+            "{token}"
+        );
+    }
+}
+
+// A report with a token that nobody was given deposed a healthy leader, which took its
+// key again, and was deposed by the next report.
+#[test]
+fn a_token_that_nobody_was_given_deposes_nobody() {
+    let (mut leader, _) = leading();
+    assert_eq!(
+        hears(&mut leader, 2.0, report(2, u64::MAX)),
+        (421, Fate::Stay)
+    );
+    // One that may have been given since the last read does.
+    let later = Token(9);
+    let deposed = hears(&mut leader, 2.0, report(3, later.0));
+    assert_eq!(deposed, (421, Fate::Deposed(later)));
+    // A read has shown everything up to its revision, and no other leader.
+    let none = Changes {
+        revision: Version(500),
+        events: Vec::new(),
+    };
+    let read = Reply::Answer(200, wire::encode(&none));
+    leader.on_read(&mut io_at(2.5), Time(2_000_000), read);
+    assert_eq!(
+        hears(&mut leader, 2.0, report(4, later.0)),
+        (421, Fate::Stay)
+    );
+}
+
+#[test]
+fn what_cannot_be_proves_nothing() {
+    let (mut leader, id) = leading();
+    let before = leader.machines[&id].tally;
+    let no_session = Report {
+        session: Session(0),
+        ..report(9, 5)
+    };
+    assert_eq!(hears(&mut leader, 2.0, no_session), (400, Fate::Stay));
+    assert_eq!(leader.machines[&id].tally, before);
+    // Results of attempts that were never given, of unknown tasks and jobs.
+    let done = |name, attempt| task(name, attempt, TaskState::Exited, Some(Why::Done));
+    let tasks = vec![
+        done("wk-1/0", 9),
+        done("wk-1/0", 0),
+        done("wk-1/7", 1),
+        done("wk-9/0", 1),
+    ];
+    hears(
+        &mut leader,
+        2.0,
+        Report {
+            tasks,
+            ..report(2, 5)
+        },
+    );
+    assert!(leader.jobs[&"wk-1".into()].done.is_empty());
+    // One that was given counts, wherever it comes from.
+    let tasks = vec![done("wk-1/0", 1)];
+    let elsewhere = Report {
+        machine: "host-2".into(),
+        tasks,
+        ..report(1, 4)
+    };
+    hears(&mut leader, 2.0, elsewhere);
+    assert!(leader.jobs[&"wk-1".into()].done.contains(0));
+}
+
+// A machine whose answers are lost got the same starts again and again, and the tasks
+// waited there for a lease.
+#[test]
+fn starts_leave_a_machine_that_does_not_hear() {
+    let (mut leader, id) = leading();
+    for n in 0..4u32 {
+        let secs = 3.0 + 3.0 * f64::from(n);
+        leader.contact.showed(Time(0) + Span::secs(secs));
+        let placed = leader.jobs[&"wk-1".into()].places.len();
+        assert_eq!(placed, 2, "at {secs} s");
+        hears(&mut leader, secs, report(u64::from(n) + 2, 5));
+    }
+    let job = &leader.jobs[&"wk-1".into()];
+    assert!(job.places.is_empty() && job.waiting.len() == 2);
+    let m = &leader.machines[&id];
+    assert!(!m.usable(Time(12_000_000), leader.silence()));
+}
--- /dev/null
+++ b/crates/pebblefold/src/core/leader/tests.rs
@@ -0,0 +1,142 @@
+use super::*;
+use crate::core::levels::registry;
+use crate::core::weak::{Decision, weaken};
+use crate::testing::{io_at, leader};
+
+/// How old its contact is when a leader has loaded, where the pages of the
+/// load took so many seconds each, and what it may do then.
+fn after_a_load(page_s: f64) -> (f64, bool, bool) {
+    let mut leader = leader();
+    let key = |key: &str| Entry {
+        key: key.into(),
+        value: serde_json::Value::Null,
+        version: Version(5),
+    };
+    let mut t = 0.0;
+    for keys in [[registry::STONE].as_slice(), &[], &[]] {
+        let page = Entries {
+            items: keys.iter().map(|k| key(k)).collect(),
+            revision: Version(9),
+            more: false,
+        };
+        let sent = Time(0) + Span::secs(t);
+        t += page_s;
+        leader.on_read(&mut io_at(t), sent, Reply::Answer(200, wire::encode(&page)));
+    }
+    assert!(leader.is_loaded());
+    let now = Time(0) + Span::secs(t);
+    let (answers, starts) = (leader.may_answer(now), leader.may_start(now));
+    (leader.contact.age(now).as_secs(), answers, starts)
+}
+
+// A slow load once counted as contact when its last page was asked for,
+// though what it knew of cancellations, and of later leaders, was as old as
+// the first: leases were kept alive for that much longer than allowed.
+#[test]
+fn a_load_is_as_old_as_its_first_page() {
+    assert_eq!(after_a_load(0.1), (0.3, true, true));
+    let (age, answers, starts) = after_a_load(20.0);
+    assert!(age > 59.0 && !answers && !starts);
+    weaken(&[Decision::LoadIsAsOldAsItsFirstRead]);
+    let (_, answers, _) = after_a_load(20.0);
+    weaken(&[]);
+    assert!(answers, "a load that dragged on was not missed");
+}
+
+/// A leader with a job of three tasks, one of its records this one.
+fn with_record(stored: serde_json::Value) -> Leader {
+    let mut leader = leader();
+    let spec = crate::testing::submission("wk-1", crate::wire::users::Shape::Array, 3);
+    let job = Job::new(Rc::new(spec), Wall(0), Version(7), 1);
+    leader.jobs.insert("wk-1".into(), job);
+    leader.submitted.insert("wk-1".into());
+    let record = Entry {
+        key: ledger::chunk_key(&"wk-1".into(), 0),
+        value: stored,
+        version: Version(8),
+    };
+    leader.load_records(Time(0), vec![record]);
+    leader
+}
+
+// A record that could not be read was taken for an empty one: tasks that ran
+// were halted, run a second time elsewhere, and their record written over.
+#[test]
+fn a_job_with_a_record_from_the_future_is_left_alone() {
+    let future = serde_json::json!({"n": 1, "m": [], "later": true});
+    let seen = |stored: serde_json::Value| {
+        let mut leader = with_record(stored);
+        let id = MachineId::from("host-1");
+        let m = leader.meet(Time(0), &id);
+        (m.ours, m.session) = (true, crate::types::Session(1));
+        let task = ("wk-1/1".into(), Attempt(1), TaskState::Running, None);
+        leader.listed.insert(id.clone(), vec![task]);
+        let halted = !leader.commands(Time(0), &id).is_empty();
+        leader.dirty.note(("wk-1".into(), 0), Time(0), true);
+        let mut io = io_at(1.0);
+        leader.pump(&mut io);
+        let used = leader.team_use()[&Team::from("red")].used.gpus;
+        (halted, leader.lane.flight.is_some(), used)
+    };
+    assert_eq!(seen(future.clone()), (false, false, 3.0));
+    weaken(&[Decision::UnreadableIsLeftAlone]);
+    let harmed = seen(future);
+    weaken(&[]);
+    assert_eq!(harmed, (true, true, 0.0));
+    let good = serde_json::json!({"n": 1, "m": [["host-1", 1, 0, [0]]]});
+    assert_eq!(seen(good), (true, true, 1.0));
+}
+
+// A record that names what cannot be was taken at its word: a place of a task that the
+// job does not have held room for ever, a result beyond its last task was dropped.
+#[test]
+fn a_record_of_what_cannot_be_is_left_alone() {
+    let record = |n: u64, d: serde_json::Value, p: serde_json::Value| {
+        let stored = serde_json::json!({"n": n, "d": d, "p": p});
+        with_record(stored).jobs[&JobId::from("wk-1")].unreadable
+    };
+    let (none, one) = (
+        serde_json::json!([]),
+        serde_json::json!([[0, 1, "host-1", 1]]),
+    );
+    assert!(!record(1, none.clone(), one.clone()));
+    assert!(record(0, none.clone(), one), "its attempt was never given");
+    for place in [
+        serde_json::json!([[3, 1, "host-1", 1]]),
+        serde_json::json!([[0, 0, "host-1", 1]]),
+        serde_json::json!([[0, 1, "host-1", 0]]),
+    ] {
+        assert!(record(1, none.clone(), place.clone()), "{place}");
+    }
+    assert!(record(1, serde_json::json!([[2, 9]]), none));
+}
+
+// While the state service takes few changes a second, new forms must not
+// keep starts waiting; and all records get theirs in the end.
+#[test]
+fn old_records_get_their_form_by_and_by() {
+    let old = serde_json::json!({"n": 1, "d": [], "p": [[0, 1, "host-1", 1]]});
+    let mut leader = with_record(old);
+    let written = |leader: &mut Leader, secs: f64| {
+        let mut io = io_at(secs);
+        leader.rewrite(io.now.time);
+        leader.pump(&mut io);
+        leader.lane.flight.is_some()
+    };
+    assert!(!written(&mut leader, 1.0), "the level does not have it yet");
+    assert!(leader.is_rewritten());
+    leader.level = REMEMBERED;
+    assert!(!leader.is_rewritten());
+    let level = leader.writes.level(Time(2_000_000));
+    leader.writes.take(Time(2_000_000), level);
+    assert!(!written(&mut leader, 2.0), "there is more pressing work");
+    leader.writes = Bucket::new(50.0, 50.0);
+    assert!(!written(&mut leader, 3.0), "it settles first");
+    assert!(written(&mut leader, 4.5));
+    let answer = crate::wire::state::Revision {
+        revision: Version(9),
+        failed: Vec::new(),
+    };
+    leader.on_commit(&mut io_at(4.6), Reply::Answer(200, wire::encode(&answer)));
+    assert!(leader.is_rewritten());
+}
--- a/crates/pebblefold/src/core/ledger.rs
+++ b/crates/pebblefold/src/core/ledger.rs
@@ -508,6 +508,7 @@
         };
         self.chunks.insert(chunk, there);
         let read = Progress::read(stored);
+        let read = read.and_then(|v| v.check(self.spec.tasks).map(|()| v));
         self.unreadable |= read.is_err() && weak::holds(Decision::UnreadableIsLeftAlone);
         let v = read?;
         self.attempt = self.attempt.max(v.attempt);
--- a/crates/pebblefold/src/core/levels/progress.rs
+++ b/crates/pebblefold/src/core/levels/progress.rs
@@ -74,6 +74,27 @@
 }
 
 impl Progress {
+    /// Refuses what no controller ever wrote of a job of so many tasks: such a record
+    /// proves nothing, and says as little as one that cannot be read.
+    ///
+    /// # Errors
+    /// It names tasks that the job does not have, attempts that were never given, or a
+    /// session that no worker has.
+    pub fn check(&self, tasks: u32) -> Result<(), Unreadable> {
+        let spans = self.done.iter().chain(&self.stops);
+        let beyond = spans.map(|(_, b)| *b).any(|b| b > tasks);
+        let task = |p: &Place| p.0 >= tasks;
+        let attempt = |p: &Place| p.1 == Attempt(0) || p.1 > self.attempt;
+        let why = match () {
+            () if beyond || self.places.iter().any(task) => "a task that the job does not have",
+            () if self.places.iter().any(attempt) => "an attempt that was never given",
+            () if self.places.iter().any(|p| p.3 == Session(0)) => "a session of 0",
+            () => return Ok(()),
+        };
+        let why = why.to_string();
+        Err(Unreadable { why })
+    }
+
     /// The record as it is to be stored while this level is in force.
     pub fn write(&self, level: Level) -> Value {
         let value = if level >= REMEMBERED {
--- /dev/null
+++ b/crates/pebblefold/src/core/node/tests.rs
@@ -0,0 +1,290 @@
+use super::*;
+use crate::policy::DEFAULT_SCRIPT;
+use crate::testing;
+use crate::types::Image;
+use crate::wire::peers::Greeting;
+
+// Nodes that were started again during an outage said for all of it that they
+// were not ready, and were left out for seconds to a minute after its end.
+#[test]
+fn a_node_is_ready_unless_a_peer_would_serve_better() {
+    let settings = testing::settings(0);
+    let policy = Policy::from_script(DEFAULT_SCRIPT, &settings).unwrap();
+    let mut node = Node::new(settings, policy, 1);
+    assert!(node.is_ready(), "nobody else is known");
+    let peer = |state_ok| Greeting {
+        label: "node-1".into(),
+        token: Token(0),
+        leads: false,
+        loaded: false,
+        cancelled: Vec::new(),
+        state_ok,
+        strained: false,
+        effort_us: 0,
+        levels: None,
+        counts: Vec::new(),
+        caches: Vec::new(),
+        fetches: Vec::new(),
+    };
+    node.heard(peer(false));
+    assert!(node.is_ready(), "the outage is everybody's");
+    node.heard(peer(true));
+    assert!(!node.is_ready(), "a peer has the state service");
+    node.election.contact = Some(Time(0));
+    assert!(node.is_ready());
+    node.pulse.strained = true;
+    assert!(node.is_ready(), "a follower stays");
+    node.leader = Some(testing::leader());
+    assert!(!node.is_ready(), "a leader that is behind does not");
+    node.heard(peer(false));
+    assert!(node.is_ready(), "unless nobody is better");
+    // A follower with a slow processor kept its users, who waited for it.
+    node.leader = None;
+    node.pulse.slow = true;
+    node.heard(peer(true));
+    assert!(!node.is_ready(), "a slow follower leaves users to others");
+    node.heard(Greeting {
+        strained: true,
+        ..peer(true)
+    });
+    assert!(node.is_ready(), "if they have time");
+}
+
+// An operator who restarted the leader's process left a gap of a lease.
+#[test]
+fn a_process_that_is_to_end_hands_over_first() {
+    let settings = testing::settings(0);
+    let policy = Policy::from_script(DEFAULT_SCRIPT, &settings).unwrap();
+    let mut node = Node::new(settings, policy, 1);
+    let at = |node: &mut Node, secs: f64, input: Input| {
+        let now = testing::io_at(secs).now;
+        let out = node.handle(now, input).into_iter();
+        let takes = out.filter(|o| matches!(o, Output::Call(c) if c.path == "/take"));
+        takes.count()
+    };
+    at(&mut node, 5.0, Input::Tick);
+    node.stand(Outcome::Elected(Token(5), 3));
+    let fit = || PeerView {
+        heard: Time(5_000_000),
+        token: Token(5),
+        leads: false,
+        loaded: true,
+        state_ok: true,
+        strained: false,
+        effort_us: 0,
+    };
+    for label in ["node-1", "node-2"] {
+        node.peers.insert(label.into(), fit());
+    }
+    assert_eq!(at(&mut node, 5.1, Input::Tick), 0);
+    assert_eq!(at(&mut node, 5.2, Input::Stop), 0);
+    assert_eq!(at(&mut node, 5.25, Input::Tick), 1);
+    assert_eq!(at(&mut node, 5.3, Input::Tick), 0, "one is told, once");
+    assert!(
+        node.token().is_some() && !node.is_ready(),
+        "no gap meanwhile"
+    );
+    at(&mut node, 6.0, Input::Tick);
+    assert!(!node.may_end());
+    node.end_leadership(Fate::Deposed(Token(9)));
+    assert!(!node.may_end(), "users are still led away");
+    at(&mut node, 7.8, Input::Tick);
+    assert!(node.may_end());
+}
+
+// Renewals go on by themselves: where the word that a lease is over was lost, a
+// leader that had stepped down would have kept the key from all others.
+#[test]
+fn a_leader_that_is_none_any_more_has_its_lease_kept_no_longer() {
+    let settings = testing::settings(0);
+    let policy = Policy::from_script(DEFAULT_SCRIPT, &settings).unwrap();
+    let mut node = Node::new(settings, policy, 1);
+    node.io.now.time = Time(5_000_000);
+    node.stand(Outcome::Elected(Token(5), 3));
+    let kept = |node: &mut Node| {
+        let out = node.io.take_outputs().into_iter();
+        out.filter_map(|o| match o {
+            Output::Keep(k) => Some((k.lease, k.until)),
+            _ => None,
+        })
+        .next_back()
+    };
+    assert!(kept(&mut node).is_some_and(|(l, t)| l == 3 && t > node.io.now.time));
+    node.end_leadership(Fate::StepDown("for a test"));
+    assert_eq!(kept(&mut node), Some((3, node.io.now.time)));
+}
+
+// A leader whose process was back at once led on without knowing of any image.
+#[test]
+fn peers_give_a_leader_back_what_it_told_them_in_an_earlier_life() {
+    let node = |n| {
+        let settings = testing::settings(n);
+        let policy = Policy::from_script(DEFAULT_SCRIPT, &settings).unwrap();
+        Node::new(settings, policy, 1)
+    };
+    let (mut leader, mut peer) = (node(0), node(1));
+    let id = MachineId::from("host-1");
+    let images = vec![(Image::from("img"), 5.0)];
+    let fetches = vec![(Image::from("img"), 9000)];
+    peer.keepsake
+        .note(Time(1), Token(4), vec![(id.clone(), images)], fetches);
+    leader.leader = Some(testing::leader());
+    let told = wire::encode(&leader.greeting(Vec::new()));
+    peer.greeted(RequestId(1), &told);
+    let Some(Output::Answer(_, answer)) = peer.io.take_outputs().pop() else {
+        panic!("no answer");
+    };
+    let answer: Greeting = wire::decode(&answer.body).unwrap();
+    assert_eq!(answer.caches.len(), 1);
+    leader.heard(answer);
+    leader.greet();
+    assert!(
+        !leader.knows(&id),
+        "a machine that is gone is not brought back"
+    );
+    let l = leader.leader.as_mut().unwrap();
+    l.meet(Time(2), &id);
+    leader.greet();
+    let l = leader.leader.as_ref().unwrap();
+    assert_eq!(l.machines[&id].cache.images().count(), 1);
+    let cold = l.estimates.of(&"img".into(), 5.0, None);
+    assert_eq!(cold, Span::secs(9.0));
+}
+
+// While one peer was down everything was told from the beginning again
+// every second, and the others never heard of more than the first machines.
+#[test]
+fn a_peer_that_is_down_does_not_keep_the_others_from_hearing() {
+    let settings = testing::settings(0);
+    let policy = Policy::from_script(DEFAULT_SCRIPT, &settings).unwrap();
+    let mut node = Node::new(settings, policy, 1);
+    let mut leader = testing::leader();
+    for n in 0..1000 {
+        let images = [(Image::from("img"), 5.0)];
+        leader.inherit_cache(Time(0), &format!("host-{n:04}").into(), &images);
+    }
+    node.leader = Some(leader);
+    let mut heard = BTreeSet::new();
+    for _ in 0..20 {
+        node.greet();
+        for out in node.io.take_outputs() {
+            let Output::Call(call) = out else { continue };
+            let Some(Awaits::Greet(label)) = node.waits.take(call.id) else {
+                continue;
+            };
+            let reply = if label.as_str() == "node-1" {
+                let told: Greeting = wire::decode(&call.body).unwrap();
+                heard.extend(told.caches.into_iter().map(|(id, _)| id));
+                let mut answer = node.greeting(Vec::new());
+                answer.label = label.clone();
+                (answer.token, answer.leads) = (Token(0), false);
+                Reply::Answer(200, wire::encode(&answer))
+            } else {
+                Reply::Lost
+            };
+            node.on_greet(label, &reply);
+        }
+    }
+    assert_eq!(heard.len(), 1000);
+}
+
+// A successor whose load an outage had cut off deposed the old leader with its first
+// greeting; nobody answered the workers then, for as long as the outage lasted.
+#[test]
+fn a_successor_deposes_once_it_has_loaded() {
+    let settings = testing::settings(0);
+    let policy = Policy::from_script(DEFAULT_SCRIPT, &settings).unwrap();
+    let mut node = Node::new(settings, policy, 1);
+    node.io.now.time = Time(5_000_000);
+    node.leader = Some(testing::leader());
+    let greeting = |label: &str, leads, loaded| Greeting {
+        label: label.into(),
+        token: Token(9),
+        leads,
+        loaded,
+        cancelled: Vec::new(),
+        state_ok: true,
+        strained: false,
+        effort_us: 0,
+        levels: None,
+        counts: Vec::new(),
+        caches: Vec::new(),
+        fetches: Vec::new(),
+    };
+    node.heard(greeting("node-1", true, false));
+    node.heard(greeting("node-2", false, false));
+    assert!(node.leader.is_some());
+    // Workers that ask a third are sent to who answers them.
+    let settings = testing::settings(2);
+    let policy = Policy::from_script(DEFAULT_SCRIPT, &settings).unwrap();
+    let mut third = Node::new(settings, policy, 1);
+    third.io.now.time = Time(5_000_000);
+    let old = Greeting {
+        token: Token(5),
+        ..greeting("node-0", true, true)
+    };
+    third.heard(old);
+    third.heard(greeting("node-1", true, false));
+    assert_eq!(third.foreman().map(|(l, _)| l), Some("node-0".into()));
+    third.heard(greeting("node-1", true, true));
+    assert_eq!(third.foreman().map(|(l, _)| l), Some("node-1".into()));
+    // The third says so too, where the successor itself cannot.
+    third.election.leader = Some(("node-1".into(), Token(9)));
+    let word = third.greeting(Vec::new());
+    assert!(word.loaded && word.token == Token(9));
+    node.heard(word);
+    assert!(node.leader.is_none());
+}
+
+// A leader cut from the state service and its peers, but not from users, called itself
+// ready, and each user sent to it waited for nothing.
+#[test]
+fn a_node_that_hears_nobody_is_not_ready() {
+    let settings = testing::settings(0);
+    let policy = Policy::from_script(DEFAULT_SCRIPT, &settings).unwrap();
+    let mut node = Node::new(settings, policy, 1);
+    let tick = |node: &mut Node, secs: f64| {
+        node.handle(testing::io_at(secs).now, Input::Tick);
+        node.is_ready()
+    };
+    assert!(tick(&mut node, 5.0), "it has just started");
+    assert!(tick(&mut node, 9.9));
+    assert!(!tick(&mut node, 10.1), "cut off from all");
+    // In an outage the state service refuses, and that is everybody's.
+    node.state_spoke = Some(Time(10_000_000));
+    assert!(tick(&mut node, 10.2));
+}
+
+// The node that confirmed a cancellation tells the leader, which stops the job though it
+// cannot read it, and goes on with one that is not cancelled after all.
+#[test]
+fn a_cancellation_is_told_and_nothing_is_deleted_on_a_word() {
+    let settings = testing::settings(0);
+    let policy = Policy::from_script(DEFAULT_SCRIPT, &settings).unwrap();
+    let mut node = Node::new(settings, policy, 1);
+    node.io.now.time = Time(5_000_000);
+    let id = JobId::from("wk-1");
+    node.intake.confirmed.push(id.clone());
+    node.spread_cancelled();
+    assert!(node.greet_due <= Time(5_000_000));
+    let word = node.greeting(Vec::new());
+    assert_eq!(word.cancelled, ["wk-1".into()]);
+    let mut leader = testing::leader();
+    let spec = testing::submission("wk-1", crate::wire::users::Shape::Array, 1);
+    let wall = crate::types::Wall(0);
+    let job = ledger::Job::new(Rc::new(spec), wall, crate::types::Version(7), 1);
+    leader.jobs.insert(id.clone(), job);
+    leader.contact.page(Time(0));
+    leader.contact.loaded(Time(0));
+    leader.hear_cancelled(Time(5_000_000), &id);
+    assert!(leader.contact.is_told(&id));
+    let job = &leader.jobs[&id];
+    assert!(job.is_open() && !leader.dropping.contains(&id));
+    let none = wire::state::Changes {
+        revision: crate::types::Version(9),
+        events: Vec::new(),
+    };
+    let reply = Reply::Answer(200, wire::encode(&none));
+    leader.on_read(&mut testing::io_at(6.0), Time(5_500_000), reply);
+    assert!(!leader.contact.is_told(&id), "it goes on");
+}
--- /dev/null
+++ b/crates/pebblefold/src/core/presence/tests.rs
@@ -0,0 +1,40 @@
+use super::*;
+
+fn place(phase: Phase) -> Placement {
+    Placement {
+        phase,
+        ..Placement::inherited("m".into(), Session(2), Attempt(1))
+    }
+}
+
+fn verdict(phase: Phase, session: u64, tally: u64, token: u64) -> Verdict {
+    place(phase).judge(Session(session), Tally(tally), Token(token), Token(7), None)
+}
+
+// A report proves absence only under the conditions named at `judge`;
+// each line here is a way to run a task twice if it were weakened.
+#[test]
+fn absence_needs_proof() {
+    use Phase::*;
+    use Verdict::*;
+    assert_eq!(
+        verdict(Inherited, 2, 9, 6),
+        Present,
+        "an older leader's start may be on its way"
+    );
+    assert_eq!(verdict(Inherited, 2, 9, 7), Absent);
+    assert_eq!(
+        verdict(Inherited, 3, 1, 6),
+        Absent,
+        "a new session has forgotten everything"
+    );
+    assert_eq!(verdict(Unsent, 2, 9, 7), Present);
+    assert_eq!(
+        verdict(Sent(Tally(9)), 2, 9, 7),
+        Present,
+        "this report was made before the answer"
+    );
+    assert_eq!(verdict(Sent(Tally(9)), 2, 10, 7), Undelivered);
+    assert_eq!(verdict(Seen(TaskState::Running), 2, 10, 7), Absent);
+    assert_eq!(verdict(Seen(TaskState::Running), 2, 10, 6), Present);
+}
--- a/crates/pebblefold/tests/layout.rs
+++ b/crates/pebblefold/tests/layout.rs
@@ -19,7 +19,8 @@
         while let Some(file) = files.pop() {
             if file.is_dir() {
                 let inner = std::fs::read_dir(&file).unwrap();
-                files.extend(inner.map(|e| e.unwrap().path()));
+                let inner = inner.map(|e| e.unwrap().path());
+                files.extend(inner.filter(|f| !f.ends_with("tests.rs")));
             } else {
                 let code = std::fs::read_to_string(&file).unwrap();
                 text.push_str(code.split("#[cfg(test)]\nmod tests").next().unwrap());
