--- a/crates/rehearsal/tests/meetings.rs
+++ b/crates/rehearsal/tests/meetings.rs
@@ -368,6 +368,10 @@
         world.play(secs(260.0), false);
         let breaches = world.stand().checker().breaches().len();
         let (open, again) = (!world.stand().all_over(), done_again(&world));
+        // A result was about to be told, and soon after its leader ended.
+        let marks = world.stand().marks().iter();
+        let struck = marks.filter(|(_, f)| f == "pause").count();
+        assert!(struck >= 3, "seed {seed}: {struck} moments");
         (breaches, open, again)
     };
     for seed in 1..6 {
