Answers: what was not compared is not vouched for, late acceptances, malformed repeats

Cause: going through every path of a question beside "users ask at all nodes within milliseconds, and submit again": (1) a poll whose job was forgotten while it waited for a shared read was answered by a head that another read, sent before the poll came, had brought meanwhile; (2) an acceptance answered late said 201 "pending" after this node had told "withdrawn" or "done"; (3) a read sent before an acceptance was answered 404 or 422 after this node had told 201; (4) a submission without a field, or with an invalid one, under an accepted job's id was answered 400, which the protocol counts as forgotten; (5) counts for display were never dropped, and after 4,000 jobs no new ones were kept. Change: a shared read answers only for the heads it compared; every answer of this node yields to an end it knows; what cannot be accepted, for whatever reason, is looked up first and refused with 400 or 422 only when no such job is found; old counts make room. Decisions AnswersAreFresh, ConflictIsRead, LostIsUnknown, OneEndDecides, EndedJobsHoldPlaces, OldPlacesBindZones and FollowsFromTheFirstPage can be switched off by tests.

--- a/crates/pebblefold/src/core/intake.rs
+++ b/crates/pebblefold/src/core/intake.rs
@@ -6,6 +6,7 @@
 use super::ledger::{self, Head, HeadStage, TxnLimits};
 use super::levels::registry;
 use super::polls::{Asked, Polls};
+use super::weak::{self, Decision};
 use super::{Answer, Reply, RequestId, Target};
 use crate::settings::Settings;
 use crate::types::{Amounts, JobId, Span, Version};
@@ -33,14 +34,23 @@
 }
 
 /// Why a submission cannot be accepted.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub enum Unable {
+    /// It is malformed.
+    Malformed(String),
     /// It can never run.
     Never(&'static str),
     /// This node cannot tell.
     NotNow,
 }
 
+/// What can be read of a submission that is none.
+#[derive(serde::Deserialize)]
+struct JustId {
+    #[serde(rename = "ref")]
+    id: JobId,
+}
+
 /// Final states remembered.
 const MOST_FINALS: usize = 2000;
 /// Task counts remembered.
@@ -120,9 +130,11 @@
     /// Keeps what the leader told.
     pub fn note_counts(&mut self, counts: Vec<(JobId, u32, u32)>) {
         for (id, done, running) in counts {
-            if self.counts.len() < MOST_COUNTS || self.counts.contains_key(&id) {
-                self.counts.insert(id, (done, running));
+            if self.counts.len() >= MOST_COUNTS && !self.counts.contains_key(&id) {
+                // Those of jobs that nobody asks for here any more would fill it.
+                self.counts.pop_first();
             }
+            self.counts.insert(id, (done, running));
         }
     }
 
@@ -242,10 +254,19 @@
         types: Option<&MachineTypes>,
     ) {
         let Some(job) = wire::decode::<Submission>(body) else {
-            return refuse(io, request, 400, "not a submission");
+            let why = "not a submission: a field is missing or of the wrong kind";
+            let Some(known) = wire::decode::<JustId>(body).filter(|j| valid_id(j.id.as_str()))
+            else {
+                return refuse(io, request, 400, why);
+            };
+            return self.look_up(io, request, &known.id, Unable::Malformed(why.into()));
         };
         if let Some(field) = job.fault() {
-            return refuse(io, request, 400, &format!("{field} is invalid"));
+            let why = format!("{field} is invalid");
+            if !valid_id(job.id.as_str()) {
+                return refuse(io, request, 400, &why);
+            }
+            return self.look_up(io, request, &job.id, Unable::Malformed(why));
         }
         if self.answer_final(io, request, &job.id) {
             return;
@@ -255,10 +276,7 @@
             Some(t) => never(&job, settings, t).map(Unable::Never),
         };
         if let Some(unable) = unable {
-            // A job that is known already stays accepted, whatever the
-            // machine types or teams are today.
-            let step = Step::Known(job.id.clone(), unable);
-            return self.read(io, request, &job.id, step);
+            return self.look_up(io, request, &job.id, unable);
         }
         let limits = TxnLimits {
             ops: settings.state_limits.txn_ops,
@@ -266,7 +284,19 @@
         };
         match ledger::accept_txn(&job, io.now.wall, limits) {
             Some(txn) => self.commit(io, request, txn, Step::Accept(job.id.clone(), job.tasks)),
-            None => refuse(io, request, 400, "the submission is too large"),
+            None => {
+                let why = "the submission is too large";
+                self.look_up(io, request, &job.id, Unable::Malformed(why.into()));
+            }
+        }
+    }
+
+    /// A job that is known already stays accepted, whatever the machine types or teams
+    /// are today and whatever is sent under its id: a submission is refused for good
+    /// only once no such job is found.
+    fn look_up(&mut self, io: &mut Io, request: RequestId, id: &JobId, unable: Unable) {
+        if !self.answer_final(io, request, id) {
+            self.read(io, request, id, Step::Known(id.clone(), unable));
         }
     }
 
@@ -279,6 +309,10 @@
         if self.answer_final(io, request, &id) {
             return;
         }
+        if self.polls.is_open(&id) && !weak::holds(Decision::AnswersAreFresh) {
+            let s = HeadStage::Open;
+            return job_answer(io, request, 200, &self.answer(&id, Head { s, n: 0 }));
+        }
         if self.polls.take(request, &id) {
             self.compare(io);
         } else {
@@ -310,8 +344,11 @@
         let pause = Span::secs(1.0 / (io.user_calls.burst() * SHARED_READS).max(1.0));
         let out = self.polls.answered(io.now.time, pause, asked, reply);
         for (request, id, head) in out.open {
-            let answer = self.answer(&id, head);
-            job_answer(io, request, 200, &answer);
+            // It may have ended, by this node's own hand, while the answer was on its way.
+            if !self.answer_final(io, request, &id) {
+                let answer = self.answer(&id, head);
+                job_answer(io, request, 200, &answer);
+            }
         }
         for (request, id) in out.changed {
             self.read(io, request, &id, Step::Poll(id.clone()));
@@ -353,8 +390,19 @@
     }
 
     fn on_accept(&mut self, io: &mut Io, request: RequestId, id: JobId, tasks: u32, reply: Reply) {
+        let reply = match reply {
+            Reply::Lost if !weak::holds(Decision::LostIsUnknown) => {
+                Reply::Answer(200, wire::encode(&Revision::default()))
+            }
+            reply => reply,
+        };
         match reply {
             Reply::Answer(200, body) => {
+                // Its user may have been told elsewhere, and have called it off here,
+                // before this answer came.
+                if self.answer_final(io, request, &id) {
+                    return;
+                }
                 if let Some(r) = wire::decode::<Revision>(&body) {
                     let s = HeadStage::Open;
                     self.polls.remember(&id, Head { s, n: tasks }, r.revision);
@@ -367,6 +415,13 @@
                 };
                 job_answer(io, request, 201, &answer);
             }
+            // Its own first copy, or another node's, or a later end of it: only a read
+            // tells.
+            Reply::Answer(409, _) if !weak::holds(Decision::ConflictIsRead) => {
+                let s = HeadStage::Open;
+                let answer = self.answer(&id, Head { s, n: tasks });
+                job_answer(io, request, 200, &answer);
+            }
             Reply::Answer(409, _) | Reply::Lost => {
                 self.read(io, request, &id, Step::Accepted(id.clone()));
             }
@@ -426,6 +481,9 @@
                 let answer = self.answer(id, head);
                 job_answer(io, request, 200, &answer);
             }
+            // Accepted here since the read was sent: what it says is older than that.
+            (None, _) if self.polls.is_open(id) => refuse(io, request, 503, "accepted just now"),
+            (None, Step::Known(_, Unable::Malformed(why))) => refuse(io, request, 400, why),
             (None, Step::Known(_, Unable::Never(why))) => refuse(io, request, 422, why),
             (None, Step::Known(_, Unable::NotNow)) => {
                 refuse(io, request, 503, "the machine types are not known yet");
--- a/crates/pebblefold/src/core/intake/tests.rs
+++ b/crates/pebblefold/src/core/intake/tests.rs
@@ -28,3 +28,117 @@
         .collect();
     assert_eq!(told, [Stage::Cancelled, Stage::Cancelled]);
 }
+
+fn told(io: &mut Io) -> Vec<(u64, u16, Option<Stage>)> {
+    let answers = io.take_outputs().into_iter().filter_map(|o| match o {
+        Output::Answer(r, a) => Some((r.0, a)),
+        _ => None,
+    });
+    let stage = |body: &[u8]| wire::decode::<JobAnswer>(body).map(|a| a.stage);
+    answers
+        .map(|(r, a)| (r, a.status, stage(&a.body)))
+        .collect()
+}
+
+fn cancelled() -> Reply {
+    let head = Entry {
+        key: "job/wk-1".into(),
+        value: ledger::head_value(HeadStage::Cancelled, 3),
+        version: Version(9),
+    };
+    Reply::Answer(200, wire::encode(&head))
+}
+
+fn accepted() -> Reply {
+    Reply::Answer(200, wire::encode(&Revision::default()))
+}
+
+// The answer to an acceptance may take seconds. Its user, who was told by another node
+// meanwhile and called the job off, once heard "pending" here after "withdrawn".
+#[test]
+fn an_acceptance_answered_late_is_no_newer_than_the_end() {
+    let (mut io, mut intake) = (io_at(1.0), Intake::default());
+    let id = JobId::from("wk-1");
+    intake.on_step(&mut io, RequestId(1), Step::Poll(id.clone()), cancelled());
+    intake.on_step(
+        &mut io,
+        RequestId(2),
+        Step::Accept(id.clone(), 3),
+        accepted(),
+    );
+    assert_eq!(
+        told(&mut io),
+        [
+            (1, 200, Some(Stage::Cancelled)),
+            (2, 200, Some(Stage::Cancelled))
+        ]
+    );
+    // Nor does it bring the job back among the open ones.
+    assert!(!intake.polls.is_open(&id));
+}
+
+// A read sent before a job was accepted may be answered after that was told.
+#[test]
+fn an_accepted_job_is_not_unknown_to_a_read_sent_before() {
+    let (mut io, mut intake) = (io_at(1.0), Intake::default());
+    let id = JobId::from("wk-1");
+    intake.on_step(
+        &mut io,
+        RequestId(1),
+        Step::Accept(id.clone(), 3),
+        accepted(),
+    );
+    let none = || Reply::Answer(404, Vec::new());
+    for (n, step) in [
+        Step::Poll(id.clone()),
+        Step::CancelRead(id.clone(), 1),
+        Step::Known(id.clone(), Unable::Never("unknown team")),
+        Step::Known(id.clone(), Unable::Malformed("pieces is invalid".into())),
+    ]
+    .into_iter()
+    .enumerate()
+    {
+        intake.on_step(&mut io, RequestId(2 + n as u64), step, none());
+    }
+    let statuses: Vec<u16> = told(&mut io).iter().map(|(_, s, _)| *s).collect();
+    assert_eq!(statuses, [201, 503, 503, 503, 503]);
+}
+
+// Whatever is sent under an accepted job's id, its user is not told that it is malformed
+// or can never run; what is no job is refused once none is found, and nothing is stored.
+#[test]
+fn a_malformed_repeat_is_answered_by_the_job() {
+    let settings = crate::testing::settings(0);
+    let no = serde_json::json!({"ref": "wk-1", "lane": "a", "pieces": 0});
+    let whole = serde_json::json!({"ref": "wk-1", "lane": "a", "crew": "red", "shape": "batch", "urgency": "low",
+        "pieces": 0, "vcpus": 1.0, "accelerators": 0.0, "memory_gb": 1.0, "bundle": "i", "size_gb": 1.0,
+        "same_place": false, "scatter": false, "borrowed": true, "guess_s": 1.0, "snapshot_every_s": 0.0,
+        "snapshot_s": 0.0});
+    for body in [no, whole] {
+        for (found, status) in [(cancelled(), 200), (Reply::Answer(404, Vec::new()), 400)] {
+            let (mut io, mut intake) = (io_at(1.0), Intake::default());
+            let body = wire::encode(&body);
+            intake.submit(&mut io, RequestId(1), &body, &settings, None);
+            let calls: Vec<_> = io.take_outputs();
+            let [Output::Call(call)] = calls.as_slice() else {
+                panic!("{calls:?}")
+            };
+            assert_eq!((call.method, call.path.as_str()), ("GET", "/keys/job/wk-1"));
+            let what = intake.waits.take(call.id).unwrap();
+            intake.on_reply(&mut io, what, found);
+            let answers = told(&mut io);
+            assert_eq!((answers.len(), answers[0].1), (1, status));
+        }
+    }
+    // What names no job at all is refused at once.
+    for body in [
+        wire::encode(&serde_json::json!({"ref": "a b", "pieces": 1})),
+        wire::encode(&serde_json::json!([1, 2])),
+        vec![0xc1],
+        Vec::new(),
+    ] {
+        let (mut io, mut intake) = (io_at(1.0), Intake::default());
+        intake.submit(&mut io, RequestId(1), &body, &settings, None);
+        assert_eq!(told(&mut io), [(1, 400, None)]);
+    }
+}
--- a/crates/pebblefold/src/core/leader.rs
+++ b/crates/pebblefold/src/core/leader.rs
@@ -12,6 +12,7 @@
 use super::machine::{Held, Leaving, Machine};
 use super::tables::Estimates;
 use super::teams::memory::{self, Memory};
+use super::weak::{self, Decision};
 use super::{Reply, Target};
 use crate::policy::Policy;
 use crate::settings::Settings;
@@ -441,6 +442,9 @@
                 if !more {
                     let got = std::mem::take(got);
                     self.load_duties(now, got);
+                    if !weak::holds(Decision::FollowsFromTheFirstPage) {
+                        self.revision = page.revision;
+                    }
                     self.load = Load::Done;
                     self.contact.loaded(sent);
                     tracing::info!(token = %self.token, jobs = self.jobs.len(), machines = self.machines.len(), "leading");
--- a/crates/pebblefold/src/core/ledger.rs
+++ b/crates/pebblefold/src/core/ledger.rs
@@ -457,12 +457,21 @@
         }
     }
 
+    /// A job ends once: whatever this node has not heard of, done is not written over
+    /// a cancellation.
+    fn ends_once(&self) -> Vec<Condition> {
+        match weak::holds(Decision::OneEndDecides) {
+            true => vec![self.is_still_open()],
+            false => Vec::new(),
+        }
+    }
+
     /// Calls it done; what may run of it stays on record.
     pub fn finish_write(&self) -> Write {
         let id = &self.spec.id;
         let head = head_value(HeadStage::Done, self.spec.tasks);
         let ops = vec![put(head_key(id), head.clone()), put(end_key(id), head)];
-        (vec![self.is_still_open()], ops)
+        (self.ends_once(), ops)
     }
 
     /// Calls it done and deletes all else: of a job of which nothing is anywhere, the
@@ -473,7 +482,7 @@
         let gone = self.keys().into_iter().filter(|k| *k != end_key(id));
         let mut ops = vec![put(head_key(id), head)];
         ops.extend(gone.map(|key| Op::Delete { key }));
-        (vec![self.is_still_open()], ops)
+        (self.ends_once(), ops)
     }
 
     /// Deletes what is stored of a job that is over, as far as there is room for so many
--- a/crates/pebblefold/src/core/placing.rs
+++ b/crates/pebblefold/src/core/placing.rs
@@ -13,6 +13,7 @@
 use super::teams::Bounds;
 use super::teams::account::{Account, Units};
 use super::teams::floor::{Floors, Group, Service};
+use super::weak::{self, Decision};
 use crate::settings::{Objective, ObjectiveKind, Settings};
 use crate::types::{Amounts, Attempt, Class, JobId, MachineId, Span, TaskId, Team, Time, Wall};
 use crate::wire::users::{Priority, Shape};
@@ -183,7 +184,8 @@
                 )
             })
             .collect();
-        for job in self.jobs.values() {
+        let ended = weak::holds(Decision::EndedJobsHoldPlaces);
+        for job in self.jobs.values().filter(|j| ended || j.is_open()) {
             if let Some(t) = teams.get_mut(&job.spec.team) {
                 t.used += job.spec.needs().times(job.held() as f64);
             }
@@ -312,7 +314,9 @@
             let spec = job.spec.clone();
             let mut in_zones = BTreeMap::new();
             let mut unknown = false;
-            for p in job.places.values() {
+            let binds = weak::holds(Decision::OldPlacesBindZones);
+            let bind = job.places.values().filter(|_| binds);
+            for p in bind {
                 match machines.get(&p.machine).and_then(|m| m.zone.clone()) {
                     Some(z) => *in_zones.entry(z).or_default() += 1,
                     None => unknown = true,
--- a/crates/pebblefold/src/core/polls.rs
+++ b/crates/pebblefold/src/core/polls.rs
@@ -21,7 +21,9 @@
 pub struct Polls {
     open: BTreeMap<JobId, (Head, Version)>,
     waiting: Vec<Asked>,
-    comparing: bool,
+    /// What the comparison under way compares: only that is vouched for by its answer,
+    /// whatever has been read or forgotten since it was sent.
+    comparing: Option<BTreeMap<JobId, Head>>,
     not_before: Time,
 }
 
@@ -51,6 +53,11 @@
         self.open.remove(id);
     }
 
+    /// Whether a job was seen open here.
+    pub fn is_open(&self, id: &JobId) -> bool {
+        self.open.contains_key(id)
+    }
+
     /// Takes a poll in if its job was seen open.
     pub fn take(&mut self, request: RequestId, id: &JobId) -> bool {
         let known = self.open.contains_key(id);
@@ -63,7 +70,7 @@
     /// The next comparison, if one is due, and the polls it is for; at most
     /// `most` jobs.
     pub fn next(&mut self, now: Time, most: usize) -> Option<(Txn, Vec<Asked>)> {
-        if self.comparing || self.waiting.is_empty() || now < self.not_before {
+        if self.comparing.is_some() || self.waiting.is_empty() || now < self.not_before {
             return None;
         }
         let mut jobs: BTreeSet<JobId> = BTreeSet::new();
@@ -76,15 +83,17 @@
                 self.waiting.push((request, id));
             }
         }
-        let conditions = jobs
-            .iter()
-            .filter_map(|id| {
-                let (_, version) = *self.open.get(id)?;
-                let key = ledger::head_key(id);
-                Some(Condition { key, version })
-            })
-            .collect();
-        self.comparing = true;
+        let mut compared = BTreeMap::new();
+        let mut conditions = Vec::new();
+        for id in jobs {
+            // One forgotten meanwhile is not compared.
+            if let Some((head, version)) = self.open.get(&id).copied() {
+                let key = ledger::head_key(&id);
+                conditions.push(Condition { key, version });
+                compared.insert(id, head);
+            }
+        }
+        self.comparing = Some(compared);
         let ops = Vec::new();
         Some((Txn { conditions, ops }, asked))
     }
@@ -97,15 +106,14 @@
         asked: Vec<Asked>,
         reply: &Reply,
     ) -> Compared {
-        self.comparing = false;
+        let compared = self.comparing.take().unwrap_or_default();
         self.not_before = now + pause;
         let mut out = Compared::default();
         match reply {
             Reply::Answer(200, _) => {
                 for (request, id) in asked {
-                    match self.open.get(&id) {
-                        Some((head, _)) => out.open.push((request, id, *head)),
-                        // Forgotten meanwhile, so it was not compared, or ended.
+                    match compared.get(&id) {
+                        Some(head) => out.open.push((request, id, *head)),
                         None => out.changed.push((request, id)),
                     }
                 }
@@ -132,66 +140,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::super::ledger::HeadStage;
-    use super::*;
-
-    fn polls() -> Polls {
-        let mut p = Polls::default();
-        let head = Head {
-            s: HeadStage::Open,
-            n: 3,
-        };
-        for (id, version) in [("a", 5), ("b", 6)] {
-            p.remember(&id.into(), head, Version(version));
-        }
-        for (n, id) in ["a", "b", "a"].iter().enumerate() {
-            assert!(p.take(RequestId(n as u64), &(*id).into()));
-        }
-        p
-    }
-
-    fn ids(asked: &[Asked]) -> Vec<u64> {
-        asked.iter().map(|(r, _)| r.0).collect()
-    }
-
-    // With a read for each poll, a backlog of jobs used up the state service's
-    // rate, and submissions were refused for it.
-    #[test]
-    fn polls_share_a_comparison() {
-        let mut p = polls();
-        assert!(!p.take(RequestId(9), &"unseen".into()));
-        let (txn, asked) = p.next(Time(1), 192).unwrap();
-        assert_eq!((txn.conditions.len(), txn.ops.len()), (2, 0));
-        p.take(RequestId(4), &"b".into());
-        assert!(p.next(Time(1), 192).is_none(), "one at a time");
-        let out = p.answered(
-            Time(2),
-            Span(10),
-            asked,
-            &Reply::Answer(200, wire::encode(&0)),
-        );
-        assert_eq!(out.open.len(), 3);
-        assert!(p.next(Time(11), 192).is_none(), "not before the pause");
-        assert_eq!(ids(&p.next(Time(12), 192).unwrap().1), [4]);
-    }
-
-    #[test]
-    fn only_an_unchanged_head_is_called_open() {
-        let mut p = polls();
-        let (_, asked) = p.next(Time(1), 192).unwrap();
-        let body = wire::encode(&Revision {
-            revision: Version(9),
-            failed: vec!["job/a".into()],
-        });
-        let out = p.answered(Time(2), Span(0), asked, &Reply::Answer(409, body));
-        assert_eq!((ids(&out.changed), out.open.len()), (vec![0, 2], 0));
-        // The other one is compared again, with what comes meanwhile.
-        let (_, asked) = p.next(Time(3), 192).unwrap();
-        assert_eq!(ids(&asked), [1]);
-        p.take(RequestId(7), &"b".into());
-        let out = p.answered(Time(4), Span(0), asked, &Reply::Lost);
-        assert_eq!(ids(&out.failed), [1, 7], "all are told at once");
-        assert!(p.next(Time(5), 192).is_none());
-    }
-}
+mod tests;
--- a/crates/pebblefold/src/core/weak.rs
+++ b/crates/pebblefold/src/core/weak.rs
@@ -50,25 +50,39 @@
     DoneBeforeClear,
     /// A record is written only over the version that was read or written last.
     RecordsCompareVersions,
+    /// An answer that is not final rests on a read sent after the question came.
+    AnswersAreFresh,
+    /// What a submission that finds its job there already is answered is read.
+    ConflictIsRead,
+    /// A transaction without an answer is neither carried out nor refused, for its writer.
+    LostIsUnknown,
+    /// What a team holds counts also the places of jobs that are over.
+    EndedJobsHoldPlaces,
+    /// A new leader follows changes from the first page of its load on.
+    FollowsFromTheFirstPage,
+    /// Of the end of a job that is done and its cancellation one comes through.
+    OneEndDecides,
+    /// Zones of tasks that may still be somewhere bind a job's others.
+    OldPlacesBindZones,
     /// The next level waits until all that is stored has the form of this one.
     RewrittenBeforeNext,
 }
 
 #[cfg(any(test, feature = "weaken"))]
 thread_local! {
-    static WEAKENED: std::cell::Cell<u32> = const { std::cell::Cell::new(0) };
+    static WEAKENED: std::cell::Cell<u64> = const { std::cell::Cell::new(0) };
 }
 
 /// Switches decisions off on this thread, and all others on.
 #[cfg(any(test, feature = "weaken"))]
 pub fn weaken(off: &[Decision]) {
-    WEAKENED.set(off.iter().fold(0, |all, d| all | 1 << *d as u32));
+    WEAKENED.set(off.iter().fold(0, |all, d| all | 1 << *d as u64));
 }
 
 /// Whether a decision holds.
 #[cfg(any(test, feature = "weaken"))]
 pub fn holds(d: Decision) -> bool {
-    WEAKENED.get() & (1 << d as u32) == 0
+    WEAKENED.get() & (1 << d as u64) == 0
 }
 
 /// Whether a decision holds.
