--- a/crates/rehearsal/src/fleet.rs
+++ b/crates/rehearsal/src/fleet.rs
@@ -126,6 +126,23 @@
         })
     }
 
+    /// Jobs with a running task and at least so many seconds to go, and the machines
+    /// that run them.
+    pub fn with_long_to_go(&self, least_s: f64) -> BTreeMap<String, Vec<String>> {
+        let mut out: BTreeMap<String, Vec<String>> = BTreeMap::new();
+        for (machine, w) in &self.workers {
+            for ((task, _), t) in &w.tasks {
+                let job = job_of(task);
+                let service = self.jobs.get(job).map(|j| j.shape) == Some(Shape::Service);
+                let left = self.work.get(job).map_or(0.0, |w| w.run - t.progress);
+                if t.state == TaskState::Running && (service || left >= least_s) {
+                    out.entry(job.into()).or_default().push(machine.clone());
+                }
+            }
+        }
+        out
+    }
+
     /// The class of a task's job.
     pub fn class_of(&self, task: &str) -> Option<&str> {
         self.jobs.get(job_of(task)).map(|j| j.class.as_str())
--- a/crates/rehearsal/src/script.rs
+++ b/crates/rehearsal/src/script.rs
@@ -697,6 +697,9 @@
     LateWrites {
         /// Which share of them.
         share: f64,
+        /// They are carried out at once, and only their answers are lost.
+        #[serde(default)]
+        at_once: bool,
         /// How long.
         for_s: f64,
     },
@@ -704,6 +707,10 @@
     LateReports {
         /// Of which share of them.
         share: f64,
+        /// The copies are kept for the next leader: they reach every controller as one
+        /// begins.
+        #[serde(default)]
+        for_next: bool,
         /// How long.
         for_s: f64,
     },
@@ -718,6 +725,44 @@
         /// How long.
         for_s: f64,
     },
+    /// Machines reach no controller, while direct commands reach them.
+    MachineMute {
+        /// How many that have tasks; with `zone` alone, all there.
+        #[serde(default)]
+        count: u32,
+        /// Only in this zone.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        zone: Option<String>,
+        /// How long.
+        for_s: f64,
+    },
+    /// Users call off jobs that run and have long to go, within a fifth of a second.
+    CancelNow {
+        /// How many.
+        count: u32,
+        /// For how long up to eight of their machines hang.
+        #[serde(default)]
+        hang_s: f64,
+    },
+    /// Jobs that end are called off at the moment of the end.
+    CancelAtEnd {
+        /// Which share of them.
+        share: f64,
+        /// How long.
+        for_s: f64,
+    },
+    /// Users repeat submissions of unfinished jobs, also malformed, cancel jobs that are
+    /// done, and send jobs that fit no machine or lack a field.
+    OddRequests {
+        /// How long.
+        for_s: f64,
+    },
+    /// Users ask at all controllers at once, again and again, and submit again, right
+    /// after a job was accepted, ended or cancelled; some cancel.
+    CloseLooks {
+        /// How long.
+        for_s: f64,
+    },
     /// The answer at this moment is lost.
     LoseAnswer {},
 }
--- a/crates/rehearsal/src/stand.rs
+++ b/crates/rehearsal/src/stand.rs
@@ -11,8 +11,8 @@
 use crate::links::{Host, Links};
 use crate::script::{Moment, Script};
 use crate::tally::Tally;
-use crate::users::{Planned, Users, plan};
-use crate::worker::{PATIENCE, Times};
+use crate::users::{Planned, UserRequest, Users, plan};
+use crate::worker::{PATIENCE, Times, job_of};
 use pebblefold::core::ledger;
 use pebblefold::core::levels::progress::Progress;
 use pebblefold::core::levels::registry;
@@ -27,7 +27,7 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use serde::Serialize;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::path::PathBuf;
 
 /// Bytes of a value in the state service.
@@ -36,6 +36,8 @@
 pub(crate) const TXN_OPS: usize = 48;
 /// How long a request is remembered that nobody answers.
 const SENT_KEPT: Span = Span::millis(30_000);
+/// Copies of reports kept for the next leader.
+const MOST_KEPT: usize = 400;
 /// Time between samples for the report.
 const SAMPLE_EVERY: Span = Span::millis(1000);
 
@@ -163,6 +165,8 @@
     Fast(Vec<(String, f64)>),
     /// A controller's transaction is carried out at last.
     Write(usize, Request),
+    /// A call that was carried out ends without an answer.
+    Silence(u64, usize),
     /// A copy of a machine's report to a controller arrives.
     Report(String, usize, Vec<u8>),
 }
@@ -188,6 +192,9 @@
     node: usize,
     leads: bool,
     noted: Vec<Noted>,
+    /// Whether it claims the leader's key, and whether its answer is lost.
+    claims: bool,
+    unheard: bool,
 }
 
 /// How things stood at one second.
@@ -219,6 +226,15 @@
     /// Which share of transactions, and of reports' copies, comes late, and until when.
     late_writes: (f64, Time),
     late_reports: (f64, Time),
+    /// Of which share of transactions only the answer is lost, and until when.
+    lost_answers: (f64, Time),
+    /// Of which share of reports a copy is kept for the next leader, until when, and those.
+    kept_reports: (f64, Time),
+    kept: VecDeque<(String, Vec<u8>)>,
+    answers_lost: u64,
+    brought: u64,
+    /// Which share of the jobs that end is called off then, and until when.
+    cancel_at_end: (f64, Time),
     rng: StdRng,
     /// Who sent which ticket.
     sent: BTreeMap<u64, (Host, Time)>,
@@ -279,6 +295,12 @@
             links: Links::new(delays),
             late_writes: (0.0, Time(0)),
             late_reports: (0.0, Time(0)),
+            lost_answers: (0.0, Time(0)),
+            kept_reports: (0.0, Time(0)),
+            kept: VecDeque::new(),
+            answers_lost: 0,
+            brought: 0,
+            cancel_at_end: (0.0, Time(0)),
             rng,
             sent: BTreeMap::new(),
             next_ticket: 1,
@@ -356,6 +378,17 @@
         self.director.left()
     }
 
+    /// Transactions of which only the answer was lost, and copies of reports that reached
+    /// controllers as a leader began.
+    pub fn answers_lost(&self) -> u64 {
+        self.answers_lost
+    }
+
+    /// See [`Stand::answers_lost`].
+    pub fn brought(&self) -> u64 {
+        self.brought
+    }
+
     /// Milliseconds that accepted submissions took.
     pub fn accept_ms(&self) -> &[u64] {
         &self.users.accept_ms
@@ -531,7 +564,7 @@
             return self.give(call, Host::State, node, Returned::Refused);
         }
         let mut noted = Vec::new();
-        let mut leads = false;
+        let (mut leads, mut claims, mut unheard) = (false, false, false);
         if r.path == "/commit"
             && let Some(txn) = decode::<Txn>(&r.body)
         {
@@ -541,7 +574,13 @@
                 self.heal_at(now + after, Heal::Write(node, r.clone()));
                 return self.give(call, Host::State, node, Returned::Silence);
             }
+            let (share, until) = self.lost_answers;
+            unheard = now < until && self.rng.random_bool(share);
             let holds = [registry::STONE, registry::HOLDER];
+            claims = txn
+                .ops
+                .iter()
+                .any(|op| matches!(op, Op::Put { key, .. } if holds.contains(&key.as_str())));
             self.asked.note(&txn);
             leads = txn
                 .conditions
@@ -556,7 +595,13 @@
         if let Some(state) = &mut self.state {
             state.handle(now, Asker(node as u32), Ticket(call), r);
         }
-        let open = StateCall { node, leads, noted };
+        let open = StateCall {
+            node,
+            leads,
+            noted,
+            claims,
+            unheard,
+        };
         self.state_calls.insert(call, open);
         self.flush(now);
     }
@@ -619,6 +664,9 @@
                 if open.leads {
                     self.leader = Some(open.node);
                 }
+                if open.claims {
+                    self.bring_kept_reports(now);
+                }
                 for n in &open.noted {
                     let class = self.fleet.class_of(&n.job).map(String::from);
                     let about = About {
@@ -629,7 +677,13 @@
                     self.moment(now, n.moment, class.as_deref(), &about);
                 }
             }
-            if self.state.is_none() {
+            if open.unheard {
+                // Carried out, and nothing is heard of it; some callers notice that the
+                // connection has ended, others wait for as long as they do.
+                self.answers_lost += 1;
+                let after = Span::secs(self.rng.random_range(0.0..3.0));
+                self.heal_at(now + after, Heal::Silence(ticket.0, open.node));
+            } else if self.state.is_none() {
                 // A fault at this very moment: written, and never acknowledged.
                 self.give(ticket.0, Host::State, open.node, Returned::Silence);
             } else {
@@ -710,9 +764,11 @@
                     .answered(now, &m, Some((status, body)), &self.labels, &mut self.rng);
                 self.starts_at(now, Moment::StartDone, &starts, &about);
             }
-            Some(_) => self
-                .users
-                .answered(now, ticket, Some((status, after, body)), &mut self.rng),
+            Some(_) => {
+                self.users
+                    .answered(now, ticket, Some((status, after, body)), &mut self.rng);
+                self.send_looks(now);
+            }
             None => {}
         }
         self.collect(now);
@@ -802,6 +858,18 @@
             for class in &s.completes {
                 self.moment(now, Moment::DoneReported, Some(class), &about);
             }
+            if self.fleet.workers()[&s.machine].is_mute(now) {
+                self.fleet
+                    .answered(now, &s.machine, None, &self.labels, &mut self.rng);
+                continue;
+            }
+            let (share, until) = self.kept_reports;
+            if now < until && self.rng.random_bool(share) {
+                if self.kept.len() == MOST_KEPT {
+                    self.kept.pop_front();
+                }
+                self.kept.push_back((s.machine.clone(), s.body.clone()));
+            }
             let (share, until) = self.late_reports;
             if now < until && self.rng.random_bool(share) {
                 let most = self.script.cluster.workers.lease_s * 2.0;
@@ -829,6 +897,20 @@
             *next += 1;
             *next
         });
+        self.send_requests(now, requests);
+    }
+
+    /// What users who look closely ask at once, on what they were just told.
+    fn send_looks(&mut self, now: Time) {
+        let next = &mut self.next_ticket;
+        let requests = self.users.looks(now, &mut self.rng, || {
+            *next += 1;
+            *next
+        });
+        self.send_requests(now, requests);
+    }
+
+    fn send_requests(&mut self, now: Time, requests: Vec<UserRequest>) {
         for r in requests {
             self.sent.insert(r.ticket, (Host::Users, now));
             self.out.push(Out::Send {
@@ -849,7 +931,17 @@
             if let Seen::On { machine, .. } = &seen {
                 self.tally.used(machine);
             }
+            let ends = match &seen {
+                Seen::Done { task } => Some(job_of(task).to_string()),
+                _ => None,
+            };
             self.checker.hear(now, seen);
+            let (share, until) = self.cancel_at_end;
+            if let Some(job) = ends.filter(|j| now < until && self.checker.is_complete(j))
+                && self.rng.random_bool(share)
+            {
+                self.users.call_off(now, &job);
+            }
         }
         for seen in self.users.take_seen() {
             self.checker.hear(now, seen);
--- a/crates/rehearsal/src/users.rs
+++ b/crates/rehearsal/src/users.rs
@@ -24,6 +24,8 @@
 const MOST_RETRY_AFTER: u32 = 30;
 /// Time between polls for jobs that nobody submitted.
 const GHOST_EVERY: Span = Span::millis(20_000);
+/// Time between odd requests.
+const ODD_EVERY: Span = Span::millis(400);
 /// Time between the load balancer's probes, and how long one waits.
 const PROBE_EVERY: Span = Span::millis(1000);
 /// Nodes tried for one connection.
@@ -128,6 +130,13 @@
         asked: Time,
         tries: u32,
         node: usize,
+        /// It is a further look: nothing follows from its answer.
+        look: bool,
+    },
+    /// A request that is to be refused.
+    Odd {
+        job: String,
+        wanted: u16,
     },
     Probe {
         node: usize,
@@ -165,12 +174,20 @@
     health: Vec<Health>,
     probe_due: Time,
     ghost_due: Time,
+    /// Until when they look closely, and at which jobs next.
+    looks_until: Time,
+    looks: Vec<String>,
+    /// Until when they send odd requests, and when the next.
+    odd_until: Time,
+    odd_due: Time,
     seen: Vec<Seen>,
     out: Vec<UserRequest>,
     /// Milliseconds that accepted submissions took from their first attempt.
     pub accept_ms: Vec<u64>,
 }
 
+mod odd;
+
 impl Users {
     /// Users with these plans, and so many controllers.
     pub fn new(plan: Vec<Planned>, nodes: usize) -> Users {
@@ -183,6 +200,10 @@
             health: vec![Health::default(); nodes],
             probe_due: Time(0),
             ghost_due: Time(0) + GHOST_EVERY,
+            looks_until: Time(0),
+            looks: Vec::new(),
+            odd_until: Time(0),
+            odd_due: Time(0),
             seen: Vec::new(),
             out: Vec::new(),
             accept_ms: Vec::new(),
@@ -251,6 +272,10 @@
             let ghost = format!("wk-9{:05}", rng.random_range(0..100_000));
             self.ask(now, &ghost, Ask::Poll, 0, rng, &mut ticket);
         }
+        if now < self.odd_until && now >= self.odd_due {
+            self.odd_due = now + ODD_EVERY;
+            self.ask_oddly(now, rng, &mut ticket);
+        }
         if now >= self.probe_due {
             self.probe_due = now + PROBE_EVERY;
             for node in 0..self.health.len() {
@@ -277,7 +302,7 @@
         what: Ask,
         tries: u32,
         rng: &mut StdRng,
-        ticket: &mut impl FnMut() -> u64,
+        mut ticket: &mut impl FnMut() -> u64,
     ) {
         if let Some(j) = self.jobs.get_mut(id) {
             if what == Ask::Cancel {
@@ -305,6 +330,20 @@
             return;
         }
         let node = healthy[rng.random_range(0..healthy.len())];
+        self.ask_node(now, id, what, tries, node, false, &mut ticket);
+    }
+
+    #[expect(clippy::too_many_arguments, reason = "a question, item by item")]
+    fn ask_node(
+        &mut self,
+        now: Time,
+        id: &str,
+        what: Ask,
+        tries: u32,
+        node: usize,
+        look: bool,
+        ticket: &mut impl FnMut() -> u64,
+    ) {
         let (method, path, body) = match what {
             Ask::Submit => (
                 "POST",
@@ -333,6 +372,7 @@
             asked: now,
             tries,
             node,
+            look,
         };
         self.waiting.insert(t, (now + patience, waiting));
         self.out.push(UserRequest {
@@ -381,8 +421,17 @@
         let status = answer.map(|(s, _, _)| s);
         match waiting {
             Waiting::Probe { node } => self.probed(now, node, status == Some(200)),
+            Waiting::Odd { job, wanted } => self.seen.push(Seen::Odd {
+                job,
+                wanted,
+                status,
+            }),
             Waiting::Job {
-                job, what, asked, ..
+                job,
+                what,
+                asked,
+                look,
+                ..
             } => {
                 let body = answer.map(|(_, _, b)| b).unwrap_or_default();
                 let stage = matches!(status, Some(200 | 201))
@@ -397,7 +446,17 @@
                     status,
                     stage,
                 });
-                self.go_on(now, &job, what, stage, status, after, rng);
+                if !look {
+                    let news = self.jobs.get(&job).is_some_and(|j| match stage {
+                        Some(Stage::Done | Stage::Cancelled) => !j.over || what == Ask::Cancel,
+                        Some(_) => !j.accepted,
+                        None => false,
+                    });
+                    if news && now < self.looks_until {
+                        self.looks.push(job.clone());
+                    }
+                    self.go_on(now, &job, what, stage, status, after, rng);
+                }
             }
         }
     }
--- a/crates/rehearsal/src/worker.rs
+++ b/crates/rehearsal/src/worker.rs
@@ -87,6 +87,8 @@
     pub hung: Option<Time>,
     /// Until then it hears nothing that is sent to it.
     pub deaf: Option<Time>,
+    /// Until then it reaches no controller.
+    pub mute: Option<Time>,
     /// It is taken then, and has been told so.
     pub taken: Option<Time>,
     /// How fast its tasks run.
@@ -130,6 +132,7 @@
             link: Link::new(pace, nodes, now, rng),
             hung: None,
             deaf: None,
+            mute: None,
             taken: None,
             speed: rng.random_range(0.95..1.05),
             tasks: BTreeMap::new(),
@@ -148,6 +151,11 @@
         self.deaf.is_some_and(|t| now < t)
     }
 
+    /// Whether what it sends by itself is lost.
+    pub fn is_mute(&self, now: Time) -> bool {
+        self.mute.is_some_and(|t| now < t)
+    }
+
     /// Its report now.
     pub fn report(&mut self, now: Time) -> Report {
         let tally = self.link.count();
