Lost answers: shared reads are made again, a leader's repeat reads what is recorded

And a leader whose write was carried out with its answer lost could not tell its own first copy from somebody else's change: it gave office up, again and again. Change: up to four comparisons under way; a poll whose comparison was lost joins another if its user still waits; a refusal still answers all at once. On 409 to a repeat the leader reads one record that the transaction writes and compares: newer than what was compared and as this one would write it means that the first try went through, whole, as only the holder of the token writes it, one transaction at a time; all else starts over from the records as before.

--- a/crates/pebblefold/src/core/intake.rs
+++ b/crates/pebblefold/src/core/intake.rs
@@ -5,7 +5,7 @@
 use super::io::{Io, Waits};
 use super::ledger::{self, Head, HeadStage, TxnLimits};
 use super::levels::registry;
-use super::polls::{Asked, Polls};
+use super::polls::{Comparison, Polls};
 use super::weak::{self, Decision};
 use super::{Answer, Reply, RequestId, Target};
 use crate::settings::Settings;
@@ -63,6 +63,8 @@
 const SHARED_READS: f64 = 0.4;
 /// A user waits 2 s for a poll.
 const READ_TIMEOUT: Span = Span::millis(1500);
+/// So long for a shared read, so that one that is lost can be made again.
+const COMPARE_TIMEOUT: Span = Span::millis(700);
 /// A user waits 5 s for a submission.
 const COMMIT_TIMEOUT: Span = Span::millis(2000);
 
@@ -91,10 +93,7 @@
         step: Step,
     },
     /// A shared read for polls.
-    Compare {
-        /// The polls.
-        asked: Vec<Asked>,
-    },
+    Compare(Comparison),
 }
 
 impl Intake {
@@ -313,7 +312,7 @@
             let s = HeadStage::Open;
             return job_answer(io, request, 200, &self.answer(&id, Head { s, n: 0 }));
         }
-        if self.polls.take(request, &id) {
+        if self.polls.take(io.now.time, request, &id) {
             self.compare(io);
         } else {
             self.read(io, request, &id, Step::Poll(id.clone()));
@@ -323,26 +322,29 @@
     /// Makes the next shared read for polls, if one is due.
     pub fn compare(&mut self, io: &mut Io) {
         let now = io.now.time;
-        let Some((txn, asked)) = self.polls.next(now, io.most_conditions) else {
+        for late in self.polls.overdue(now) {
+            refuse(io, late.request, 503, "the state service does not answer");
+        }
+        let Some((txn, comparison)) = self.polls.next(now, io.most_conditions) else {
             return;
         };
         if !io.user_calls.take(now, 1.0) {
-            return self.on_compare(io, asked, &Reply::NotSent);
+            return self.on_compare(io, comparison, &Reply::NotSent);
         }
         let id = io.call(
             Target::State,
             "POST",
             "/commit".into(),
             wire::encode(&txn),
-            READ_TIMEOUT,
+            COMPARE_TIMEOUT,
         );
-        self.waits.add(id, Awaits::Compare { asked });
+        self.waits.add(id, Awaits::Compare(comparison));
     }
 
     /// A shared read for polls was answered, or not.
-    pub fn on_compare(&mut self, io: &mut Io, asked: Vec<Asked>, reply: &Reply) {
+    pub fn on_compare(&mut self, io: &mut Io, comparison: Comparison, reply: &Reply) {
         let pause = Span::secs(1.0 / (io.user_calls.burst() * SHARED_READS).max(1.0));
-        let out = self.polls.answered(io.now.time, pause, asked, reply);
+        let out = self.polls.answered(io.now.time, pause, comparison, reply);
         for (request, id, head) in out.open {
             // It may have ended, by this node's own hand, while the answer was on its way.
             if !self.answer_final(io, request, &id) {
@@ -350,11 +352,11 @@
                 job_answer(io, request, 200, &answer);
             }
         }
-        for (request, id) in out.changed {
-            self.read(io, request, &id, Step::Poll(id.clone()));
+        for a in out.changed {
+            self.read(io, a.request, &a.id, Step::Poll(a.id.clone()));
         }
-        for (request, _) in out.failed {
-            refuse(io, request, 503, "the state service does not answer");
+        for a in out.failed {
+            refuse(io, a.request, 503, "the state service does not answer");
         }
         self.compare(io);
     }
@@ -375,7 +377,7 @@
     pub fn on_reply(&mut self, io: &mut Io, what: Awaits, reply: Reply) {
         match what {
             Awaits::User { request, step } => self.on_step(io, request, step, reply),
-            Awaits::Compare { asked } => self.on_compare(io, asked, &reply),
+            Awaits::Compare(comparison) => self.on_compare(io, comparison, &reply),
         }
     }
 
--- a/crates/pebblefold/src/core/leader.rs
+++ b/crates/pebblefold/src/core/leader.rs
@@ -23,7 +23,7 @@
 use crate::wire;
 use crate::wire::cloud::{MachineType, MachineTypes};
 use crate::wire::pace::{Backoff, Bucket};
-use crate::wire::state::{Change, Changes, Entries, Entry};
+use crate::wire::state::{Change, Changes, Entries, Entry, Op};
 use crate::wire::workers::{TaskState, Why};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::rc::Rc;
@@ -89,6 +89,8 @@
     },
     /// The transaction of its one lane of writes.
     Commit,
+    /// A record that the transaction in flight writes, to learn whether it was carried out.
+    Written(Op),
     /// A call to the cloud, and the peer that makes it.
     Cloud(CloudCall, Option<Label>),
 }
@@ -366,6 +368,7 @@
         match what {
             Awaits::Read { sent } => self.on_read(io, sent, reply),
             Awaits::Commit => self.on_commit(io, reply),
+            Awaits::Written(op) => self.on_written(&op, reply),
             Awaits::Cloud(call, by) => self.on_cloud(io, call, by, reply),
         }
     }
--- a/crates/pebblefold/src/core/polls.rs
+++ b/crates/pebblefold/src/core/polls.rs
@@ -11,19 +11,46 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 /// A poll that waits for the next comparison.
-pub type Asked = (RequestId, JobId);
+#[derive(Clone, Debug, PartialEq)]
+pub struct Asked {
+    /// The request.
+    pub request: RequestId,
+    /// The job.
+    pub id: JobId,
+    /// When it came.
+    pub since: Time,
+}
+
+/// A comparison under way.
+#[derive(Clone, Debug)]
+pub struct Comparison {
+    /// The polls it is for.
+    asked: Vec<Asked>,
+    /// What it compares: only that is vouched for by its answer, whatever has been read
+    /// or forgotten since it was sent.
+    heads: BTreeMap<JobId, Head>,
+    sent: Time,
+}
 
 /// Open heads remembered.
 const MOST_OPEN: usize = 8000;
+/// Comparisons under way at the most.
+const MOST_UNDER_WAY: usize = 4;
+/// The next one does not wait for an answer that takes longer than this.
+const SLOW: Span = Span::millis(100);
+/// A poll whose comparison was lost joins another one if it is younger than this: its user
+/// waits for 2 s.
+const ANOTHER: Span = Span::millis(1000);
+/// A poll that has waited for so long is refused: asked again, it may do better.
+const LONGEST: Span = Span::millis(1500);
 
 /// Open heads and the polls that ask for them.
 #[derive(Debug, Default)]
 pub struct Polls {
     open: BTreeMap<JobId, (Head, Version)>,
     waiting: Vec<Asked>,
-    /// What the comparison under way compares: only that is vouched for by its answer,
-    /// whatever has been read or forgotten since it was sent.
-    comparing: Option<BTreeMap<JobId, Head>>,
+    /// When the comparisons under way were sent.
+    under_way: Vec<Time>,
     not_before: Time,
 }
 
@@ -59,43 +86,55 @@
     }
 
     /// Takes a poll in if its job was seen open.
-    pub fn take(&mut self, request: RequestId, id: &JobId) -> bool {
+    pub fn take(&mut self, now: Time, request: RequestId, id: &JobId) -> bool {
         let known = self.open.contains_key(id);
         if known {
-            self.waiting.push((request, id.clone()));
+            let (id, since) = (id.clone(), now);
+            self.waiting.push(Asked { request, id, since });
         }
         known
     }
 
+    /// Polls that have waited for too long for a comparison.
+    pub fn overdue(&mut self, now: Time) -> Vec<Asked> {
+        let waiting = std::mem::take(&mut self.waiting);
+        let late = |a: &Asked| now.since(a.since) >= LONGEST;
+        let (late, waiting) = waiting.into_iter().partition(late);
+        self.waiting = waiting;
+        late
+    }
+
     /// The next comparison, if one is due, and the polls it is for; at most
     /// `most` jobs.
-    pub fn next(&mut self, now: Time, most: usize) -> Option<(Txn, Vec<Asked>)> {
-        if self.comparing.is_some() || self.waiting.is_empty() || now < self.not_before {
+    pub fn next(&mut self, now: Time, most: usize) -> Option<(Txn, Comparison)> {
+        let slow = |sent: &Time| now.since(*sent) >= SLOW;
+        let busy = self.under_way.len() >= MOST_UNDER_WAY || !self.under_way.iter().all(slow);
+        if busy || self.waiting.is_empty() || now < self.not_before {
             return None;
         }
         let mut jobs: BTreeSet<JobId> = BTreeSet::new();
         let mut asked = Vec::new();
-        for (request, id) in std::mem::take(&mut self.waiting) {
-            if jobs.len() < most || jobs.contains(&id) {
-                jobs.insert(id.clone());
-                asked.push((request, id));
+        for a in std::mem::take(&mut self.waiting) {
+            if jobs.len() < most || jobs.contains(&a.id) {
+                jobs.insert(a.id.clone());
+                asked.push(a);
             } else {
-                self.waiting.push((request, id));
+                self.waiting.push(a);
             }
         }
-        let mut compared = BTreeMap::new();
+        let mut heads = BTreeMap::new();
         let mut conditions = Vec::new();
         for id in jobs {
             // One forgotten meanwhile is not compared.
             if let Some((head, version)) = self.open.get(&id).copied() {
                 let key = ledger::head_key(&id);
                 conditions.push(Condition { key, version });
-                compared.insert(id, head);
+                heads.insert(id, head);
             }
         }
-        self.comparing = Some(compared);
-        let ops = Vec::new();
-        Some((Txn { conditions, ops }, asked))
+        self.under_way.push(now);
+        let (ops, sent) = (Vec::new(), now);
+        Some((Txn { conditions, ops }, Comparison { asked, heads, sent }))
     }
 
     /// A comparison was answered, or not; the next follows after `pause`.
@@ -103,33 +142,45 @@
         &mut self,
         now: Time,
         pause: Span,
-        asked: Vec<Asked>,
+        comparison: Comparison,
         reply: &Reply,
     ) -> Compared {
-        let compared = self.comparing.take().unwrap_or_default();
+        let Comparison { asked, heads, sent } = comparison;
+        if let Some(n) = self.under_way.iter().position(|t| *t == sent) {
+            self.under_way.swap_remove(n);
+        }
         self.not_before = now + pause;
         let mut out = Compared::default();
         match reply {
             Reply::Answer(200, _) => {
-                for (request, id) in asked {
-                    match compared.get(&id) {
-                        Some(head) => out.open.push((request, id, *head)),
-                        None => out.changed.push((request, id)),
+                for a in asked {
+                    match heads.get(&a.id) {
+                        Some(head) => out.open.push((a.request, a.id, *head)),
+                        None => out.changed.push(a),
                     }
                 }
             }
             Reply::Answer(409, body) => {
                 let failed = wire::decode::<Revision>(body).unwrap_or_default().failed;
-                for (request, id) in asked {
-                    if failed.is_empty() || failed.contains(&ledger::head_key(&id)) {
-                        self.open.remove(&id);
-                        out.changed.push((request, id));
+                for a in asked {
+                    if failed.is_empty() || failed.contains(&ledger::head_key(&a.id)) {
+                        self.open.remove(&a.id);
+                        out.changed.push(a);
                     } else {
                         // Not named as changed does not say unchanged.
-                        self.waiting.push((request, id));
+                        self.waiting.push(a);
                     }
                 }
             }
+            // One lost answer is no reason to leave all who shared it, and those who came
+            // after them, without one.
+            Reply::Lost => {
+                let young = |a: &Asked| now.since(a.since) < ANOTHER;
+                let (young, old): (Vec<Asked>, _) = asked.into_iter().partition(young);
+                self.waiting.extend(young);
+                out.failed = old;
+            }
+            // Refused: whoever waits for the next one would be refused as well.
             _ => {
                 out.failed = asked;
                 out.failed.append(&mut self.waiting);
--- a/crates/pebblefold/src/core/writing.rs
+++ b/crates/pebblefold/src/core/writing.rs
@@ -9,7 +9,7 @@
 use super::{Reply, Target};
 use crate::types::{JobId, Span, TaskId, Time, Version};
 use crate::wire;
-use crate::wire::state::{Op, Revision, Txn};
+use crate::wire::state::{Entry, Op, Revision, Txn};
 
 /// Settled intents deleted in one transaction.
 const MOST_SETTLED: usize = 8;
@@ -183,10 +183,26 @@
                 }
                 Fate::Stay
             }
-            Reply::Answer(409, _) if self.lane.doubtful => {
-                // Either the lost first try went through or something else
-                // changed. What is recorded decides: start over from it.
-                Fate::StepDown("a write's fate is unknown")
+            Reply::Answer(409, body) if self.lane.doubtful => {
+                // Either the lost first try went through or something else changed.
+                // What is recorded decides.
+                let failed = wire::decode::<Revision>(&body).unwrap_or_default().failed;
+                let compared = |k: &str| txn.conditions.iter().any(|c| c.key == k);
+                let own = txn.ops.iter().find(
+                    |op| matches!(op, Op::Put { key, .. } if compared(key) && failed.contains(key)),
+                );
+                match own.cloned() {
+                    Some(op) if failed.iter().all(|k| k != self.holder) => {
+                        let key = op.key().to_string();
+                        self.lane.flight = Some((txn, items));
+                        self.lane.calling = true;
+                        let path = format!("/keys/{key}");
+                        let id = io.call(Target::State, "GET", path, Vec::new(), Span::secs(2.0));
+                        self.waits.add(id, Awaits::Written(op));
+                        Fate::Stay
+                    }
+                    _ => Fate::StepDown("a write's fate is unknown"),
+                }
             }
             Reply::Answer(409, body) => {
                 self.lane.not_before = now + COMMIT_GAP;
@@ -235,6 +251,35 @@
         }
     }
 
+    /// A record that the transaction in flight writes was read, after a repeat found it
+    /// changed. Only the holder of this token writes it, one transaction at a time, and
+    /// all before this one are settled: if it is newer than what was compared, and as this
+    /// one would write it, the first try went through, whole, at its version. Else
+    /// everything is started over from what is recorded.
+    pub(super) fn on_written(&mut self, op: &Op, reply: Reply) -> Fate {
+        self.lane.calling = false;
+        let unknown = Fate::StepDown("a write's fate is unknown");
+        let Some((txn, items)) = self.lane.flight.take() else {
+            return unknown;
+        };
+        let Reply::Answer(200, body) = reply else {
+            return unknown;
+        };
+        let before = txn.conditions.iter().find(|c| c.key == op.key());
+        let found = wire::decode::<Entry>(&body);
+        let (Some(before), Some(found), Op::Put { value, .. }) = (before, found, op) else {
+            return unknown;
+        };
+        if found.version <= before.version || found.value != *value {
+            return unknown;
+        }
+        self.lane_backoff.succeeded();
+        for item in items {
+            self.committed(item, &txn, found.version);
+        }
+        Fate::Stay
+    }
+
     /// Nothing of a job is left, here or stored. What is noted of its records goes
     /// too: where a level is held back for weeks it would pile up.
     fn forget(&mut self, id: &JobId) {
--- a/crates/pebblefold/src/core/writing/tests.rs
+++ b/crates/pebblefold/src/core/writing/tests.rs
@@ -159,3 +159,115 @@
             .contains(&("wk-2".into(), 0))
     );
 }
+
+/// A leader whose first start is in flight and whose answer was lost, once repeated.
+fn repeated(failed: &[&str]) -> (Leader, crate::core::io::Io, Fate) {
+    let mut leader = leader();
+    with_job(&mut leader, "wk-1", 2);
+    let id = JobId::from("wk-1");
+    let job = leader.jobs.get_mut(&id).unwrap();
+    job.waiting.remove(0);
+    let change = job.touch(leader.chunk_size, 0);
+    let place = Placement {
+        change,
+        phase: crate::core::presence::Phase::Unsent,
+        ..Placement::inherited("host-1".into(), Session(1), Attempt(1))
+    };
+    job.places.insert(0, place);
+    leader.dirty.note((id, 0), Time(0), true);
+    let mut io = crate::testing::io_at(1.0);
+    leader.pump(&mut io);
+    leader.on_commit(&mut io, Reply::Lost);
+    io.now.time = io.now.time + Span::secs(5.0);
+    leader.pump(&mut io);
+    io.take_outputs();
+    let failed = failed.iter().map(|k| (*k).to_string()).collect();
+    let revision = Version(30);
+    let body = wire::encode(&Revision { revision, failed });
+    let fate = leader.on_commit(&mut io, Reply::Answer(409, body));
+    (leader, io, fate)
+}
+
+// A transaction is carried out and only its answer lost. Its leader could not tell it from
+// somebody else's change and gave office up: with one answer in five lost nothing was
+// started for minutes. It reads what is recorded and decides by that.
+#[test]
+fn a_repeat_that_finds_its_own_first_copy_goes_on() {
+    let own = "r/wk-1/0";
+    let (mut leader, mut io, fate) = repeated(&[own]);
+    assert_eq!(fate, Fate::Stay);
+    let calls = io.take_outputs();
+    let [crate::core::Output::Call(call)] = calls.as_slice() else {
+        panic!("{calls:?}")
+    };
+    assert_eq!((call.method, call.path.as_str()), ("GET", "/keys/r/wk-1/0"));
+    let id = JobId::from("wk-1");
+    let job = &leader.jobs[&id];
+    let change = job.places[&0].change;
+    assert!(
+        !job.is_stored(leader.chunk_size, 0, change),
+        "nothing is sent on a guess"
+    );
+    let (txn, _) = leader.lane.flight.clone().unwrap();
+    let (op, value) = txn
+        .ops
+        .iter()
+        .find_map(|op| match op {
+            Op::Put { key, value, .. } if key == own => Some((op.clone(), value.clone())),
+            _ => None,
+        })
+        .unwrap();
+    let (key, version) = (own.to_string(), Version(25));
+    let entry = Entry {
+        key,
+        value,
+        version,
+    };
+    let found = Reply::Answer(200, wire::encode(&entry));
+    assert_eq!(leader.on_written(&op, found), Fate::Stay);
+    let job = &leader.jobs[&id];
+    assert!(job.is_stored(leader.chunk_size, 0, change));
+    assert_eq!(
+        job.chunks[&0].version,
+        Version(25),
+        "the next write compares it"
+    );
+    assert!(leader.lane.flight.is_none());
+}
+
+// What is not plainly its own is not taken for it: everything starts over from the records.
+#[test]
+fn what_is_not_plainly_its_own_is_not_taken_for_it() {
+    let gives_up = |fate| matches!(fate, Fate::StepDown(_));
+    let holder = leader().holder;
+    for failed in [&["job/wk-1"][..], &[holder, "r/wk-1/0"], &[]] {
+        assert!(gives_up(repeated(failed).2), "{failed:?}");
+    }
+    let entry = |value: serde_json::Value, version| Entry {
+        key: "r/wk-1/0".into(),
+        value,
+        version: Version(version),
+    };
+    let own = |leader: &Leader| {
+        let (txn, _) = leader.lane.flight.clone().unwrap();
+        let put = txn.ops.into_iter();
+        put.filter_map(|op| match op {
+            Op::Put { value, .. } => Some(value),
+            Op::Delete { .. } => None,
+        })
+        .next()
+        .unwrap()
+    };
+    for case in 0..4 {
+        let (mut leader, _, _) = repeated(&["r/wk-1/0"]);
+        let value = own(&leader);
+        let op = leader.lane.flight.as_ref().unwrap().0.ops[0].clone();
+        let reply = match case {
+            0 => Reply::Answer(404, Vec::new()),
+            1 => Reply::Answer(200, wire::encode(&entry(value, 0))),
+            2 => Reply::Answer(200, wire::encode(&entry(serde_json::json!({"a": 1}), 25))),
+            _ => Reply::Lost,
+        };
+        assert!(gives_up(leader.on_written(&op, reply)), "case {case}");
+    }
+}
--- a/crates/rehearsal/src/users.rs
+++ b/crates/rehearsal/src/users.rs
@@ -365,11 +365,13 @@
             job: id.into(),
             what,
         });
+        // A look comes after what was told this very moment.
+        let asked = if look { now + Span(1) } else { now };
         let t = ticket();
         let waiting = Waiting::Job {
             job: id.into(),
             what,
-            asked: now,
+            asked,
             tries,
             node,
             look,
--- a/crates/wire/src/state.rs
+++ b/crates/wire/src/state.rs
@@ -80,6 +80,15 @@
     },
 }
 
+impl Op {
+    /// The key that it changes.
+    pub fn key(&self) -> &str {
+        match self {
+            Op::Put { key, .. } | Op::Delete { key } => key,
+        }
+    }
+}
+
 /// A transaction.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Txn {
