Search of late writes: readers at other nodes, a refused repeat that reads its record

Cause: the search knew neither what users are told meanwhile nor that a leader's repeat now reads what is recorded. Change: it follows a user's questions, repeats and cancellations at any node beside lost and late transactions, and a leader that reads its own record; six tempting wrong versions. That a task runs without a record counts as harm also once its job is over.

--- a/crates/rehearsal/tests/late_writes.rs
+++ b/crates/rehearsal/tests/late_writes.rs
@@ -65,6 +65,35 @@
     doubtful: bool,
 }
 
+/// Wrong versions of what is made of a missing or refused answer.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Wrong {
+    Nothing,
+    /// A submission that finds the job there is answered without a read.
+    ConflictIsOpen,
+    /// A submission without an answer is told as accepted.
+    LostIsAccepted,
+    /// A cancellation without an answer is told as carried out.
+    LostIsCancelled,
+    /// A job that this node saw open is open.
+    SeenIsOpen,
+    /// A leader's repeat that is refused had been carried out before.
+    RefusedIsOwn,
+    /// The record of a leader's refused repeat says so, whatever its version.
+    AnyRecordIsOwn,
+}
+
+/// A user's question at one of the nodes.
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct Question {
+    /// What its user had been told when it was asked.
+    knew: Option<HeadStage>,
+    /// What a read sent since has shown.
+    shown: Option<Option<HeadStage>>,
+    /// Whether it is a cancellation whose fate a read has to tell.
+    cancels: bool,
+}
+
 /// What becomes of a transaction that is sent.
 #[derive(Clone, Copy, PartialEq)]
 enum Outcome {
@@ -85,6 +114,14 @@
     lives: u8,
     /// The head as a node read it that is to cancel the job.
     read: Option<(Head, Version)>,
+    /// What the job's user was told last, and what is asked now; further questions.
+    told: Option<HeadStage>,
+    question: Option<Question>,
+    questions: u8,
+    /// Whether what users are told is followed at all.
+    follows: bool,
+    /// Whether a node has seen the job open.
+    seen_open: bool,
     leader: Option<Leader>,
     /// The attempt that runs, how many were begun, and whether one has completed.
     running: Option<u64>,
@@ -146,6 +183,32 @@
         Vec::new()
     }
 
+    /// A user is told this, who knew that much when the question was asked.
+    fn tell(&mut self, knew: Option<HeadStage>, answer: Option<HeadStage>) {
+        if !self.follows {
+            return;
+        }
+        let ended = |s| matches!(s, Some(HeadStage::Done | HeadStage::Cancelled));
+        if knew.is_some() && answer.is_none() || ended(knew) && answer != knew {
+            self.broken = Some("an answer is older than one given before it was asked for");
+        }
+        if answer == Some(HeadStage::Cancelled) && self.head() != answer {
+            self.broken = Some("a job is called cancelled that is not");
+        }
+        if answer.is_some() && !ended(self.told) {
+            self.told = answer;
+        }
+    }
+
+    fn ask(&mut self, knew: Option<HeadStage>, cancels: bool) {
+        let shown = None;
+        self.question = self.follows.then_some(Question {
+            knew,
+            shown,
+            cancels,
+        });
+    }
+
     fn look(&mut self) {
         let has = |key: String| self.keys.contains_key(&key);
         let over = matches!(self.head(), Some(HeadStage::Done | HeadStage::Cancelled));
@@ -156,7 +219,6 @@
             self.broken = Some("a job is called done before its task is");
         }
         if let Some(attempt) = self.running
-            && self.head() == Some(HeadStage::Open)
             && !self.places().contains(&attempt)
         {
             self.broken = Some("a task runs that no record has");
@@ -186,10 +248,15 @@
     }
 
     /// The leader's transaction was answered with this.
-    fn answered(&mut self, txn: &Txn, kind: Kind, failed: &[String], revision: u64) {
+    fn answered(&mut self, wrong: Wrong, txn: &Txn, kind: Kind, failed: &[String], revision: u64) {
+        let own = self.own(wrong, txn, failed);
         let Some(l) = &mut self.leader else { return };
         let doubtful = std::mem::take(&mut l.doubtful);
         l.flight = None;
+        let (failed, revision) = match own.filter(|_| doubtful) {
+            Some(version) => (&[][..], version),
+            None => (failed, revision),
+        };
         if !failed.is_empty() {
             let head = failed.contains(&ledger::head_key(&id()));
             let other = failed.iter().any(|k| *k != ledger::head_key(&id()));
@@ -222,6 +289,26 @@
         }
     }
 
+    /// The version at which a refused repeat finds that its first try went through.
+    fn own(&self, wrong: Wrong, txn: &Txn, failed: &[String]) -> Option<u64> {
+        if failed.iter().any(|k| k == HOLDER) {
+            return None;
+        }
+        if wrong == Wrong::RefusedIsOwn {
+            return Some(self.revision);
+        }
+        let any = wrong == Wrong::AnyRecordIsOwn;
+        let put = txn.ops.iter().find_map(|op| match op {
+            Op::Put { key, value, .. } if failed.contains(key) || any => Some((key, value)),
+            _ => None,
+        });
+        let (key, value) = put?;
+        let before = txn.conditions.iter().find(|c| c.key == *key)?.version.0;
+        let (found, version) = self.keys.get(key)?;
+        let newer = *version > before && found == value;
+        (newer || any).then_some(*version)
+    }
+
     /// What the leader writes next, if anything.
     fn gather(&self) -> Option<(Txn, Kind)> {
         let l = self.leader.as_ref()?;
@@ -276,7 +363,7 @@
         }
     }
 
-    fn next(&self) -> Vec<World> {
+    fn next(&self, wrong: Wrong) -> Vec<World> {
         let mut out = Vec::new();
         let mut step = |change: &dyn Fn(&mut World)| {
             let mut w = self.clone();
@@ -296,7 +383,7 @@
             });
         }
         // A user, through any node.
-        if self.submits > 0 {
+        if self.submits > 0 && self.question.is_none() {
             let limits = TxnLimits {
                 ops: 48,
                 value_bytes: 8192,
@@ -305,7 +392,20 @@
             for outcome in outcomes() {
                 step(&|w| {
                     w.submits -= 1;
-                    w.send(&txn, outcome);
+                    let knew = w.told;
+                    let taken = w.send(&txn, outcome);
+                    if taken.as_ref().is_some_and(Vec::is_empty) {
+                        w.seen_open = w.follows;
+                        return w.tell(knew, Some(HeadStage::Open));
+                    }
+                    let guess = match &taken {
+                        Some(_) => wrong == Wrong::ConflictIsOpen,
+                        None => wrong == Wrong::LostIsAccepted,
+                    };
+                    if guess {
+                        return w.tell(knew, Some(HeadStage::Open));
+                    }
+                    w.ask(knew, false);
                 });
             }
         }
@@ -322,10 +422,45 @@
                 step(&|w| {
                     w.read = None;
                     w.cancels -= 1;
-                    w.send(&txn, outcome);
+                    let knew = w.told;
+                    let taken = w.send(&txn, outcome);
+                    let guess = taken.is_none() && wrong == Wrong::LostIsCancelled;
+                    if guess || taken.is_some_and(|failed| failed.is_empty()) {
+                        return w.tell(knew, Some(HeadStage::Cancelled));
+                    }
+                    w.ask(knew, true);
                 });
             }
         }
+        // Somebody asks, at any node; a read is sent, and answered some time.
+        if self.questions > 0 && self.question.is_none() {
+            step(&|w| {
+                w.questions -= 1;
+                let knew = w.told;
+                if wrong == Wrong::SeenIsOpen && w.seen_open {
+                    return w.tell(knew, Some(HeadStage::Open));
+                }
+                w.ask(knew, false);
+            });
+        }
+        if let Some(q) = self.question {
+            match q.shown {
+                None => step(&|w| {
+                    let shown = Some(w.head());
+                    w.question = Some(Question { shown, ..q });
+                }),
+                Some(answer) => step(&|w| {
+                    w.question = None;
+                    w.seen_open |= answer == Some(HeadStage::Open);
+                    // A job that is not there after a submission without an answer may
+                    // still be accepted, and one that is open after a cancellation still
+                    // be cancelled: the user is told to ask again.
+                    if answer.is_some() && !(q.cancels && answer == Some(HeadStage::Open)) {
+                        w.tell(q.knew, answer);
+                    }
+                }),
+            }
+        }
         // Somebody takes the key, and loads.
         if self.lives > 0 {
             step(&|w| {
@@ -359,7 +494,7 @@
             Some((txn, kind)) => {
                 for outcome in outcomes() {
                     step(&|w| match w.send(txn, outcome) {
-                        Some(failed) => w.answered(txn, *kind, &failed, w.revision),
+                        Some(failed) => w.answered(wrong, txn, *kind, &failed, w.revision),
                         None => {
                             if let Some(l) = &mut w.leader {
                                 l.doubtful = true;
@@ -446,14 +581,18 @@
 }
 
 /// Looks through every order; how many worlds there were, and what broke.
-fn explore() -> (usize, Option<&'static str>) {
+/// With `follows`, what users are told meanwhile, at any node, under one leader; else
+/// with a successor.
+fn explore(wrong: Wrong, follows: bool) -> (usize, Option<&'static str>) {
     let first = World {
         revision: 1,
         keys: BTreeMap::from([(HOLDER.into(), (Value::Null, 1))]),
         losses: 2,
         submits: 2,
         cancels: 1,
-        lives: 1,
+        questions: u8::from(follows),
+        follows,
+        lives: u8::from(!follows),
         leader: Some(Leader {
             token: 1,
             job: None,
@@ -471,7 +610,7 @@
     let mut seen = HashSet::from([print(&first)]);
     let mut todo = vec![first];
     while let Some(world) = todo.pop() {
-        for next in world.next() {
+        for next in world.next(wrong) {
             if let Some(what) = next.broken {
                 return (seen.len(), Some(what));
             }
@@ -486,10 +625,12 @@
 
 #[test]
 fn no_order_of_late_writes_does_harm() {
-    let (worlds, broken) = explore();
-    println!("{worlds} worlds: two transactions late or unanswered, a successor");
-    assert_eq!(broken, None);
-    assert!(worlds > 10_000, "{worlds}");
+    for (follows, who) in [(false, "a successor"), (true, "readers at other nodes")] {
+        let (worlds, broken) = explore(Wrong::Nothing, follows);
+        println!("{worlds} worlds: two transactions late or unanswered, {who}");
+        assert_eq!(broken, None);
+        assert!(worlds > 10_000, "{worlds}");
+    }
 }
 
 // Without any one of what the writes compare there is an order that does harm.
@@ -501,9 +642,27 @@
         Decision::EndOutlivesSubmission,
     ] {
         weaken(&[off]);
-        let (worlds, broken) = explore();
+        let (worlds, broken) = explore(Wrong::Nothing, false);
         weaken(&[]);
         println!("{off:?}: {broken:?} after {worlds} worlds");
         assert!(broken.is_some(), "{off:?} was not missed");
     }
 }
+
+// Whatever is tempting to make of an answer that is missing, or of a refused repeat, has an
+// order in which somebody is told wrong or a task runs that no record has.
+#[test]
+fn no_guess_does_for_a_read() {
+    for (wrong, follows) in [
+        (Wrong::ConflictIsOpen, true),
+        (Wrong::LostIsAccepted, true),
+        (Wrong::LostIsCancelled, true),
+        (Wrong::SeenIsOpen, true),
+        (Wrong::RefusedIsOwn, false),
+        (Wrong::AnyRecordIsOwn, false),
+    ] {
+        let (worlds, broken) = explore(wrong, follows);
+        println!("{wrong:?}: {broken:?} after {worlds} worlds");
+        assert!(broken.is_some(), "{wrong:?} was not missed");
+    }
+}
