Tests of the checker's new judgements, of the waiting model and of troubles that cannot be

Change: forged histories for refusals, for the time of a question and for several asked at once; the model case by case; seven impossible troubles, each refused with file, line and range.

--- a/crates/rehearsal/tests/checker.rs
+++ b/crates/rehearsal/tests/checker.rs
@@ -335,3 +335,76 @@
     assert_eq!(lines.len(), 12, "{lines:#?}");
     assert!(lines[3].contains("wk-000001/0 runs"), "{lines:#?}");
 }
+
+// What cannot run is refused: with the right status, or by a node that cannot tell now.
+#[test]
+fn what_cannot_run_is_to_be_refused() {
+    let heard = |wanted: u16, status: Option<u16>| {
+        let mut s = story();
+        s.served();
+        let job = "wk-800001".into();
+        s.0.hear(
+            t(5.0),
+            Seen::Odd {
+                job,
+                wanted,
+                status,
+            },
+        );
+        s.rules(9.0)
+    };
+    for status in [Some(400), Some(503), Some(429), None] {
+        assert_eq!(heard(400, status), [], "{status:?}");
+    }
+    assert_eq!(heard(422, Some(422)), []);
+    assert_eq!(heard(422, Some(201)), [Rule::Invented]);
+    assert_eq!(heard(400, Some(200)), [Rule::Invented]);
+    assert_eq!(heard(422, Some(400)), [Rule::Protocol]);
+    assert_eq!(heard(400, Some(404)), [Rule::Protocol]);
+}
+
+// Answers are judged by when they were asked for: a question under way while the job was
+// accepted may find nothing yet, one asked after that may not. And of several asked at
+// once, one that is answered is enough.
+#[test]
+fn answers_are_judged_by_the_time_of_their_question() {
+    let poll = |s: &mut Story, asked: f64, told: f64, status: u16| {
+        let (job, what) = ("wk-000001".to_string(), Ask::Poll);
+        let (status, stage) = (Some(status), (status == 200).then_some(Stage::Queued));
+        let asked = t(asked);
+        s.0.hear(
+            t(told),
+            Seen::Told {
+                job,
+                what,
+                asked,
+                status,
+                stage,
+            },
+        );
+    };
+    let mut early = story();
+    early.told(1.0, Ask::Submit, 201, Some(Stage::Queued));
+    poll(&mut early, 0.9, 1.2, 404);
+    assert_eq!(early.0.breaches().len(), 0);
+    poll(&mut early, 1.2, 1.3, 404);
+    assert_eq!(early.0.breaches()[0].rule, Rule::Forgotten);
+    for answered in [true, false] {
+        let mut s = story();
+        s.told(1.0, Ask::Submit, 201, Some(Stage::Queued));
+        if answered {
+            poll(&mut s, 2.0, 2.01, 200);
+        }
+        poll(&mut s, 2.0, 2.02, 503);
+        for n in 0..40 {
+            // Most others are answered.
+            let at = 2.5 + 2.5 * f64::from(n);
+            for _ in 0..3 {
+                s.told_of("wk-900001", at, Ask::Poll, 404, None);
+            }
+            s.0.pass(t(at));
+        }
+        let forgotten = s.0.breaches().iter().any(|b| b.rule == Rule::Forgotten);
+        assert_eq!(forgotten, !answered);
+    }
+}
--- a/crates/rehearsal/tests/scripts.rs
+++ b/crates/rehearsal/tests/scripts.rs
@@ -147,6 +147,39 @@
             "{error}\nwanted: {wanted}"
         );
     }
+    // Troubles with values that cannot be.
+    for (fault, wanted) in [
+        (
+            "kind = \"cancel_at_end\"\nshare = 1.5\nfor_s = 3.0",
+            ".share: 1.5 is no share; it has to lie between 0 and 1",
+        ),
+        (
+            "kind = \"late_writes\"\nshare = -0.1\nfor_s = 3.0",
+            ".share: -0.1 is no share",
+        ),
+        (
+            "kind = \"close_looks\"\nfor_s = -3.0",
+            ".for_s: -3.0 is no time; it has to be 0 to 86400 seconds",
+        ),
+        (
+            "kind = \"cancel_now\"\ncount = 3\nhang_s = -1.0",
+            ".hang_s: -1.0 is no time",
+        ),
+        ("kind = \"odd_requests\"\nfor_s = inf", ".for_s: "),
+        (
+            "kind = \"machine_mute\"\nzone = \"moon\"\nfor_s = 3.0",
+            ".zone: no zone moon",
+        ),
+        (
+            "kind = \"machine_muter\"\nfor_s = 3.0",
+            "unknown variant `machine_muter`",
+        ),
+    ] {
+        let last = format!("{text}\n[[faults]]\nat_s = 3.0\n{fault}\n");
+        let errors = Script::parse("night.toml", &last).unwrap_err();
+        let error = errors[0].to_string();
+        assert!(error.contains(wanted) && error.contains("line "), "{error}");
+    }
     // Many at once, not the first alone.
     let two = text
         .replace("team = \"archive\"", "team = \"x\"")
--- a/crates/rehearsal/tests/waiting.rs
+++ b/crates/rehearsal/tests/waiting.rs
@@ -4,11 +4,13 @@
 mod common;
 use common::*;
 use pebblefold::core::weak::{Decision, weaken};
-use pebblefold::types::{Span, Time};
+use pebblefold::types::{Amounts, Span, Time};
+use pebblefold::wire::users::{Shape, Submission};
 use pebblefold_rehearsal::script::{
     CutMode, JobPriority, JobShape, Nodes, Script, Side, Spread, What,
 };
 use pebblefold_rehearsal::simulated::Simulated;
+use pebblefold_rehearsal::waiting::{Room, Waiting, could_start};
 
 fn secs(s: f64) -> Time {
     Time(0) + Span::secs(s)
@@ -273,3 +275,84 @@
         90.0,
     );
 }
+
+// The model itself: each thing that a job needs to start keeps it from starting alone.
+#[test]
+fn the_model_says_who_could_start() {
+    let script = {
+        let mut s = cluster(3, 3, 3, 9, 100.0);
+        s.jobs = vec![jobs(JobShape::Array, 1, 4.0)];
+        s
+    };
+    let mut rng = rand::SeedableRng::seed_from_u64(1);
+    let array = pebblefold_rehearsal::users::plan(&script, &mut rng)
+        .remove(0)
+        .spec;
+    let room = |zone: &str, spot: bool, gpus: f64| Room {
+        zone: zone.into(),
+        kind: "g4".into(),
+        spot,
+        free: Amounts {
+            cpus: 16.0,
+            gpus,
+            memory_gb: 128.0,
+        },
+    };
+    let team = &script.cluster.teams[0];
+    let could = |spec: &Submission, tasks, zones: &[(&str, u32)], rooms: &[Room], used: f64| {
+        let in_zones = zones.iter().map(|(z, n)| ((*z).to_string(), *n)).collect();
+        let used = Amounts {
+            gpus: used,
+            ..Amounts::default()
+        };
+        let waiting = Waiting {
+            spec,
+            tasks,
+            in_zones,
+        };
+        could_start(&waiting, rooms, team, &used)
+    };
+    let one = [room("z0", true, 1.0)];
+    assert!(could(&array, 1, &[], &one, 0.0));
+    assert!(!could(&array, 0, &[], &one, 0.0), "nothing waits");
+    assert!(
+        !could(&array, 1, &[], &[room("z0", true, 0.5)], 0.0),
+        "no room"
+    );
+    assert!(could(&array, 1, &[], &one, 39.0) && !could(&array, 1, &[], &one, 39.5));
+    let changed = |change: &dyn Fn(&mut Submission)| {
+        let mut s = array.clone();
+        change(&mut s);
+        s
+    };
+    let ordinary = changed(&|j| j.spot = false);
+    assert!(!could(&ordinary, 1, &[], &one, 0.0), "no spot machine");
+    let there = changed(&|j| j.zone = Some("z1".into()));
+    assert!(!could(&there, 1, &[], &one, 0.0), "another zone");
+    let kind = changed(&|j| j.kinds = Some(vec!["g8".into()]));
+    assert!(!could(&kind, 1, &[], &one, 0.0), "another type");
+    let bound = changed(&|j| j.one_zone = true);
+    assert!(
+        !could(&bound, 1, &[("z1", 1)], &one, 0.0),
+        "bound to its zone"
+    );
+    assert!(could(&bound, 1, &[("z0", 1)], &one, 0.0));
+    let spread = changed(&|j| j.spread = true);
+    assert!(
+        !could(&spread, 1, &[("z0", 2)], &one, 0.0),
+        "half are there"
+    );
+    assert!(could(&spread, 1, &[("z0", 1)], &one, 0.0));
+    let gang = changed(&|j| j.shape = Shape::Gang);
+    let four = [room("z0", true, 3.0), room("z1", true, 1.0)];
+    assert!(could(&gang, 4, &[], &four, 36.0));
+    assert!(!could(&gang, 4, &[], &four[..1], 0.0), "not all fit");
+    assert!(!could(&gang, 4, &[], &four, 36.5), "the team's limit");
+    assert!(
+        !could(&gang, 3, &[("z0", 1)], &four, 0.0),
+        "its last attempt"
+    );
+    let together = changed(&|j| (j.shape, j.one_zone) = (Shape::Gang, true));
+    assert!(!could(&together, 4, &[], &four, 0.0));
+    assert!(could(&together, 4, &[], &[room("z2", false, 4.0)], 0.0));
+}
