--- a/crates/rehearsal/tests/waiting.rs
+++ b/crates/rehearsal/tests/waiting.rs
@@ -250,6 +250,33 @@
     );
 }
 
+// A gang for which machines are held that never come free as predicted: services run on
+// them. What is held for it is not held for ever.
+#[test]
+fn room_is_not_held_for_ever_for_a_gang_that_cannot_begin() {
+    held(
+        || {
+            let mut s = cluster(3, 3, 6, 6, 600.0);
+            for t in &mut s.cluster.teams {
+                (t.gpus, t.gpus_max) = (0.0, 100.0);
+            }
+            let mut services = jobs(JobShape::Service, 9, 1.0);
+            (services.run_s, services.gpus) = (Spread::Fixed(500.0), 3.0);
+            s.jobs.push(services);
+            let mut gang = jobs(JobShape::Gang, 1, 9.0);
+            (gang.class, gang.team, gang.from_s) = ("gang".into(), "blue".into(), 12.0);
+            (gang.gpus, gang.cpus, gang.run_s) = (4.0, 16.0, Spread::Fixed(20.0));
+            s.jobs.push(gang);
+            let mut small = jobs(JobShape::Array, 60, 2.0);
+            (small.class, small.over_s) = ("small".into(), 300.0);
+            (small.run_s, small.from_s) = (Spread::Between(5.0, 12.0), 20.0);
+            s.jobs.push(small);
+            s
+        },
+        90.0,
+    );
+}
+
 // Transactions are lost and carried out late, then no more.
 #[test]
 fn a_job_whose_commit_was_lost() {
