Agent: nothing acts in an epoch whose lease is over

Cause: an agent's step looked at the lease first and acted by that look later; SIGSTOP in between. Change: Link refuses heartbeats, answers and direct commands once the lease is over, at the instant of each; Worker tells nothing of such an epoch; effects that begin something are dropped with it; the shim looks before it begins the task. Found by going through the other ways: the next epoch was on disk before the attempts of the last one were struck out (now one write, behind the proof that all processes are gone); after a restart within the lease messages were numbered from 1 again; a torn or impossible stored lease was passed over without a word (resume.rs decides and says why).

--- a/crates/agent/src/attempts.rs
+++ b/crates/agent/src/attempts.rs
@@ -78,6 +78,25 @@
     Remove(Key),
 }
 
+impl Effect {
+    /// Whether it begins something for an attempt, or says that it goes on.
+    fn begins_something(&self) -> bool {
+        match self {
+            Effect::Record(..)
+            | Effect::Describe(_)
+            | Effect::Fetch(..)
+            | Effect::Meet(..)
+            | Effect::Spawn(..) => true,
+            Effect::Strike(_)
+            | Effect::Token(_)
+            | Effect::Epoch(_)
+            | Effect::GiveUp(_)
+            | Effect::Stop(..)
+            | Effect::Remove(_) => false,
+        }
+    }
+}
+
 /// Times that attempts go by.
 #[derive(Clone, Copy, Debug)]
 pub struct Times {
@@ -447,16 +466,27 @@
         }
     }
 
-    /// The lease is over: everything ends and is forgotten, results included.
-    pub fn lease_over(&mut self) {
-        for (key, o) in std::mem::take(&mut self.all) {
-            if o.record.state != TaskState::Exited {
+    /// The lease is over: everything ends and is forgotten, results included, and
+    /// this epoch begins.
+    ///
+    /// First all processes are gone, then one write strikes all attempts out and
+    /// notes the epoch. An agent that is killed in between finds either the old epoch
+    /// with its attempts, whose lease is over, or the new one with none: attempts of
+    /// an epoch that is over are never found under a lease that lasts.
+    pub fn lease_over(&mut self, epoch: AgentEpoch) {
+        self.out.retain(|effect| !effect.begins_something());
+        let ended = std::mem::take(&mut self.all);
+        for (key, one) in &ended {
+            if one.record.state != TaskState::Exited {
                 self.out.push(Effect::GiveUp(key.clone()));
                 self.out.push(Effect::Stop(key.clone(), 0.0));
             }
-            self.out.push(Effect::Strike(key.clone()));
-            self.out.push(Effect::Remove(key));
         }
+        let removed = ended.keys().cloned().map(Effect::Remove);
+        self.out.extend(removed);
+        let struck = ended.keys().cloned().map(Effect::Strike);
+        self.out.extend(struck);
+        self.out.push(Effect::Epoch(epoch));
         self.asked.clear();
     }
 
--- a/crates/agent/src/driver.rs
+++ b/crates/agent/src/driver.rs
@@ -6,6 +6,7 @@
 use crate::journal::{Change, Journal, JournalError};
 use crate::link::{Link, PATIENCE};
 use crate::process::{boot_id, end_all, marked};
+use crate::resume::{self, LeaseRefusal};
 use crate::settings::Settings;
 use crate::shim::{
     self, BEGUN, Begun, EXIT, Exit, Lease, Limits, MARK, PLAN, Plan, STOP, Stop, steady_us,
@@ -15,7 +16,7 @@
 use pebblefold_net::{Client, Sent, answer_connections};
 use pebblefold_wire::command::CommandSpec;
 use pebblefold_wire::http::{Request, Response};
-use pebblefold_wire::types::{AgentEpoch, Time, TimeSpan};
+use pebblefold_wire::types::{Time, TimeSpan};
 use pebblefold_wire::users::{JobShape, Submission};
 use pebblefold_wire::workers::{Heartbeat, TaskState};
 use pebblefold_wire::{decode, encode};
@@ -156,7 +157,14 @@
                 self.store.here(&key).map_err(io("the gang's place"))?;
                 self.meeting.borrow_mut().insert(key, job);
             }
-            Effect::Spawn(key, job) => self.spawn(key, job),
+            Effect::Spawn(key, job) => {
+                if self.worker.borrow().link().expired(now()) {
+                    // It is forgotten with everything else when the next epoch begins.
+                    tracing::info!(task = %key.task, attempt = key.attempt, "not started, the lease expired");
+                } else {
+                    self.spawn(key, job);
+                }
+            }
             Effect::Stop(key, grace_s) => self.stop(&key, grace_s),
             Effect::Remove(key) => {
                 // Told to stop a moment ago, if it ran: before anything is said of
@@ -473,6 +481,8 @@
     }
 
     async fn serve(self: Rc<Self>, r: Request) -> Option<Response> {
+        // What is told and done is that of the epoch whose lease lasts now.
+        self.worker.borrow_mut().advance(now());
         let status = match (r.method.as_str(), r.path.as_str()) {
             ("POST", "/commands") => self.worker.borrow_mut().commanded(now(), &r.body),
             ("GET", "/inspect") => 200,
@@ -484,7 +494,8 @@
             return None;
         }
         let body = match status {
-            200 | 409 => encode(&self.worker.borrow_mut().report(now())),
+            // Carrying it out may have taken longer than the lease.
+            200 | 409 => encode(&self.worker.borrow_mut().report(now())?),
             _ => Vec::new(),
         };
         Some(Response {
@@ -615,26 +626,25 @@
     let listener = TcpListener::bind(addr).await.map_err(io(addr))?;
     let kept = journal.read()?;
     let boot = boot_id().map_err(io("the machine's start"))?;
-    let lease: Option<Lease> = shim::read(&dir.join(LEASE)).ok();
-    let epoch = kept.epoch.map_or(0, |s| s.0);
-    let lasts = lease.filter(|l| !l.over(&boot, epoch, steady_us()));
+    let lease = shim::read::<Lease>(&dir.join(LEASE)).map_err(|e| e.to_string());
     let t = settings.times;
     let pace = pace(t.report_s, t.lease_s);
     let begun = now();
-    let (epoch, leased) = match (kept.epoch, &lasts) {
-        // Its lease lasts: the same session goes on, and not for longer.
-        (Some(s), Some(l)) => (s, Time(l.until_us.saturating_sub(pace.lease.0))),
-        (Some(s), None) => (AgentEpoch(s.0 + 1), begun),
-        (None, _) => (AgentEpoch(1), begun),
-    };
-    let lasts = lasts.is_some() && kept.epoch.is_some();
+    let start = resume::start(&kept, lease, &boot, begun, pace);
+    let epoch = start.link.epoch;
+    match &start.refusal {
+        None | Some(LeaseRefusal::FirstStart) => {}
+        Some(refusal) => {
+            tracing::warn!(epoch = epoch.0, reason = %refusal, "lease not resumed, next epoch begins");
+        }
+    }
     let mut changes = vec![Change::Epoch(epoch)];
-    if !lasts {
+    if start.refusal.is_some() {
         changes.extend(kept.attempts.iter().map(|(k, _)| Change::Strike(k.clone())));
     }
     let mut rng = StdRng::seed_from_u64(rand::random());
     let nodes = settings.controllers.len();
-    let link = Link::resumed(pace, nodes, begun, (epoch, kept.token, leased), &mut rng);
+    let link = Link::resumed(pace, nodes, begun, start.link, &mut rng);
     let times = Times {
         gang_wait: TimeSpan::secs(t.gang_wait_s),
     };
@@ -653,7 +663,7 @@
         failed: RefCell::default(),
     });
     // What ran is ended before its session is left behind on disk.
-    shared.restore(kept.attempts, lasts);
+    shared.restore(kept.attempts, start.refusal.is_none());
     shared.journal.write(&changes)?;
     tracing::info!(machine = %shared.settings.machine.id, epoch = epoch.0, "serving");
     let door = Rc::clone(&shared);
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -8,16 +8,18 @@
 //! - [`shim`]: one task's processes, and its result, whatever becomes of the agent.
 //! - [`process`]: processes by id and start time, and the proof that they are gone.
 //! - [`worker`]: the two together, a machine's whole side of the protocol.
+//! - [`resume`]: whether an agent that starts goes on with the epoch that it finds.
 //! - [`store`]: results, saves and gangs' meetings, outside the machine.
 //! - [`settings`], [`driver`]: what an operator says; sockets, clock and files.
 //!
-//! [`link`], [`attempts`] and [`worker`] touch neither clock, file nor process.
+//! [`link`], [`attempts`], [`worker`] and [`resume`] touch neither clock, file nor process.
 
 pub mod attempts;
 pub mod driver;
 pub mod journal;
 pub mod link;
 pub mod process;
+pub mod resume;
 pub mod settings;
 pub mod shim;
 pub mod store;
--- a/crates/agent/src/link.rs
+++ b/crates/agent/src/link.rs
@@ -1,7 +1,13 @@
-//! A worker's side of its talk with the controllers, as a state machine: reports
+//! A worker's side of its talk with the controllers, as a state machine: heartbeats
 //! at their pace and on change, one in flight, the rotation among controllers and
-//! its pauses, tokens, sessions, and the lease by the steady clock. Agents and the
-//! stand-ins' simulated workers run this same code.
+//! its pauses, fencing tokens, epochs, and the lease by the steady clock. Agents and
+//! the simulated workers run this same code.
+//!
+//! Whatever acts in an epoch asks here, with the time of that instant, and an epoch
+//! whose lease is over acts no more: it begins no heartbeat, no answer renews it and
+//! no command counts in it. That holds whatever was looked at earlier in the same
+//! step, as a process may stand still between any two of its instructions. Only
+//! [`Link::renewed`] leads out of it, into the next epoch.
 
 use pebblefold_wire::types::{AgentEpoch, FencingToken, HeartbeatSequence, Time, TimeSpan};
 use rand::{Rng, RngExt};
@@ -22,6 +28,19 @@
     pub lease: TimeSpan,
 }
 
+/// What a worker that is started again knows from before.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LinkState {
+    /// Its epoch.
+    pub epoch: AgentEpoch,
+    /// The highest token that it has seen.
+    pub token: FencingToken,
+    /// From when its lease counts.
+    pub leased: Time,
+    /// No message of this epoch has had a greater number.
+    pub sequence: HeartbeatSequence,
+}
+
 /// The talk with the controllers.
 #[derive(Debug)]
 pub struct Link {
@@ -44,24 +63,29 @@
 impl Link {
     /// A new worker's link to so many controllers, beginning at any of them.
     pub fn new(pace: Pace, nodes: usize, now: Time, rng: &mut impl Rng) -> Link {
-        Link::resumed(pace, nodes, now, (AgentEpoch(1), FencingToken(0), now), rng)
+        let state = LinkState {
+            epoch: AgentEpoch(1),
+            token: FencingToken(0),
+            leased: now,
+            sequence: HeartbeatSequence(0),
+        };
+        Link::resumed(pace, nodes, now, state, rng)
     }
 
-    /// The link of a worker that knows from before it was started again its
-    /// session, the highest token it has seen, and from when its lease counts.
+    /// The link of a worker that was started again.
     pub fn resumed(
         pace: Pace,
         nodes: usize,
         now: Time,
-        (epoch, token, leased): (AgentEpoch, FencingToken, Time),
+        state: LinkState,
         rng: &mut impl Rng,
     ) -> Link {
         Link {
             pace,
-            epoch: epoch.0,
-            sequence: 0,
-            token: token.0,
-            leased,
+            epoch: state.epoch.0,
+            sequence: state.sequence.0,
+            token: state.token.0,
+            leased: state.leased,
             token_counted: None,
             node: rng.random_range(0..nodes.max(1)),
             nodes: nodes.max(1),
@@ -113,8 +137,12 @@
         now.since(self.leased) > self.pace.lease
     }
 
-    /// Begins a report under this ticket, if one is due.
+    /// Begins a heartbeat under this ticket, if one is due. None is while the lease is
+    /// over: the next one is that of the next epoch.
     pub fn due(&mut self, now: Time, ticket: u64, rng: &mut impl Rng) -> bool {
+        if self.expired(now) {
+            return false;
+        }
         if let Some((_, sent)) = self.flight {
             if now.since(sent) < PATIENCE {
                 return false;
@@ -145,13 +173,14 @@
         self.flight.is_some_and(|(t, _)| t == ticket)
     }
 
-    /// An answer to the report in flight; true if it counts: its commands are to
-    /// be executed, and the lease is renewed.
+    /// An answer to the heartbeat in flight; true if it counts: its commands are to
+    /// be executed, and the lease is renewed. One that is handled after the lease was
+    /// over does not, however early it was sent.
     pub fn answered(&mut self, now: Time, token: FencingToken) -> bool {
         let Some((_, sent)) = self.flight.take() else {
             return false;
         };
-        if token.0 < self.token {
+        if token.0 < self.token || self.expired(now) {
             return false;
         }
         self.see_token(now, token.0);
@@ -182,9 +211,9 @@
         }
     }
 
-    /// Whether direct commands count, by their token and session.
+    /// Whether direct commands count, by their token, their epoch and the lease.
     pub fn takes(&mut self, now: Time, token: FencingToken, epoch: AgentEpoch) -> bool {
-        let ok = token.0 >= self.token && epoch.0 == self.epoch;
+        let ok = token.0 >= self.token && epoch.0 == self.epoch && !self.expired(now);
         if ok {
             self.see_token(now, token.0);
         }
--- a/crates/agent/src/shim.rs
+++ b/crates/agent/src/shim.rs
@@ -303,20 +303,58 @@
     // Whoever ends the agent's group does not end us.
     nix::unistd::setsid().ok();
     let began_ms = now_ms();
-    let mut exit = match spawn(&plan) {
-        Ok(child) => watch(dir, &plan, child)?,
-        Err(e) => Exit {
-            code: 127,
-            gone: true,
-            not_started: Some(e.to_string()),
-            ..Exit::default()
-        },
+    let lease = LeaseFile::of(&plan)?;
+    let mut exit = if lease.lasts() {
+        match spawn(&plan) {
+            Ok(child) => watch(dir, &plan, &lease, child)?,
+            Err(e) => not_started(e.to_string()),
+        }
+    } else {
+        // The agent may have stood still since it decided to begin this.
+        Exit {
+            lease_over: true,
+            ..not_started("the machine's lease is over".into())
+        }
     };
     (exit.began_ms, exit.ended_ms) = (began_ms, now_ms());
     write_whole(&dir.join(EXIT), &serde_json::to_vec(&exit)?)
 }
 
-fn watch(dir: &Path, plan: &Plan, mut child: Child) -> Result<Exit, Error> {
+/// The end of a task that never ran.
+fn not_started(reason: String) -> Exit {
+    Exit {
+        code: 127,
+        gone: true,
+        not_started: Some(reason),
+        ..Exit::default()
+    }
+}
+
+/// The machine's lease as one task sees it.
+struct LeaseFile<'p> {
+    path: Option<&'p Path>,
+    epoch: u64,
+    boot: String,
+}
+
+impl LeaseFile<'_> {
+    fn of(plan: &Plan) -> Result<LeaseFile<'_>, Error> {
+        Ok(LeaseFile {
+            path: plan.lease.as_deref(),
+            epoch: plan.epoch,
+            boot: crate::process::boot_id()?,
+        })
+    }
+
+    /// Whether it lasts. One that cannot be read is no longer known to.
+    fn lasts(&self) -> bool {
+        let holds = |lease: Lease| !lease.over(&self.boot, self.epoch, steady_us());
+        self.path
+            .is_none_or(|path| read::<Lease>(path).is_ok_and(holds))
+    }
+}
+
+fn watch(dir: &Path, plan: &Plan, lease: &LeaseFile<'_>, mut child: Child) -> Result<Exit, Error> {
     let mut pipe = child.stdout.take();
     let (most, kept) = (plan.limits.output, dir.to_path_buf());
     // The reader ends with the last process that holds the pipe.
@@ -332,12 +370,6 @@
     let mut until = until.map(|s| Instant::now() + Duration::from_secs_f64(s.min(1e9)));
     let mut exit = Exit::default();
     let mut killed = false;
-    let boot = crate::process::boot_id()?;
-    // A lease that cannot be read is no longer known to last.
-    let leased = || match &plan.lease {
-        None => true,
-        Some(file) => read::<Lease>(file).is_ok_and(|l| !l.over(&boot, plan.epoch, steady_us())),
-    };
     loop {
         match waitpid(Pid::from_raw(-1), Some(WaitPidFlag::WNOHANG)) {
             Ok(WaitStatus::Exited(id, code)) if id == main => {
@@ -365,7 +397,7 @@
             // A second request may only shorten it.
             until = until.map(|u| u.min(at));
         }
-        exit.lease_over = exit.lease_over || !leased();
+        exit.lease_over = exit.lease_over || !lease.lasts();
         let over = exit.lease_over || until.is_some_and(|u| Instant::now() >= u);
         if over && !killed {
             killed = true;
--- a/crates/agent/src/worker.rs
+++ b/crates/agent/src/worker.rs
@@ -72,10 +72,14 @@
         }
     }
 
-    /// Its report now.
-    pub fn report(&mut self, now: Time) -> Heartbeat {
+    /// Its heartbeat now; `None` while the lease is over: what is on the machine then
+    /// counts no more, and is told by nobody.
+    pub fn report(&mut self, now: Time) -> Option<Heartbeat> {
+        if self.link.expired(now) {
+            return None;
+        }
         let m = &self.machine;
-        Heartbeat {
+        Some(Heartbeat {
             machine: m.id.clone(),
             addr: m.addr.clone(),
             kind: m.kind.clone(),
@@ -86,7 +90,7 @@
             token: self.link.token(),
             notice_s: self.taken.map(|t| t.since(now).as_secs()),
             tasks: self.attempts.reported(),
-        }
+        })
     }
 
     /// Begins a report under this ticket, if one is due: to which controller, and
@@ -100,8 +104,11 @@
         if self.attempts.changed() {
             self.link.touch();
         }
-        let due = self.link.due(now, ticket, rng);
-        due.then(|| (self.link.node(), self.report(now)))
+        if !self.link.due(now, ticket, rng) {
+            return None;
+        }
+        let heartbeat = self.report(now)?;
+        Some((self.link.node(), heartbeat))
     }
 
     /// The answer to a report; `None`: none came.
@@ -164,11 +171,13 @@
         }
     }
 
-    /// Lets time pass.
+    /// Lets time pass. Once the lease is over the next epoch begins: its record
+    /// comes after the proof that everything of the last one is gone.
     pub fn advance(&mut self, now: Time) {
         if self.link.renewed(now) {
-            self.before.push(Effect::Epoch(self.link.epoch()));
-            self.attempts.lease_over();
+            let epoch = self.link.epoch();
+            tracing::info!(machine = %self.machine.id, epoch = epoch.0, "lease expired, next epoch begins");
+            self.attempts.lease_over(epoch);
         }
         self.attempts.advance(now);
     }
--- a/crates/agent/tests/agent.rs
+++ b/crates/agent/tests/agent.rs
@@ -495,6 +495,31 @@
     });
 }
 
+#[test]
+fn torn_lease_is_not_resumed_and_the_log_says_why() {
+    on_sockets(async {
+        let mut s = Site::new("torn", 60.0).await;
+        s.start();
+        s.until("it sends heartbeats", |s| {
+            !s.controller.heartbeats.borrow().is_empty()
+        })
+        .await;
+        s.kill();
+        std::fs::write(s.dir.join("agent/lease.json"), "{\"boot\":\"").unwrap();
+        s.start();
+        s.until("its next epoch begins", |s| {
+            s.controller.epochs.borrow().contains(&2)
+        })
+        .await;
+        let log = std::fs::read_to_string(s.dir.join("agent.log")).unwrap();
+        assert!(
+            log.contains("lease not resumed, next epoch begins"),
+            "{log}"
+        );
+        assert!(log.contains("the stored lease cannot be read"), "{log}");
+    });
+}
+
 #[test]
 fn gangs_meet_and_draining_machines_take_nothing_new() {
     on_sockets(async {
--- a/crates/simulator/src/fleet.rs
+++ b/crates/simulator/src/fleet.rs
@@ -382,6 +382,8 @@
 
     /// Commands sent straight to a machine.
     pub fn commanded(&mut self, now: Time, machine: &str, body: &[u8]) -> Option<(u16, Vec<u8>)> {
+        // It answers with a report, and none is of an epoch whose lease is over.
+        self.expire_lease(now, machine);
         let w = self.workers.get_mut(machine)?;
         let Some(d) = decode::<DirectCommands>(body) else {
             return Some((400, Vec::new()));
@@ -396,6 +398,7 @@
 
     /// `GET /inspect` at a machine.
     pub fn inspected(&mut self, now: Time, machine: &str) -> Option<(u16, Vec<u8>)> {
+        self.expire_lease(now, machine);
         let w = self.workers.get_mut(machine)?;
         Some((200, encode(&w.report(now))))
     }
@@ -469,13 +472,7 @@
         let busy = self.workers.iter().filter(|(_, w)| w.needs_time(now));
         let names: Vec<String> = busy.map(|(name, _)| name.clone()).collect();
         for name in &names {
-            // A worker that hung past its lease kills its tasks before anything
-            // else when it goes on: for the rules they are gone by then.
-            if let Some(w) = self.workers.get_mut(name) {
-                let killed = w.lease_over(now);
-                self.lease_kills += killed.values().filter(|t| t.on_machine()).count() as u64;
-                self.lose(now, name, killed, "its lease ran out");
-            }
+            self.expire_lease(now, name);
             if !self.acts(now, name) {
                 continue;
             }
@@ -485,6 +482,17 @@
         self.run_gangs(now, step, rng);
     }
 
+    /// Begins the next epoch of a worker whose lease is over. One that hung past its
+    /// lease kills its tasks before anything else when it goes on: for the rules they
+    /// are gone by then.
+    fn expire_lease(&mut self, now: Time, machine: &str) {
+        if let Some(w) = self.workers.get_mut(machine) {
+            let killed = w.lease_over(now);
+            self.lease_kills += killed.values().filter(|t| t.on_machine()).count() as u64;
+            self.lose(now, machine, killed, "its lease ran out");
+        }
+    }
+
     fn fetch(&mut self, now: Time, machine: &str, step: TimeSpan) {
         let Some(w) = self.workers.get_mut(machine) else {
             return;
