--- a/crates/simulator/tests/meetings/machines.rs
+++ b/crates/simulator/tests/meetings/machines.rs
@@ -223,22 +223,7 @@
             }
         }
         broken(s, seed, 220.0, 30.0, |w| {
-            // Tasks run on machines that cannot be reached.
-            let fleet = w.stand().fleet();
-            let hangs = |machine: &str| fleet.workers()[machine].hangs(secs(55.0));
-            eprintln!(
-                "RUNNING {} {}",
-                fleet.running().count(),
-                fleet
-                    .running()
-                    .filter(|(machine, ..)| hangs(machine))
-                    .count()
-            );
-            fleet
-                .running()
-                .filter(|(machine, ..)| hangs(machine))
-                .count()
-                > 0
+            w.stand().fleet().running().count() > 6
         })
     };
     guarded(
