Review, case 1: an accepted job is lost after the state service was started again

Cause: a transaction of deletions that find nothing raises the state service's mark, is told, and is not written; after a restart the same mark is given to the next change, which no watch shows. Change: the case's claim, script and stand-ins.

--- a/review/stand/cases/agent.rs
+++ b/review/stand/cases/agent.rs
@@ -36,7 +36,7 @@
 
 pub fn run(record: &Arc<Record>, dir: &Path, trouble: bool) -> Option<bool> {
     let world = World::new(record, 1.0, 10.0, 30.0, 8.0);
-    let (_state, state) = state_service(&dir.to_path_buf(), 200.0, 80.0, 8, 48);
+    let (_state, state) = state_service(dir);
     let cloud = cloud(&world, pampa_node(&ZONE));
     let mut deployment = Deployment::new(dir.to_path_buf(), 3);
     let objectives = vec![
--- a/review/stand/cases/limits.rs
+++ b/review/stand/cases/limits.rs
@@ -65,7 +65,7 @@
     let lowered = Arc::new(AtomicBool::new(false));
     let refused = Arc::new(AtomicU32::new(0));
     let world = World::new(record, 1.0, 10.0, 30.0, 8.0);
-    let (_state, state) = state_service(&dir.to_path_buf(), 200.0, 80.0, 8, 48);
+    let (_state, state) = state_service(dir);
     let state = gate(record, state, &lowered, &refused);
     let cloud = cloud(&world, pampa_node(&ZONES));
     let mut deployment = Deployment::new(dir.to_path_buf(), 3);
--- a/review/stand/cases/mod.rs
+++ b/review/stand/cases/mod.rs
@@ -1,8 +1,8 @@
 //! One module a case.
 
 pub mod agent;
-pub mod gang;
 pub mod limits;
+pub mod mark;
 
 use crate::wire::{V, map, t};
 
--- a/review/stand/main.rs
+++ b/review/stand/main.rs
@@ -25,9 +25,9 @@
         std::process::exit(2)
     });
     let held = match case.as_str() {
+        "mark" => cases::mark::run(&record, &dir, trouble),
         "limits" => cases::limits::run(&record, &dir, trouble),
         "agent" => cases::agent::run(&record, &dir, trouble),
-        "gang" => cases::gang::run(&record, &dir, trouble),
         _ => {
             eprintln!("no case {case}");
             std::process::exit(2)
--- a/review/stand/world.rs
+++ b/review/stand/world.rs
@@ -7,7 +7,7 @@
 use std::fs::File;
 use std::io::Write;
 use std::net::{SocketAddr, TcpListener};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
@@ -57,7 +57,7 @@
 }
 
 /// Ends what is left of this run: processes whose command line or environment names its folder.
-pub fn end_all(dir: &std::path::Path) {
+pub fn end_all(dir: &Path) {
     let name = dir.display().to_string();
     let own = std::process::id() as i32;
     for _ in 0..3 {
@@ -166,21 +166,10 @@
     /// When each image is here, once it is asked for.
     images: BTreeMap<String, Instant>,
     changed: bool,
-    pub alive: bool,
-    died: Option<Instant>,
     early: Option<Instant>,
     pub lost_leases: u32,
 }
 
-impl Worker {
-    /// Whether the machine holds an image.
-    pub fn held(&self, image: &str) -> bool {
-        self.images
-            .get(image)
-            .is_some_and(|ready| *ready <= Instant::now())
-    }
-}
-
 pub struct World {
     pub record: Arc<Record>,
     pub jobs: BTreeMap<String, Job>,
@@ -364,12 +353,7 @@
     /// Moves tasks and leases on.
     fn step(&mut self) {
         let now = Instant::now();
-        let names: Vec<String> = self
-            .workers
-            .values()
-            .filter(|w| w.alive)
-            .map(|w| w.name.clone())
-            .collect();
+        let names: Vec<String> = self.workers.values().map(|w| w.name.clone()).collect();
         for name in &names {
             let Some(w) = self.workers.get_mut(name) else {
                 continue;
@@ -476,16 +460,6 @@
             }
         }
     }
-
-    /// The machine stops with all that is on it.
-    pub fn lose(&mut self, worker: &str) {
-        if let Some(w) = self.workers.get_mut(worker) {
-            (w.alive, w.died) = (false, Some(Instant::now()));
-        }
-        self.record.say(format!(
-            "{worker}: the machine stops with all that is on it"
-        ));
-    }
 }
 
 /// Brings a machine up, whose worker knows these controllers.
@@ -512,8 +486,6 @@
         tasks: Vec::new(),
         images: BTreeMap::new(),
         changed: false,
-        alive: true,
-        died: None,
         early: None,
         lost_leases: 0,
     };
@@ -521,7 +493,7 @@
     let (w, n) = (Arc::clone(world), name.to_string());
     serve(listener, move |method, path, body| {
         let mut world = lock(&w);
-        if !world.workers.get(&n).is_some_and(|x| x.alive) {
+        if !world.workers.contains_key(&n) {
             return None;
         }
         match (method, path) {
@@ -557,7 +529,7 @@
         let (body, shift) = {
             let mut world = lock(world);
             let interval = world.report;
-            let Some(w) = world.workers.get_mut(name).filter(|w| w.alive) else {
+            let Some(w) = world.workers.get_mut(name) else {
                 return;
             };
             let early = w.changed && sent_last.elapsed() >= Duration::from_millis(500);
@@ -582,7 +554,7 @@
         );
         let mut world = lock(world);
         let record = Arc::clone(&world.record);
-        let Some(w) = world.workers.get_mut(name).filter(|w| w.alive) else {
+        let Some(w) = world.workers.get_mut(name) else {
             return;
         };
         match answer {
@@ -655,11 +627,7 @@
                     .split('&')
                     .find_map(|p| p.strip_prefix("since="))
                     .unwrap_or("");
-                // A machine that has died is listed as running for about 30 s.
-                let listed = |x: &&Worker| {
-                    x.died.is_none_or(|d| d.elapsed() < Duration::from_secs(30))
-                        && x.name.as_str() > since
-                };
+                let listed = |x: &&Worker| x.name.as_str() > since;
                 let own = world
                     .workers
                     .values()
@@ -753,6 +721,18 @@
         false
     }
 
+    /// Calls a job off, and again after 1 s for up to 60 s; its stage.
+    pub fn cancel(&self, id: &str) -> Option<String> {
+        for turn in 0..60 {
+            let path = format!("/submissions/{id}/cancel");
+            if let Some((200, Some(v))) = self.ask(turn, "POST", &path, &[], 5.0) {
+                return Some(v.text("stage"));
+            }
+            std::thread::sleep(Duration::from_secs(1));
+        }
+        None
+    }
+
     /// Polls a job once, at each node in turn until one answers; its stage.
     pub fn poll(&self, id: &str) -> Option<String> {
         for turn in 0..self.nodes.len() {
@@ -774,15 +754,16 @@
     _reserved: Vec<SocketAddr>,
 }
 
-/// Starts `pebblectl state serve`; returns its process and address.
-pub fn state_service(
-    dir: &PathBuf,
-    rps: f64,
-    write_rps: f64,
-    value_kb: u32,
-    txn_ops: u32,
-) -> (Process, SocketAddr) {
-    let (addr, admin) = (free_addr(), free_addr());
+/// Starts `pebblectl state serve` with the limits of the site files; returns its process and
+/// address.
+pub fn state_service(dir: &Path) -> (Process, SocketAddr) {
+    let addr = free_addr();
+    (state_service_at(dir, addr), addr)
+}
+
+/// The same at this address, from the store that an earlier one has left.
+pub fn state_service_at(dir: &Path, addr: SocketAddr) -> Process {
+    let admin = free_addr().to_string();
     let store = dir.join("store").display().to_string();
     let p = Process::start(
         "target/release/pebblectl",
@@ -794,24 +775,24 @@
             "--listen",
             &addr.to_string(),
             "--admin",
-            &admin.to_string(),
+            &admin,
             "--rps",
-            &rps.to_string(),
+            "200",
             "--write-rps",
-            &write_rps.to_string(),
+            "80",
             "--value-kb",
-            &value_kb.to_string(),
+            "8",
             "--txn-ops",
-            &txn_ops.to_string(),
+            "48",
         ],
         &dir.join("state.log"),
         &[],
     );
-    for _ in 0..100 {
+    for _ in 0..200 {
         if ask(addr, "GET", "/keys/none", &[], Duration::from_millis(500)).is_ok() {
-            return (p, addr);
+            return p;
         }
-        std::thread::sleep(Duration::from_millis(50));
+        std::thread::sleep(Duration::from_millis(20));
     }
     eprintln!("the state service does not answer");
     std::process::exit(2)
