--- a/review/build.sh
+++ b/review/build.sh
@@ -3,6 +3,6 @@
 # and the review's stand-ins, which use the standard library alone.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-cargo build --release --locked --offline -p pebblectl -p pebblefold-agent
+cargo build --release --locked -p pebblectl -p pebblefold-agent
 mkdir -p target/review
 rustc --edition 2024 -O -o target/review/stand review/stand/main.rs
