--- a/review/stand/cases/agent.rs
+++ b/review/stand/cases/agent.rs
@@ -1,7 +1,7 @@
 //! An agent is killed and started again within its lease; then its task is stopped for more
 //! urgent work, with time to save.
 
-use super::{Needs, objective, pampa_node, settings, submission, team};
+use super::{LEASE_S, Needs, objective, pampa_node, settings, submission, team};
 use crate::wire::{V, encode, map, t};
 use crate::world::{
     Deployment, Job, Process, Record, Users, World, cloud, free_addr, lock, state_service,
@@ -35,7 +35,7 @@
 "#;
 
 pub fn run(record: &Arc<Record>, dir: &Path, trouble: bool) -> Option<bool> {
-    let world = World::new(record, 1.0, 10.0, 30.0, 8.0);
+    let world = World::new(record, 1.0, LEASE_S, 30.0, 8.0);
     let (_state, state) = state_service(dir);
     let cloud = cloud(&world, pampa_node(&ZONE));
     let mut deployment = Deployment::new(dir.to_path_buf(), 3);
@@ -63,7 +63,7 @@
     let at = |name: &str| dir.join(name).display().to_string();
     let toml = format!(
         "dir = \"{}\"\njobs = \"{}\"\nstore = \"{}\"\ncontrollers = [\n{controllers}]\n\
-         times = {{ report_s = 1.0, lease_s = 10.0, gang_wait_s = 30.0, gang_peer_s = 8.0 }}\n\
+         times = {{ report_s = 1.0, lease_s = {LEASE_S:.1}, gang_wait_s = 30.0, gang_peer_s = 8.0 }}\n\
          [machine]\nid = \"host-000000\"\naddr = \"{addr}\"\nkind = \"pampa-node\"\nzone = \"poa-central\"\ncpus = 32\ngpus = 4\nmemory_gb = 192\n",
         at("agent"),
         at("jobs"),
--- a/review/stand/cases/limits.rs
+++ b/review/stand/cases/limits.rs
@@ -1,6 +1,6 @@
 //! The state service lowers its limits, as `state.next` in the settings has announced.
 
-use super::{Needs, objective, pampa_node, settings, submission, team};
+use super::{LEASE_S, Needs, objective, pampa_node, settings, submission, team};
 use crate::wire::{V, ask, decode, encode, map, serve, t};
 use crate::world::{
     Deployment, Job, Record, Users, World, cloud, lock, machine, run_world, state_service,
@@ -64,7 +64,7 @@
 pub fn run(record: &Arc<Record>, dir: &Path, trouble: bool) -> Option<bool> {
     let lowered = Arc::new(AtomicBool::new(false));
     let refused = Arc::new(AtomicU32::new(0));
-    let world = World::new(record, 1.0, 10.0, 30.0, 8.0);
+    let world = World::new(record, 1.0, LEASE_S, 30.0, 8.0);
     let (_state, state) = state_service(dir);
     let state = gate(record, state, &lowered, &refused);
     let cloud = cloud(&world, pampa_node(&ZONES));
--- a/review/stand/cases/mark.rs
+++ b/review/stand/cases/mark.rs
@@ -1,7 +1,7 @@
 //! The answer to a transaction of deletions is lost once; then the state service is killed and
 //! started again from its store.
 
-use super::{Needs, objective, pampa_node, settings, submission, team};
+use super::{LEASE_S, Needs, objective, pampa_node, settings, submission, team};
 use crate::wire::{V, ask, decode, serve};
 use crate::world::{
     Deployment, Job, Record, Users, World, cloud, lock, machine, run_world, state_service,
@@ -70,7 +70,7 @@
 
 pub fn run(record: &Arc<Record>, dir: &Path, trouble: bool) -> Option<bool> {
     let deletions = Arc::new(AtomicU32::new(0));
-    let world = World::new(record, 1.0, 10.0, 30.0, 8.0);
+    let world = World::new(record, 1.0, LEASE_S, 30.0, 8.0);
     let (mut service, addr) = state_service(dir);
     let state = gate(record, addr, trouble, &deletions);
     let cloud = cloud(&world, pampa_node(&ZONES));
--- a/review/stand/cases/mod.rs
+++ b/review/stand/cases/mod.rs
@@ -6,6 +6,9 @@
 
 use crate::wire::{V, map, t};
 
+/// `lease_s` of casa-segura.
+pub const LEASE_S: f64 = 1e1;
+
 /// Objectives of the kinds that the deploy page shows.
 pub fn objective(kind: &str, class: &str, within_s: f64, share: f64) -> V {
     let mut o = vec![
@@ -40,7 +43,7 @@
             "workers",
             map(vec![
                 ("report_s", V::Num(1.0)),
-                ("lease_s", V::Num(10.0)),
+                ("lease_s", V::Num(LEASE_S)),
                 ("gang_wait_s", V::Num(30.0)),
                 ("gang_peer_s", V::Num(8.0)),
                 ("cancel_s", V::Num(40.0)),
@@ -72,7 +75,7 @@
         ("memory_gb", V::Num(192.0)),
         ("cache_gb", V::Num(80.0)),
         ("fetch_gb_per_s", V::Num(0.6)),
-        ("rate", V::Num(10.74)),
+        ("rate", V::Num(1074.0 / 100.0)),
         ("low_price", V::Num(2.64)),
         ("startup_s", V::Num(25.0)),
         ("yards", V::List(zones.iter().map(|z| t(*z)).collect())),
--- a/review/stand/world.rs
+++ b/review/stand/world.rs
@@ -12,7 +12,7 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
-/// What was sent, answered and run, with seconds since the start.
+/// What was sent, answered and run, with milliseconds since the start.
 pub struct Record {
     file: Mutex<File>,
     pub begun: Instant,
@@ -30,7 +30,7 @@
         self.begun.elapsed().as_secs_f64()
     }
     pub fn say(&self, text: impl AsRef<str>) {
-        let line = format!("{:8.3} {}\n", self.at(), text.as_ref());
+        let line = format!("{:6} ms  {}\n", (self.at() * 1000.0) as u64, text.as_ref());
         let mut f = self.file.lock().unwrap_or_else(|e| e.into_inner());
         let _ = f.write_all(line.as_bytes());
     }
