Key-value store and simulator: limits that change while the service runs

Change: `Service::set_limits` and `TokenBucket::set_rate` change limits from now on, stored values stay readable. The simulator has the fault `state_limits` (for a time or for good), and `cluster.state.next` announces limits in the controllers' settings. Controllers are unchanged.

--- a/crates/kvstore/src/service/mod.rs
+++ b/crates/kvstore/src/service/mod.rs
@@ -139,6 +139,14 @@
         self.watches_outdated = true;
     }
 
+    /// Changes the limits from now on. Stored values that exceed them stay readable.
+    pub fn set_limits(&mut self, now: Time, limits: Limits) {
+        self.limits = limits;
+        self.request_limiter.set_rate(now, limits.rps, limits.rps);
+        self.write_limiter
+            .set_rate(now, limits.write_rps, limits.write_rps);
+    }
+
     /// Starts or stops refusing one client's requests with 503. Leases that the
     /// client has been granted expire as they otherwise would.
     pub fn set_client_refused(&mut self, client: ClientId, refused: bool) {
--- a/crates/kvstore/tests/protocol.rs
+++ b/crates/kvstore/tests/protocol.rs
@@ -291,6 +291,41 @@
     assert_eq!(reads.iter().filter(|ok| **ok).count(), 5);
 }
 
+// A store whose limits were lowered still serves what was stored under the old ones.
+#[test]
+fn lowered_limits_apply_to_new_writes_alone() {
+    let mut s = service();
+    let long = "x".repeat(3000);
+    let put_long = |key: &str| Operation::Put {
+        key: key.into(),
+        value: serde_json::json!(long),
+        lease: None,
+    };
+    let transaction = |ops| txn(&[], ops);
+    assert_eq!(commit(&mut s, 0, transaction(vec![put_long("old")])).0, 200);
+    let lowered = Limits {
+        write_rps: 5.0,
+        value_bytes: 2048,
+        txn_ops: 2,
+        ..LIMITS
+    };
+    s.set_limits(at_ms(0), lowered);
+    assert!(get(&mut s, 0, "old").is_some());
+    assert_eq!(commit(&mut s, 0, transaction(vec![put_long("new")])).0, 400);
+    let three = (0..3).map(|n| put(&format!("k{n}"), 1, None)).collect();
+    assert_eq!(commit(&mut s, 0, transaction(three)).0, 400);
+    let two = || (0..2).map(|n| put(&format!("k{n}"), 1, None)).collect();
+    let statuses: Vec<u16> = (0..3)
+        .map(|_| commit(&mut s, 0, transaction(two())).0)
+        .collect();
+    assert_eq!(statuses, [200, 200, 429]);
+    s.set_limits(at_ms(0), LIMITS);
+    assert_eq!(
+        commit(&mut s, 1000, transaction(vec![put_long("new")])).0,
+        200
+    );
+}
+
 // A lease that expires early would allow two leaders. A lease that expires during an
 // outage would delete the leader key of a leader that could not renew it.
 #[test]
--- a/crates/simulator/src/layout.rs
+++ b/crates/simulator/src/layout.rs
@@ -45,7 +45,10 @@
                 "gang_wait_s": c.workers.gang_wait_s, "gang_peer_s": c.workers.gang_peer_s,
                 "cancel_s": c.workers.cancel_s,
             },
-            "state": {"rps": c.state.rps, "write_rps": c.state.write_rps, "value_kb": 8.0, "txn_ops": TXN_OPS},
+            "state": {
+                "rps": c.state.rps, "write_rps": c.state.write_rps, "value_kb": 8.0, "txn_ops": TXN_OPS,
+                "next": c.state.next,
+            },
             "cloud": {"rps": c.cloud.rps, "list_lag_s": c.cloud.list_lag_s},
             "quota": {"core_share": 1.0, "ram_mb": 200.0, "max_sockets": 4000},
             "clock_error_ms": 1000.0,
--- a/crates/simulator/src/script.rs
+++ b/crates/simulator/src/script.rs
@@ -146,6 +146,9 @@
     pub rps: f64,
     /// Changes a second.
     pub write_rps: f64,
+    /// Limits that the controllers' settings announce.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub next: Option<NextStateLimits>,
 }
 
 impl Default for StateLimits {
@@ -153,10 +156,23 @@
         StateLimits {
             rps: 200.0,
             write_rps: 80.0,
+            next: None,
         }
     }
 }
 
+/// Limits that the state service will have from an unknown time on.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct NextStateLimits {
+    /// Maximum size of a value, in KiB.
+    pub value_kb: f64,
+    /// Maximum puts and deletes in one transaction.
+    pub txn_ops: u32,
+    /// Maximum puts and deletes per second.
+    pub write_rps: f64,
+}
+
 /// The cloud's interface.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields, default)]
@@ -647,6 +663,18 @@
         /// How long.
         for_s: f64,
     },
+    /// The state service has other limits. What is stored stays readable.
+    StateLimits {
+        /// Maximum size of a value, in KiB.
+        value_kb: f64,
+        /// Maximum puts and deletes in one transaction.
+        txn_ops: u32,
+        /// Maximum puts and deletes per second.
+        write_rps: f64,
+        /// How long; 0: to the end.
+        #[serde(default)]
+        for_s: f64,
+    },
     /// The state service refuses controllers.
     StateRefuses {
         /// Which.
--- a/crates/simulator/src/script/check.rs
+++ b/crates/simulator/src/script/check.rs
@@ -215,6 +215,24 @@
                     path!["faults", i, "nodes"],
                     format!("no controller {n}; they are 0 to {}", nodes - 1),
                 ),
+                What::StateLimits {
+                    value_kb,
+                    txn_ops,
+                    write_rps,
+                    ..
+                } => {
+                    let limits = [
+                        ("value_kb", *value_kb),
+                        ("txn_ops", f64::from(*txn_ops)),
+                        ("write_rps", *write_rps),
+                    ];
+                    for (name, limit) in limits.into_iter().filter(|(_, limit)| *limit <= 0.0) {
+                        bad(
+                            path!["faults", i, name],
+                            format!("{limit} is no limit; it has to be above 0"),
+                        );
+                    }
+                }
                 What::Roll {
                     build: Some(name), ..
                 } if self.build(Some(name)).is_none() => bad(
--- a/crates/simulator/src/stand.rs
+++ b/crates/simulator/src/stand.rs
@@ -164,6 +164,7 @@
     StateOut,
     StateBack,
     StateFull,
+    StateLimits,
     StateRefuses(Vec<usize>),
     CloudOut,
     CloudShort,
@@ -219,6 +220,8 @@
     labels: Vec<NodeId>,
     store: Store,
     state: Option<Service<Disk>>,
+    /// The state service's limits now.
+    state_limits: Limits,
     /// The state service was told to end with its next write.
     dying: Option<TimeSpan>,
     state_calls: BTreeMap<u64, StateCall>,
@@ -298,6 +301,7 @@
         let mut stand = Stand {
             labels: (0..nodes).map(label).collect(),
             state: None,
+            state_limits: Stand::usual_state_limits(&script),
             dying: None,
             state_calls: BTreeMap::new(),
             cloud,
@@ -340,14 +344,18 @@
     }
 
     fn open_state(&self, now: Time) -> Result<Service<Disk>, StorageError> {
-        let s = &self.script.cluster.state;
-        let limits = Limits {
-            rps: s.rps,
-            write_rps: s.write_rps,
+        Service::open(self.store.disk(), self.state_limits, now)
+    }
+
+    /// The state service's limits while no fault changes them.
+    fn usual_state_limits(script: &Script) -> Limits {
+        let state = &script.cluster.state;
+        Limits {
+            rps: state.rps,
+            write_rps: state.write_rps,
             value_bytes: VALUE_BYTES,
             txn_ops: TXN_OPS,
-        };
-        Service::open(self.store.disk(), limits, now)
+        }
     }
 
     /// A controller's name.
--- a/crates/simulator/src/stand/faults.rs
+++ b/crates/simulator/src/stand/faults.rs
@@ -7,11 +7,12 @@
 use crate::worker::HEARTBEAT_TIMEOUT;
 use pebblefold_controller::types::{Time, TimeSpan};
 use pebblefold_kvstore::faulty_disk::UnsyncedWrites;
-use pebblefold_kvstore::{ClientId, RequestId};
+use pebblefold_kvstore::{ClientId, Limits, RequestId};
 use rand::RngExt;
 
 /// A job with less to go than this is not called off by `cancel_now`.
 const LONG_TO_GO_S: f64 = 12.0;
+const BYTES_PER_KB: f64 = 1024.0;
 /// Machines that hang with it at the most.
 const MOST_HUNG: usize = 8;
 
@@ -258,6 +259,23 @@
                 }
             }
             What::StateOut { for_s } => self.state_out(now, *for_s, Heal::StateOut),
+            What::StateLimits {
+                value_kb,
+                txn_ops,
+                write_rps,
+                for_s,
+            } => {
+                let limits = Limits {
+                    write_rps: *write_rps,
+                    value_bytes: (value_kb * BYTES_PER_KB) as usize,
+                    txn_ops: *txn_ops as usize,
+                    ..Stand::usual_state_limits(&self.script)
+                };
+                self.set_state_limits(now, limits);
+                if *for_s > 0.0 {
+                    self.heal_at(until(*for_s), Heal::StateLimits);
+                }
+            }
             What::StateFull { for_s } => match &self.store {
                 Store::Memory(disk) => {
                     disk.set_full(true);
@@ -357,6 +375,13 @@
         }
     }
 
+    fn set_state_limits(&mut self, now: Time, limits: Limits) {
+        self.state_limits = limits;
+        if let Some(state) = &mut self.state {
+            state.set_limits(now, limits);
+        }
+    }
+
     pub(super) fn state_out(&mut self, now: Time, for_s: f64, heal: Heal) {
         if let Some(s) = &mut self.state {
             s.set_outage(now, true);
@@ -376,6 +401,10 @@
                     s.set_outage(now, false);
                 }
             }
+            Heal::StateLimits => {
+                let limits = Stand::usual_state_limits(&self.script);
+                self.set_state_limits(now, limits);
+            }
             Heal::StateBack => {
                 if let Store::Memory(disk) = &self.store {
                     disk.restore_power();
--- a/crates/wire/src/rate_limit.rs
+++ b/crates/wire/src/rate_limit.rs
@@ -30,6 +30,14 @@
         self.refilled_at = self.refilled_at.max(now);
     }
 
+    /// Changes the rate and the burst from now on. Tokens beyond the new burst are lost.
+    pub fn set_rate(&mut self, now: Time, rate_per_s: f64, burst: f64) {
+        self.refill(now);
+        self.rate_per_s = rate_per_s;
+        self.burst = burst;
+        self.level = self.level.min(burst);
+    }
+
     /// The most tokens that the bucket holds.
     pub fn burst(&self) -> f64 {
         self.burst
--- a/crates/wire/src/rate_limit/tests.rs
+++ b/crates/wire/src/rate_limit/tests.rs
@@ -11,3 +11,19 @@
     }
     assert!((119..=120).contains(&taken), "{taken}");
 }
+
+#[test]
+fn changed_rate_applies_from_then_on() {
+    let mut bucket = TokenBucket::new(10.0, 20.0);
+    let second = |n: u64| Time(n * 1_000_000);
+    bucket.set_rate(second(1), 2.0, 4.0);
+    assert_eq!(
+        bucket.level(second(1)),
+        4.0,
+        "tokens beyond the new burst are lost"
+    );
+    assert!(bucket.try_take(second(1), 4.0));
+    assert_eq!(bucket.level(second(2)), 2.0);
+    bucket.set_rate(second(2), 10.0, 20.0);
+    assert_eq!(bucket.level(second(3)), 12.0);
+}
