--- a/crates/controller/src/core/autoscaler/intents.rs
+++ b/crates/controller/src/core/autoscaler/intents.rs
@@ -86,6 +86,11 @@
         }
     }
 
+    /// Changes the limit on the size of records, which the key-value store may change.
+    pub fn set_value_bytes(&mut self, value_bytes: usize) {
+        self.value_bytes = value_bytes;
+    }
+
     /// Creates the name of a new intent. The fencing token makes the name unique among all
     /// leaders, so a late request can't be mistaken for another one.
     fn next_name(&mut self) -> String {
--- a/crates/controller/src/core/autoscaler/intents/terminations.rs
+++ b/crates/controller/src/core/autoscaler/intents/terminations.rs
@@ -8,6 +8,7 @@
 use serde::Deserialize;
 use serde_json::Value;
 use std::collections::BTreeMap;
+use std::iter::Peekable;
 
 /// Most machines named in one call to terminate.
 pub const MAX_MACHINES_PER_TERMINATION: usize = 100;
@@ -88,22 +89,53 @@
         &mut self,
         machines: impl Iterator<Item = (MachineId, &'static str)>,
         wall: WallTime,
+    ) {
+        let machines = machines.map(|(machine, reason)| (machine, reason.to_string()));
+        self.add_termination(&mut machines.peekable(), wall);
+    }
+
+    /// Replaces an intent that is neither stored nor requested, and whose record `stored`
+    /// under `key` is too large, by intents with smaller records. Returns whether `key` is
+    /// a termination intent's.
+    pub fn divide_termination(&mut self, key: &str, stored: &Value) -> bool {
+        let Some(IntentKey::Termination(name)) = IntentKey::parse(key) else {
+            return false;
+        };
+        let Ok(record) = TerminationRecord::deserialize(stored) else {
+            return false;
+        };
+        self.terminations.remove(name);
+        let by_reason = record.machines_by_reason.into_iter();
+        let mut machines = by_reason
+            .flat_map(|(reason, machines)| machines.into_iter().map(move |m| (m, reason.clone())))
+            .peekable();
+        while machines.peek().is_some() {
+            self.add_termination(&mut machines, record.decided_at);
+        }
+        true
+    }
+
+    /// Adds an intent to terminate the next of these machines, as many as fit into one
+    /// record and at least one.
+    fn add_termination(
+        &mut self,
+        machines: &mut Peekable<impl Iterator<Item = (MachineId, String)>>,
+        wall: WallTime,
     ) {
         let mut machines_by_reason: BTreeMap<String, Vec<MachineId>> = BTreeMap::new();
-        let mut chosen = Vec::new();
+        let mut chosen: Vec<MachineId> = Vec::new();
         let mut bytes = RECORD_FRAMING_BYTES;
-        for (machine, reason) in machines {
+        while let Some((machine, reason)) = machines.next_if(|(machine, reason)| {
             bytes += machine.as_str().len() + MACHINE_FRAMING_BYTES;
             if !machines_by_reason.contains_key(reason) {
                 bytes += reason.len() + REASON_FRAMING_BYTES;
             }
-            if chosen.len() >= MAX_MACHINES_PER_TERMINATION || bytes > self.value_bytes {
-                break;
-            }
-            let with_same_reason = machines_by_reason.entry(reason.into()).or_default();
-            with_same_reason.push(machine.clone());
+            let has_room = chosen.len() < MAX_MACHINES_PER_TERMINATION && bytes <= self.value_bytes;
+            has_room || chosen.is_empty()
+        }) {
             self.terminating.insert(machine.clone(), None);
-            chosen.push(machine);
+            chosen.push(machine.clone());
+            machines_by_reason.entry(reason).or_default().push(machine);
         }
         if chosen.is_empty() {
             return;
--- a/crates/controller/src/core/effects.rs
+++ b/crates/controller/src/core/effects.rs
@@ -8,7 +8,8 @@
 pub use pending_calls::PendingCalls;
 pub use response_times::RequestKind;
 
-use super::{Answer, Call, CallId, LeaseKeepAlive, Now, Output, RequestId, Target};
+use super::store_limits::{Division, RefusalCause, StoreLimits, TransactionSize};
+use super::{Answer, Call, CallId, LeaseKeepAlive, Now, Output, Reply, RequestId, Target};
 use crate::settings::Settings;
 use crate::types::{AgentEpoch, FencingToken, Time, TimeSpan, Version, WallTime};
 use crate::wire;
@@ -31,8 +32,6 @@
 const LEADER_CALL_SHARE: f64 = 0.12;
 /// Minimum rate limit of the leader's commits.
 const MIN_LEADER_CALLS_PER_S: f64 = 2.0;
-/// Maximum preconditions of a transaction for each operation that it may have.
-const CONDITIONS_PER_OPERATION: usize = 4;
 /// Timeout of commands pushed to an agent.
 const COMMANDS_TIMEOUT: TimeSpan = TimeSpan::millis(4000);
 
@@ -46,8 +45,8 @@
     pub rng: StdRng,
     /// Rate limit of calls to the key-value store that users' requests cause.
     pub user_calls: TokenBucket,
-    /// Maximum number of preconditions of one transaction.
-    pub max_conditions: usize,
+    /// The key-value store's limits on transactions, values and writes.
+    pub store_limits: StoreLimits,
     /// Rate limit of writes to the key-value store that users' requests cause.
     pub user_writes: TokenBucket,
     /// Rate limit of the leader's commits.
@@ -61,17 +60,28 @@
     outputs: Vec<Output>,
     next_call_id: u64,
     response_times: ResponseTimes,
+    /// Number of controllers, which share the store's rates.
+    controllers: u32,
+}
+
+/// This controller's part of a rate that all controllers share, in 1/s.
+fn per_controller(controllers: u32, rate: f64) -> f64 {
+    (rate / f64::from(controllers)).max(1.0)
+}
+
+/// This controller's rate limit of writes that users' requests cause, in operations per
+/// second.
+fn user_write_rate(controllers: u32, write_rps: f64) -> f64 {
+    per_controller(controllers, write_rps * USER_WRITE_SHARE).max(MIN_USER_WRITES_PER_S)
 }
 
 impl Effects {
     /// Effects without outputs, and with full token buckets.
     pub(crate) fn new(settings: &Settings, seed: u64) -> Effects {
         let limits = settings.state_limits;
-        let controllers = f64::from(settings.size);
-        let per_controller = |rate: f64, share: f64| (rate * share / controllers).max(1.0);
-        let user_calls = per_controller(limits.rps, USER_CALL_SHARE);
-        let user_writes =
-            per_controller(limits.write_rps, USER_WRITE_SHARE).max(MIN_USER_WRITES_PER_S);
+        let controllers = settings.size;
+        let user_calls = per_controller(controllers, limits.rps * USER_CALL_SHARE);
+        let user_writes = user_write_rate(controllers, limits.write_rps);
         let leader_calls = (limits.rps * LEADER_CALL_SHARE).max(MIN_LEADER_CALLS_PER_S);
         Effects {
             now: Now {
@@ -80,7 +90,7 @@
             },
             rng: StdRng::seed_from_u64(seed),
             user_calls: TokenBucket::new(user_calls, user_calls),
-            max_conditions: limits.txn_ops * CONDITIONS_PER_OPERATION,
+            store_limits: StoreLimits::new(settings),
             user_writes: TokenBucket::new(user_writes, user_writes),
             leader_calls: TokenBucket::new(leader_calls, leader_calls),
             version_fence: None,
@@ -88,6 +98,7 @@
             outputs: Vec::new(),
             next_call_id: 1,
             response_times: ResponseTimes::default(),
+            controllers,
         }
     }
 
@@ -107,6 +118,46 @@
     }
 }
 
+/// Limits of the key-value store.
+impl Effects {
+    /// Records that the store refused a transaction of this size with status 400.
+    pub fn record_store_refusal(
+        &mut self,
+        size: TransactionSize,
+        division: Division,
+    ) -> RefusalCause {
+        let now = self.now.time;
+        let cause = self.store_limits.record_refusal(now, size, division);
+        self.apply_write_rate();
+        cause
+    }
+
+    /// Records what the reply to a write shows of the store's rate limits.
+    pub fn record_write_reply(&mut self, reply: &Reply) {
+        match reply {
+            Reply::Answer(200 | 409, _) => self.store_limits.record_success(),
+            Reply::Answer(429, _) => {
+                self.store_limits.record_rate_refusal(self.now.time);
+                self.apply_write_rate();
+            }
+            _ => {}
+        }
+    }
+
+    /// Tries higher limits of the store again, if it is time.
+    pub fn raise_store_limits_if_due(&mut self) {
+        self.store_limits.raise_if_due(self.now.time);
+        self.apply_write_rate();
+    }
+
+    fn apply_write_rate(&mut self) {
+        let rate = user_write_rate(self.controllers, self.store_limits.write_rps());
+        if rate != self.user_writes.burst() {
+            self.user_writes.set_rate(self.now.time, rate, rate);
+        }
+    }
+}
+
 /// Calls.
 impl Effects {
     /// Outputs a call. A caller that needs the reply adds the id to its [`PendingCalls`].
--- a/crates/controller/src/core/election/claim.rs
+++ b/crates/controller/src/core/election/claim.rs
@@ -12,7 +12,7 @@
 use crate::wire;
 use crate::wire::kvstore::{
     Entry, EntryPage, LeaseGrant, LeaseGrantRequest, Operation, Precondition, Transaction,
-    TransactionResponse,
+    TransactionResponse, error_text,
 };
 use rand::RngExt;
 
@@ -122,6 +122,10 @@
             // the stored record shows whether it was.
             Reply::OutcomeUnknown => self.read_keys(effects, PendingCall::ReadAfterClaim { lease }),
             _ => {
+                if let Reply::Answer(400, body) = reply {
+                    let error = error_text(body);
+                    tracing::error!(error, "the key-value store refuses the claim of leadership");
+                }
                 self.revoke_lease(effects, lease);
                 if self.claims_as_leader {
                     self.resume_leading();
--- a/crates/controller/src/core/election/leader_key.rs
+++ b/crates/controller/src/core/election/leader_key.rs
@@ -10,7 +10,7 @@
 use crate::types::{FencingToken, Time, TimeSpan, Version};
 use crate::wire;
 use crate::wire::kvstore::{
-    EntryPage, Transaction, TransactionResponse, WatchEvent, WatchResponse,
+    EntryPage, Transaction, TransactionResponse, WatchEvent, WatchResponse, error_text,
 };
 
 /// How long the key-value store holds a watch open while there are no changes.
@@ -109,6 +109,12 @@
                     self.state = ElectionState::Unknown;
                 }
             }
+            Reply::Answer(400, body) => {
+                let error = error_text(body);
+                tracing::error!(error, "the key-value store refuses the member record");
+                self.member_versions.omit_own_policy();
+                self.restart_with_backoff(effects);
+            }
             // A compared key changed meanwhile, or this record was stored although the
             // reply was lost: a read shows which.
             _ => self.restart_with_backoff(effects),
--- a/crates/controller/src/core/format_version/member_versions.rs
+++ b/crates/controller/src/core/format_version/member_versions.rs
@@ -289,6 +289,15 @@
         })
     }
 
+    /// Omits the policy from this controller's member record, as the key-value store
+    /// refuses the whole record. The policy is informational, while a controller without a
+    /// member record may not serve.
+    pub fn omit_own_policy(&mut self) {
+        if let Some(own_record) = &mut self.own_record {
+            own_record.policy.clear();
+        }
+    }
+
     /// Records that this controller's registration was stored, at this version of its key.
     pub fn record_registration(&mut self, version: Version) {
         let member = StoredMember {
--- a/crates/controller/src/core/job_api.rs
+++ b/crates/controller/src/core/job_api.rs
@@ -11,14 +11,16 @@
 
 use super::effects::{Effects, PendingCalls};
 use super::format_version::member_versions;
-use super::job_records::{self, HeaderStage, JobHeader};
+use super::job_records::{self, HeaderStage, JobHeader, TransactionLimits};
 use super::read_coalescing::{ReadCoalescer, VersionComparison};
 use super::{Reply, RequestId, Target};
 use crate::types::{JobId, TimeSpan, Version};
 use crate::wire;
 use crate::wire::kvstore::{Entry, Transaction};
+use crate::wire::users::Submission;
 use answers::{FinishedJobs, TaskCounts, refuse};
 use std::collections::BTreeMap;
+use std::rc::Rc;
 
 /// Most jobs whose task counts are kept.
 const MAX_JOBS_WITH_COUNTS: usize = 4000;
@@ -32,6 +34,7 @@
 const COMMIT_TIMEOUT: TimeSpan = TimeSpan::millis(800);
 
 const STORE_UNREACHABLE: &str = "the state service does not answer";
+const STORE_REFUSES: &str = "the state service refuses the change";
 const NO_SUCH_JOB: &str = "no such job";
 
 /// The call that a user's request currently waits for.
@@ -44,10 +47,10 @@
     RejectUnlessKnown(JobId, Rejection),
     /// The transaction that accepts a job.
     Accept {
-        /// The job.
-        id: JobId,
-        /// The job's number of tasks.
-        tasks: u32,
+        /// The job's submission.
+        job: Rc<Submission>,
+        /// The limits within which the transaction was built.
+        limits: TransactionLimits,
     },
     /// A read of the header of a job whose acceptance got no answer or conflicted with
     /// another write.
@@ -151,8 +154,13 @@
         step: Step,
         reply: Reply,
     ) {
+        if matches!(step, Step::Accept { .. } | Step::Cancel { .. }) {
+            effects.record_write_reply(&reply);
+        }
         match step {
-            Step::Accept { id, tasks } => self.handle_accept(effects, request, id, tasks, reply),
+            Step::Accept { job, limits } => {
+                self.handle_accept(effects, request, job, limits, reply);
+            }
             Step::Cancel { id, retries_left } => {
                 self.handle_cancel(effects, request, id, retries_left, &reply);
             }
--- a/crates/controller/src/core/job_api/cancel.rs
+++ b/crates/controller/src/core/job_api/cancel.rs
@@ -2,11 +2,12 @@
 //! condition that it is unchanged.
 
 use super::answers::refuse;
-use super::{JobApi, NO_SUCH_JOB, STORE_UNREACHABLE, Step, StoredHeader};
+use super::{JobApi, NO_SUCH_JOB, STORE_REFUSES, STORE_UNREACHABLE, Step, StoredHeader};
 use crate::core::effects::Effects;
 use crate::core::job_records::{self, HeaderStage, JobHeader};
 use crate::core::{Reply, RequestId};
 use crate::types::{JobId, Version};
+use crate::wire::kvstore::error_text;
 use crate::wire::users::is_valid_job_id;
 
 /// Most retries of a cancellation that conflicts with other writes or whose answer is
@@ -75,6 +76,12 @@
             Reply::Answer(409, _) | Reply::OutcomeUnknown if retries_left > 0 => {
                 self.read_for_cancel(effects, request, &id, retries_left - 1);
             }
+            // Two operations with small values are within any limit on sizes.
+            Reply::Answer(400, body) => {
+                let error = error_text(body);
+                tracing::error!(job = %id, error, "the key-value store refuses a cancellation");
+                refuse(effects, request, 503, STORE_REFUSES);
+            }
             _ => refuse(effects, request, 503, STORE_UNREACHABLE),
         }
     }
--- a/crates/controller/src/core/job_api/poll.rs
+++ b/crates/controller/src/core/job_api/poll.rs
@@ -7,9 +7,11 @@
 use crate::core::failpoints::{self, SafetyCheck};
 use crate::core::job_records::{HeaderStage, JobHeader};
 use crate::core::read_coalescing::VersionComparison;
+use crate::core::store_limits::{Division, RefusalCause};
 use crate::core::{Reply, RequestId, Target};
 use crate::types::{JobId, TimeSpan};
 use crate::wire;
+use crate::wire::kvstore::error_text;
 use crate::wire::users::is_valid_job_id;
 
 /// The share of the users' rate limit that shared reads may use.
@@ -51,7 +53,9 @@
         for poll in self.open_jobs.take_overdue(now) {
             refuse(effects, poll.request, 503, STORE_UNREACHABLE);
         }
-        let next = self.open_jobs.next_comparison(now, effects.max_conditions);
+        let next = self
+            .open_jobs
+            .next_comparison(now, effects.store_limits.preconditions());
         let Some((txn, comparison)) = next else {
             return;
         };
@@ -80,7 +84,11 @@
         let reads_per_second = (effects.user_calls.burst() * SHARED_READ_SHARE).max(1.0);
         let pause = TimeSpan::secs(1.0 / reads_per_second);
         let now = effects.now.time;
-        let result = self.open_jobs.handle_reply(now, pause, comparison, reply);
+        let result = if self.is_too_large(effects, &comparison, reply) {
+            self.open_jobs.retry_with_fewer_jobs(now, pause, comparison)
+        } else {
+            self.open_jobs.handle_reply(now, pause, comparison, reply)
+        };
         for poll in result.open {
             // The job may have been cancelled through this controller while the reply was
             // in transit.
@@ -97,4 +105,24 @@
         }
         self.send_shared_read(effects);
     }
+
+    /// Whether a comparison was refused for its size, which lowers the limit on the next one.
+    fn is_too_large(
+        &self,
+        effects: &mut Effects,
+        comparison: &VersionComparison,
+        reply: &Reply,
+    ) -> bool {
+        let Reply::Answer(400, body) = reply else {
+            return false;
+        };
+        let size = comparison.size();
+        let parts = Division::Parts(size.preconditions);
+        if effects.record_store_refusal(size, parts) == RefusalCause::TooLarge {
+            return true;
+        }
+        let error = error_text(body);
+        tracing::error!(error, "the key-value store refuses a comparison");
+        false
+    }
 }
--- a/crates/controller/src/core/job_api/submit.rs
+++ b/crates/controller/src/core/job_api/submit.rs
@@ -1,17 +1,19 @@
 //! Submissions: each is validated and then accepted by a single transaction.
 
 use super::answers::{answer_job, refuse};
-use super::{JobApi, Rejection, STORE_UNREACHABLE, Step};
+use super::{JobApi, Rejection, STORE_REFUSES, STORE_UNREACHABLE, Step};
 use crate::core::effects::Effects;
 use crate::core::failpoints::{self, SafetyCheck};
 use crate::core::job_records::{self, HeaderStage, JobHeader, TransactionLimits};
+use crate::core::store_limits::{Division, RefusalCause, TransactionSize};
 use crate::core::{Reply, RequestId};
-use crate::settings::Settings;
+use crate::settings::{Settings, StateLimits};
 use crate::types::{JobId, Resources};
 use crate::wire;
 use crate::wire::cloud::MachineTypes;
-use crate::wire::kvstore::TransactionResponse;
+use crate::wire::kvstore::{TransactionResponse, error_text};
 use crate::wire::users::{JobShape, JobStage, JobStatus, Submission, is_valid_job_id};
+use std::rc::Rc;
 
 /// The id of a submission that is otherwise malformed.
 #[derive(serde::Deserialize)]
@@ -47,6 +49,13 @@
     (!team.allows(&concurrent_resources)).then_some("the job needs more than its team's limit")
 }
 
+fn transaction_limits(limits: &StateLimits) -> TransactionLimits {
+    TransactionLimits {
+        ops: limits.txn_ops,
+        value_bytes: limits.value_bytes,
+    }
+}
+
 impl JobApi {
     /// Handles `POST /submissions`.
     pub fn submit(
@@ -79,29 +88,45 @@
         if let Some(rejection) = rejection {
             return self.reject_unless_known(effects, request, &job.id, rejection);
         }
-        self.accept(effects, request, &job, settings);
+        self.accept(effects, request, Rc::new(job));
+    }
+
+    /// Sends the transaction that accepts a job, within the store's limits in force.
+    fn accept(&mut self, effects: &mut Effects, request: RequestId, job: Rc<Submission>) {
+        let limits = transaction_limits(effects.store_limits.current());
+        let wall = effects.now.wall;
+        let Some(txn) = job_records::accept_transaction(&job, wall, limits) else {
+            let configured = transaction_limits(effects.store_limits.configured());
+            if job_records::accept_transaction(&job, wall, configured).is_some() {
+                // The store may raise its limits again, so the user is to retry.
+                return refuse(effects, request, 503, STORE_REFUSES);
+            }
+            let rejection = Rejection::Malformed("the submission is too large".into());
+            return self.reject_unless_known(effects, request, &job.id, rejection);
+        };
+        self.commit(effects, request, txn, Step::Accept { job, limits });
     }
 
-    fn accept(
+    /// Handles the refusal of an acceptance as too large or malformed, of which the store
+    /// has executed nothing: the submission is divided into smaller values. Each refusal
+    /// lowers a limit, so this ends.
+    fn handle_refused_accept(
         &mut self,
         effects: &mut Effects,
         request: RequestId,
-        job: &Submission,
-        settings: &Settings,
+        job: Rc<Submission>,
+        limits: TransactionLimits,
+        body: &[u8],
     ) {
-        let limits = TransactionLimits {
-            ops: settings.state_limits.txn_ops,
-            value_bytes: settings.state_limits.value_bytes,
-        };
-        let Some(txn) = job_records::accept_transaction(job, effects.now.wall, limits) else {
-            let rejection = Rejection::Malformed("the submission is too large".into());
-            return self.reject_unless_known(effects, request, &job.id, rejection);
-        };
-        let step = Step::Accept {
-            id: job.id.clone(),
-            tasks: job.tasks,
-        };
-        self.commit(effects, request, txn, step);
+        let txn = job_records::accept_transaction(&job, effects.now.wall, limits);
+        let size = txn.as_ref().map(TransactionSize::of).unwrap_or_default();
+        let cause = effects.record_store_refusal(size, Division::Values);
+        if cause == RefusalCause::TooLarge {
+            return self.accept(effects, request, job);
+        }
+        let error = error_text(body);
+        tracing::error!(job = %job.id, error, "the key-value store refuses a submission");
+        refuse(effects, request, 503, STORE_REFUSES);
     }
 
     fn reject_undecodable(&mut self, effects: &mut Effects, request: RequestId, body: &[u8]) {
@@ -137,8 +162,8 @@
         &mut self,
         effects: &mut Effects,
         request: RequestId,
-        id: JobId,
-        tasks: u32,
+        job: Rc<Submission>,
+        limits: TransactionLimits,
         reply: Reply,
     ) {
         let reply = match reply {
@@ -149,11 +174,15 @@
             }
             reply => reply,
         };
+        let id = job.id.clone();
         let open = JobHeader {
             stage: HeaderStage::Open,
-            task_count: tasks,
+            task_count: job.tasks,
         };
         match reply {
+            Reply::Answer(400, body) => {
+                self.handle_refused_accept(effects, request, job, limits, &body);
+            }
             Reply::Answer(200, body) => self.answer_accepted(effects, request, id, open, &body),
             // The conflict may come from an earlier copy of this submission, from a
             // submission through another controller, or from a later end of the job: only
--- a/crates/controller/src/core/job_api/tests.rs
+++ b/crates/controller/src/core/job_api/tests.rs
@@ -1,8 +1,9 @@
-use super::super::Output;
+use super::super::{CallId, Output};
 use super::*;
-use crate::testing::effects_at;
+use crate::core::store_limits::TransactionSize;
+use crate::testing::{effects_at, submission};
 use crate::wire::kvstore::TransactionResponse;
-use crate::wire::users::{JobStage, JobStatus};
+use crate::wire::users::{JobShape, JobStage, JobStatus};
 
 // A poll's read that was answered only after a cancellation had been confirmed returned
 // the older state.
@@ -45,6 +46,17 @@
         .collect()
 }
 
+/// The acceptance of job `wk-1` with three tasks.
+fn accept_step() -> Step {
+    Step::Accept {
+        job: Rc::new(submission("wk-1", JobShape::Array, 3)),
+        limits: TransactionLimits {
+            ops: 48,
+            value_bytes: 8192,
+        },
+    }
+}
+
 fn cancelled_header() -> Reply {
     let header = Entry {
         key: "job/wk-1".into(),
@@ -71,15 +83,7 @@
         Step::Poll(id.clone()),
         cancelled_header(),
     );
-    job_api.handle_step_reply(
-        &mut effects,
-        RequestId(2),
-        Step::Accept {
-            id: id.clone(),
-            tasks: 3,
-        },
-        committed(),
-    );
+    job_api.handle_step_reply(&mut effects, RequestId(2), accept_step(), committed());
     assert_eq!(
         take_answers(&mut effects),
         [
@@ -97,15 +101,7 @@
 fn earlier_read_does_not_hide_accepted_job() {
     let (mut effects, mut job_api) = (effects_at(1.0), JobApi::default());
     let id = JobId::from("wk-1");
-    job_api.handle_step_reply(
-        &mut effects,
-        RequestId(1),
-        Step::Accept {
-            id: id.clone(),
-            tasks: 3,
-        },
-        committed(),
-    );
+    job_api.handle_step_reply(&mut effects, RequestId(1), accept_step(), committed());
     let not_found = || Reply::Answer(404, Vec::new());
     for (n, step) in [
         Step::Poll(id.clone()),
@@ -170,3 +166,105 @@
         assert_eq!(take_answers(&mut effects), [(1, 400, None)]);
     }
 }
+
+/// The last call among the outputs, with the transaction that it commits.
+fn sent_transaction(effects: &mut Effects) -> Option<(CallId, Transaction)> {
+    let mut calls = effects.take_outputs().into_iter().filter_map(|o| match o {
+        Output::Call(call) => Some(call),
+        _ => None,
+    });
+    let call = calls.next_back()?;
+    let transaction = wire::decode(&call.body).expect("the call commits a transaction");
+    Some((call.id, transaction))
+}
+
+// The store lowers its limit on values. A submission that needs a larger value was refused
+// for as long as its user repeated it, and the job was lost.
+#[test]
+fn refused_submission_is_stored_in_smaller_values() {
+    for limit in [4096, 2048, 700] {
+        let (mut effects, mut job_api) = (effects_at(1.0), JobApi::default());
+        let mut job = submission("wk-1", JobShape::Array, 3);
+        let names = (0..150).map(|n| format!("type-{n:010}").as_str().into());
+        job.kinds = Some(names.collect());
+        let step = Step::Accept {
+            job: Rc::new(job),
+            limits: TransactionLimits {
+                ops: 48,
+                value_bytes: 8192,
+            },
+        };
+        let refused = || Reply::Answer(400, Vec::new());
+        job_api.handle_step_reply(&mut effects, RequestId(1), step, refused());
+        for _ in 0..10 {
+            let (id, transaction) = sent_transaction(&mut effects).expect("it is sent again");
+            let call = job_api
+                .pending_calls
+                .take(id)
+                .expect("its reply is awaited");
+            let is_too_large = TransactionSize::of(&transaction).largest_value_bytes > limit;
+            let reply = if is_too_large { refused() } else { committed() };
+            job_api.handle_reply(&mut effects, call, reply);
+            if !is_too_large {
+                break;
+            }
+        }
+        let answers = take_answers(&mut effects);
+        assert_eq!(answers, [(1, 201, Some(JobStage::Queued))], "{limit} bytes");
+    }
+}
+
+#[test]
+fn submission_refused_for_another_reason_is_not_rejected_for_good() {
+    let (mut effects, mut job_api) = (effects_at(1.0), JobApi::default());
+    let refused = Reply::Answer(400, Vec::new());
+    job_api.handle_step_reply(&mut effects, RequestId(1), accept_step(), refused);
+    assert_eq!(take_answers(&mut effects), [(1, 503, None)]);
+}
+
+// Polls of many jobs share a comparison. While one of more than 64 jobs was refused, every
+// poll in it was, again and again.
+#[test]
+fn refused_comparison_is_repeated_with_fewer_jobs() {
+    let (mut effects, mut job_api) = (effects_at(1.0), JobApi::default());
+    let open = JobHeader {
+        stage: HeaderStage::Open,
+        task_count: 1,
+    };
+    let mut answered = Vec::new();
+    for number in 0..150 {
+        let id = JobId::from(format!("wk-{number:03}").as_str());
+        job_api.open_jobs.cache_header(&id, open, Version(4));
+        let waits = job_api
+            .open_jobs
+            .enqueue(effects.now.time, RequestId(number), &id);
+        assert!(waits);
+    }
+    for _ in 0..100 {
+        effects.now.time = effects.now.time + TimeSpan::millis(5);
+        job_api.send_shared_read(&mut effects);
+        let Some((id, transaction)) = sent_transaction(&mut effects) else {
+            continue;
+        };
+        let call = job_api
+            .pending_calls
+            .take(id)
+            .expect("its reply is awaited");
+        let reply = match transaction.conditions.len() {
+            0..=64 => committed(),
+            _ => Reply::Answer(400, Vec::new()),
+        };
+        job_api.handle_reply(&mut effects, call, reply);
+        let outputs = effects.take_outputs();
+        for output in outputs {
+            match output {
+                Output::Answer(request, answer) => answered.push((request.0, answer.status)),
+                Output::Call(call) => panic!("no call is made at once: {call:?}"),
+                Output::LeaseKeepAlive(_) => {}
+            }
+        }
+    }
+    answered.sort_unstable();
+    let expected: Vec<(u64, u16)> = (0..150).map(|number| (number, 200)).collect();
+    assert_eq!(answered, expected);
+}
--- a/crates/controller/src/core/job_records.rs
+++ b/crates/controller/src/core/job_records.rs
@@ -23,7 +23,7 @@
 pub use leader_record::{LeaderRecord, leader_record_value};
 pub use submission::{SubmissionAssembler, accept_transaction, cancel_transaction};
 pub use transaction::{
-    BuiltTransaction, CommitItem, CommitPipeline, ConditionalWrite, TransactionBuilder,
+    AddError, BuiltTransaction, CommitItem, CommitPipeline, ConditionalWrite, TransactionBuilder,
     TransactionLimits,
 };
 pub use value::{json_len, read_record};
--- a/crates/controller/src/core/job_records/dirty_chunks.rs
+++ b/crates/controller/src/core/job_records/dirty_chunks.rs
@@ -17,11 +17,13 @@
     since: Time,
     /// Whether the changes include the start of a task.
     has_starts: bool,
+    /// Earliest time of the next write.
+    not_before: Time,
 }
 
 impl DirtyChunk {
     fn is_due(&self, now: Time) -> bool {
-        self.has_starts || now.since(self.since) >= SETTLE_TIME
+        now >= self.not_before && (self.has_starts || now.since(self.since) >= SETTLE_TIME)
     }
 }
 
@@ -41,6 +43,7 @@
         let dirty = self.chunks.entry(chunk).or_insert(DirtyChunk {
             since: now,
             has_starts: false,
+            not_before: now,
         });
         dirty.has_starts |= start;
     }
@@ -63,6 +66,13 @@
         due.into_iter().map(|(_, _, chunk)| chunk.clone()).collect()
     }
 
+    /// Postpones the write of a chunk that cannot be stored now.
+    pub fn postpone(&mut self, chunk: &(JobId, u32), until: Time) {
+        if let Some(dirty) = self.chunks.get_mut(chunk) {
+            dirty.not_before = until;
+        }
+    }
+
     /// Removes a chunk that is being written or no longer needs to be written.
     pub fn remove(&mut self, chunk: &(JobId, u32)) {
         self.chunks.remove(chunk);
--- a/crates/controller/src/core/job_records/job.rs
+++ b/crates/controller/src/core/job_records/job.rs
@@ -219,12 +219,18 @@
 
     /// Whether a chunk contains task starts that are neither stored nor sent.
     pub fn starts_in(&self, size: ChunkSize, chunk: u32) -> bool {
+        self.last_start_in(size, chunk).is_some()
+    }
+
+    /// The highest task of a chunk whose start is neither stored nor sent.
+    pub fn last_start_in(&self, size: ChunkSize, chunk: u32) -> Option<u32> {
         let stored = self
             .chunks
             .get(&chunk)
             .map_or(0, |chunk| chunk.last_stored_change);
         self.assignments
             .range(size.tasks_of(chunk))
-            .any(|(_, assignment)| assignment.is_unsent() && assignment.change > stored)
+            .rfind(|(_, assignment)| assignment.is_unsent() && assignment.change > stored)
+            .map(|(&task, _)| task)
     }
 }
--- a/crates/controller/src/core/job_records/transaction.rs
+++ b/crates/controller/src/core/job_records/transaction.rs
@@ -35,6 +35,14 @@
     }
 }
 
+/// Bytes of an operation's value, given those of the whole operation.
+fn value_bytes(operation: &Operation, operation_bytes: usize) -> usize {
+    match operation {
+        Operation::Put { key, .. } => operation_bytes - key.len() - PUT_FRAMING_BYTES,
+        Operation::Delete { .. } => 0,
+    }
+}
+
 fn precondition_bytes(precondition: &Precondition) -> usize {
     precondition.key.len() + PRECONDITION_FRAMING_BYTES
 }
@@ -111,6 +119,17 @@
     pub last_committed: Option<Time>,
 }
 
+/// Why a write cannot be added to a transaction.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum AddError {
+    /// The transaction has no room for the write; a later one may have.
+    #[error("the transaction is full")]
+    Full,
+    /// A value of the write is larger than the store accepts in any transaction.
+    #[error("a value is larger than the key-value store accepts")]
+    ValueTooLarge,
+}
+
 /// Collects writes up to the limits of one transaction.
 #[derive(Debug)]
 pub struct TransactionBuilder {
@@ -119,6 +138,8 @@
     /// Estimated size of all added writes, in bytes.
     bytes: usize,
     limits: TransactionLimits,
+    /// Maximum number of items.
+    max_items: usize,
 }
 
 impl TransactionBuilder {
@@ -140,33 +161,59 @@
             items: Vec::new(),
             bytes: 0,
             limits,
+            max_items: usize::MAX,
         }
     }
 
+    /// Limits the transaction to one item, to find out which item the store refuses.
+    pub fn allow_one_item(&mut self) {
+        self.max_items = 1;
+    }
+
     /// Whether no operation has been added yet.
     pub fn is_empty(&self) -> bool {
         self.transaction.ops.is_empty()
     }
 
+    /// Maximum size of a value, in bytes.
+    pub fn max_value_bytes(&self) -> usize {
+        self.limits.value_bytes
+    }
+
     /// Number of further operations that the limits allow.
     pub fn remaining_operations(&self) -> usize {
         self.limits.ops - self.transaction.ops.len()
     }
 
-    /// Adds an item with its whole write. Returns false and adds nothing if the write does
-    /// not fit.
-    pub fn add(&mut self, item: CommitItem, write: ConditionalWrite) -> bool {
-        let operations: usize = write.operations.iter().map(operation_bytes).sum();
-        let preconditions: usize = write.preconditions.iter().map(precondition_bytes).sum();
-        let bytes = self.bytes + operations + preconditions;
-        if write.operations.len() > self.remaining_operations() || bytes > MAX_TRANSACTION_BYTES {
-            return false;
+    /// Adds an item with its whole write.
+    ///
+    /// # Errors
+    /// The write does not fit; nothing is added.
+    pub fn add(&mut self, item: CommitItem, write: ConditionalWrite) -> Result<(), AddError> {
+        let mut bytes = self.bytes;
+        for operation in &write.operations {
+            let operation_bytes = operation_bytes(operation);
+            if value_bytes(operation, operation_bytes) > self.limits.value_bytes {
+                return Err(AddError::ValueTooLarge);
+            }
+            bytes += operation_bytes;
+        }
+        bytes += write
+            .preconditions
+            .iter()
+            .map(precondition_bytes)
+            .sum::<usize>();
+        if self.items.len() >= self.max_items
+            || write.operations.len() > self.remaining_operations()
+            || bytes > MAX_TRANSACTION_BYTES
+        {
+            return Err(AddError::Full);
         }
         self.bytes = bytes;
         self.transaction.conditions.extend(write.preconditions);
         self.transaction.ops.extend(write.operations);
         self.items.push(item);
-        true
+        Ok(())
     }
 
     /// Returns the transaction with its items; `None` if there are no operations.
--- a/crates/controller/src/core/leader.rs
+++ b/crates/controller/src/core/leader.rs
@@ -16,11 +16,13 @@
 mod inspection;
 mod job_objectives;
 mod outcome;
+mod oversized_records;
 mod pending_call;
 mod placement_requests;
 mod preemption_search;
 mod record_load;
 mod record_watch;
+mod refused_writes;
 mod scheduler;
 mod service_levels;
 mod status_broadcast;
@@ -37,6 +39,7 @@
 use self::heartbeat_reconciliation::{HeartbeatContext, HeartbeatReconciler};
 use self::inspection::Inspection;
 pub use self::outcome::LeadershipOutcome;
+use self::oversized_records::replace_oversized_records;
 pub use self::pending_call::PendingCall;
 use self::record_load::RecordContext;
 use self::record_watch::RecordWatcher;
@@ -216,10 +219,12 @@
             self.next_health_check = at.time + HEALTH_CHECK_INTERVAL;
             self.check_machine_health(at);
         }
+        let value_bytes = effects.store_limits.value_bytes();
+        self.autoscaler.intents.set_value_bytes(value_bytes);
         self.call_cloud(effects);
         self.commands.send_announcements(effects, &self.cluster);
         self.queue_outdated_chunks(at.time);
-        self.store_arrivals(at);
+        self.store_arrivals(at, value_bytes);
     }
 
     /// Performs the actions that any input may have made due. Called after every input.
@@ -427,13 +432,13 @@
         }
     }
 
-    /// Stores recent arrivals periodically, if the format in force includes them.
-    fn store_arrivals(&mut self, at: Now) {
+    /// Stores recent arrivals periodically, in a value of at most `value_bytes`, if the
+    /// format in force includes them.
+    fn store_arrivals(&mut self, at: Now, value_bytes: usize) {
         if self.format_version < WITH_HISTORY {
             return;
         }
         let window = TimeSpan::secs(self.cluster.policy.floor_window_s);
-        let value_bytes = self.cluster.settings.state_limits.value_bytes;
         let pending_writes = &mut self.autoscaler.intents.pending_writes;
         self.arrivals
             .store_if_due(at, window, value_bytes, pending_writes);
@@ -488,6 +493,9 @@
         parts
             .writer
             .submit_next_transaction(effects, &mut parts.context, parts.pending_calls);
+        let intents = &mut self.autoscaler.intents;
+        intents.set_value_bytes(effects.store_limits.value_bytes());
+        replace_oversized_records(effects.now, intents, &mut self.arrivals);
     }
 
     /// Processes the reply to the transaction in flight, or the loss of the reply.
--- a/crates/controller/src/core/leader/commit_pipeline.rs
+++ b/crates/controller/src/core/leader/commit_pipeline.rs
@@ -8,9 +8,11 @@
 };
 use super::outcome::LeadershipOutcome;
 use super::pending_call::PendingCall;
+use super::refused_writes::RefusedWrites;
 use super::status_broadcast::StatusBroadcaster;
 use super::transaction_contents::{
-    add_dirty_chunks, add_finished_jobs, add_job_deletions, add_pending_deletes, add_pending_puts,
+    add_dirty_chunks, add_finished_jobs, add_job_deletions, add_orphan_deletions,
+    add_pending_deletes, add_pending_puts,
 };
 use crate::core::autoscaler::intents::Intents;
 use crate::core::effects::{Effects, PendingCalls};
@@ -18,9 +20,9 @@
 use crate::core::format_version::{FormatVersion, WITH_HISTORY};
 use crate::core::garbage_collection::GarbageCollector;
 use crate::core::job_records::{
-    self, BuiltTransaction, CommitItem, CommitPipeline, ConditionalWrite, Job, TransactionBuilder,
-    TransactionLimits,
+    self, BuiltTransaction, CommitItem, CommitPipeline, Job, TransactionBuilder, TransactionLimits,
 };
+use crate::core::store_limits::StoreLimits;
 use crate::core::{Reply, Target};
 use crate::types::{FencingToken, JobId, MachineId, Time, TimeSpan, Version};
 use crate::wire;
@@ -66,6 +68,8 @@
     pub rewrite_due: Time,
     /// Deletes keys that belong to no job.
     pub garbage_collector: GarbageCollector,
+    /// Writes that the store refuses for another reason than their size.
+    refused: RefusedWrites,
 }
 
 impl TransactionWriter {
@@ -87,6 +91,7 @@
             outdated_chunks: BTreeSet::new(),
             rewrite_due: now,
             garbage_collector: GarbageCollector::default(),
+            refused: RefusedWrites::default(),
         }
     }
 }
@@ -121,7 +126,10 @@
             return;
         }
         if self.pipeline.in_flight.is_none() {
-            self.pipeline.in_flight = self.build_transaction(now, context);
+            while let Some(item) = self.refused.take_due(now) {
+                self.requeue(now, context, item);
+            }
+            self.pipeline.in_flight = self.build_transaction(now, &effects.store_limits, context);
             self.pipeline.outcome_unknown = false;
         }
         let Some(BuiltTransaction { transaction, .. }) = &self.pipeline.in_flight else {
@@ -138,42 +146,38 @@
         pending_calls.add(call, PendingCall::Commit);
     }
 
-    /// Collects the most urgent changes into a transaction, within its size limits and
+    /// Collects the most urgent changes into a transaction, within the store's limits and
     /// the rate limit. `None`: there is nothing to write, or the rate limit allows too
     /// little.
     pub fn build_transaction(
         &mut self,
         now: Time,
+        limits: &StoreLimits,
         context: &mut WriteContext<'_>,
     ) -> Option<BuiltTransaction> {
-        let limits = context.cluster.settings.state_limits;
-        let ops = limits.txn_ops.min(self.write_tokens.level(now) as usize);
-        if ops < MIN_OPERATIONS {
+        let rate = limits.write_rps() * WRITE_SHARE;
+        if rate != self.write_tokens.burst() {
+            self.write_tokens.set_rate(now, rate, rate);
+        }
+        let max_operations = limits.commit_operations();
+        let ops = max_operations.min(self.write_tokens.level(now) as usize);
+        if ops < MIN_OPERATIONS.min(max_operations) {
             return None;
         }
         let limits = TransactionLimits {
             ops,
-            value_bytes: limits.value_bytes,
+            value_bytes: limits.value_bytes(),
         };
         let mut builder = TransactionBuilder::new(self.leader_key, self.token, limits);
+        if self.refused.take_isolation() {
+            builder.allow_one_item();
+        }
         add_pending_puts(&mut builder, &mut context.intents.pending_writes);
         add_finished_jobs(&mut builder, context.cluster);
         add_dirty_chunks(&mut builder, now, context.cluster, context.format);
         add_job_deletions(&mut builder, context.cluster);
         add_pending_deletes(&mut builder, &mut context.intents.pending_writes);
-        if builder.is_empty() {
-            // Orphaned keys are deleted only when there is nothing else to write.
-            for (orphan, conditions, op) in self
-                .garbage_collector
-                .take_next(builder.remaining_operations())
-            {
-                let write = ConditionalWrite {
-                    preconditions: conditions,
-                    operations: vec![op],
-                };
-                builder.add(CommitItem::DeleteOrphan(orphan), write);
-            }
-        }
+        add_orphan_deletions(&mut builder, &mut self.garbage_collector);
         let built = builder.finish()?;
         self.write_tokens
             .try_take(now, built.transaction.ops.len() as f64);
@@ -196,6 +200,11 @@
         let pause = self
             .backoff
             .next_pause(SHORTEST_BACKOFF, LONGEST_BACKOFF, effects.jitter());
+        effects.record_write_reply(&reply);
+        if matches!(reply, Reply::Answer(429, _)) {
+            let operations = transaction.ops.len();
+            effects.store_limits.record_burst_refusal(operations);
+        }
         match reply {
             Reply::Answer(200, body) => {
                 self.handle_committed(now, context, &transaction, items, &body)
@@ -204,7 +213,10 @@
                 self.check_own_write(effects, pending_calls, transaction, items, &body)
             }
             Reply::Answer(409, body) => self.handle_conflict(now, context, items, &body),
-            Reply::Answer(400, _) => LeadershipOutcome::StepDown("a commit was malformed"),
+            Reply::Answer(400, body) => {
+                let refused = BuiltTransaction { transaction, items };
+                self.handle_refusal(effects, context, refused, &body)
+            }
             Reply::Answer(..) | Reply::NotSent if !self.pipeline.outcome_unknown => {
                 for item in items {
                     self.requeue(now, context, item);
@@ -242,6 +254,30 @@
         LeadershipOutcome::Continue
     }
 
+    /// Processes the refusal of a transaction as too large or malformed. Nothing of this
+    /// attempt was executed, so its items are written again, in smaller transactions.
+    fn handle_refusal(
+        &mut self,
+        effects: &mut Effects,
+        context: &mut WriteContext<'_>,
+        refused: BuiltTransaction,
+        body: &[u8],
+    ) -> LeadershipOutcome {
+        let now = effects.now.time;
+        let items = self.refused.handle_refusal(effects, refused, body);
+        if self.pipeline.outcome_unknown {
+            // An earlier attempt may have been executed, or may be executed later. Only a
+            // new fencing token rules the latter out, and the records show the former.
+            return LeadershipOutcome::StepDown("a write's outcome is unknown");
+        }
+        self.backoff.succeeded();
+        self.pipeline.not_before = now + MIN_COMMIT_INTERVAL;
+        for item in items {
+            self.requeue(now, context, item);
+        }
+        LeadershipOutcome::Continue
+    }
+
     /// A retry found a failed precondition. Either the first attempt, whose answer was
     /// lost, was committed, or another writer changed a record. The stored record decides
     /// which.
--- a/crates/controller/src/core/leader/commit_pipeline/tests.rs
+++ b/crates/controller/src/core/leader/commit_pipeline/tests.rs
@@ -20,6 +20,7 @@
 /// whether its outcome is still stored.
 fn keys_after_each_deletion(room: usize) -> Vec<(bool, bool)> {
     let mut leader = leader();
+    let limits = StoreLimits::new(&leader.cluster.settings);
     insert_job(&mut leader, "wk-1", 1);
     let id = JobId::from("wk-1");
     let job = leader.cluster.jobs.get_mut(&id).unwrap();
@@ -44,7 +45,9 @@
         let Some(BuiltTransaction {
             transaction: txn,
             items,
-        }) = parts.writer.build_transaction(now, &mut parts.context)
+        }) = parts
+            .writer
+            .build_transaction(now, &limits, &mut parts.context)
         else {
             break;
         };
@@ -108,10 +111,11 @@
         }
         leader.writer.outdated_chunks.insert((id.clone(), 0));
         leader.cluster.unwritten.finished_jobs.insert(id.clone());
+        let limits = StoreLimits::new(&leader.cluster.settings);
         let mut parts = leader.writer_parts();
         let built = parts
             .writer
-            .build_transaction(Time(1_000_000), &mut parts.context);
+            .build_transaction(Time(1_000_000), &limits, &mut parts.context);
         let BuiltTransaction {
             transaction: txn,
             items,
--- a/crates/controller/src/core/mod.rs
+++ b/crates/controller/src/core/mod.rs
@@ -43,6 +43,7 @@
 pub mod read_coalescing;
 pub mod scheduling_cycle;
 pub mod self_health;
+pub mod store_limits;
 
 pub use inputs::{CallId, Input, Listener, Now, Reply, RequestId};
 pub use lease_keep_alive::LeaseKeepAlive;
--- a/crates/controller/src/core/node.rs
+++ b/crates/controller/src/core/node.rs
@@ -26,6 +26,7 @@
 use super::job_api::JobApi;
 use super::leader::{Leader, LeadershipOutcome};
 use super::self_health::SelfHealth;
+use super::store_limits::TransactionSize;
 use super::{Input, Now, Output, RequestId};
 use crate::policy::Policy;
 use crate::settings::Settings;
@@ -75,6 +76,8 @@
     /// The transaction that activates this format version. `None`: the transaction that
     /// records that all stored records were rewritten in the active one.
     VersionWrite(Option<FormatVersion>),
+    /// A write of the machine types, with its size.
+    MachineTypeWrite(TransactionSize),
 }
 
 /// A controller process without its I/O; see the module documentation.
@@ -99,6 +102,8 @@
     /// in memory only.
     cache_hints: CacheHints,
     machine_types: Option<MachineTypes>,
+    /// Number of keys that may hold machine types in the key-value store.
+    stored_machine_type_chunks: usize,
     machine_types_due: Time,
     is_reading_machine_types: bool,
     peer_heartbeat_due: Time,
@@ -161,6 +166,7 @@
             forwarded_agents: ForwardedAgents::default(),
             cache_hints: CacheHints::default(),
             machine_types: None,
+            stored_machine_type_chunks: 0,
             machine_types_due: Time(0),
             is_reading_machine_types: false,
             peer_heartbeat_due: Time(0),
@@ -201,6 +207,7 @@
 
     fn tick(&mut self) {
         let now = self.effects.now.time;
+        self.effects.raise_store_limits_if_due();
         self.check_self_health();
         self.check_leader();
         self.election.tick(&mut self.effects);
--- a/crates/controller/src/core/node/format_version.rs
+++ b/crates/controller/src/core/node/format_version.rs
@@ -7,7 +7,7 @@
 use crate::core::{Reply, Target};
 use crate::types::{FencingToken, NodeId, TimeSpan, Version};
 use crate::wire;
-use crate::wire::kvstore::{Precondition, Transaction, TransactionResponse};
+use crate::wire::kvstore::{Precondition, Transaction, TransactionResponse, error_text};
 
 /// Timeout of a transaction that activates a format version or records the completion of
 /// a rewrite.
@@ -130,6 +130,10 @@
     /// If the reply is lost, the watch delivers the change.
     pub(super) fn handle_version_write(&mut self, activated: Option<FormatVersion>, reply: &Reply) {
         self.is_writing_version = false;
+        if let Reply::Answer(400, body) = reply {
+            let error = error_text(body);
+            tracing::error!(error, "the key-value store refuses a format version record");
+        }
         let Some(response) = reply.decode_success::<TransactionResponse>() else {
             return;
         };
--- a/crates/controller/src/core/node/inspect.rs
+++ b/crates/controller/src/core/node/inspect.rs
@@ -36,11 +36,22 @@
             "leader_seen": self.failure_detector.inspect(now.time),
             "peers": self.inspect_peers(),
             "times": self.effects.response_times(),
+            "state_limits": self.inspect_store_limits(),
             "leading": self.leader.as_ref().map(|l| l.inspect(now, machine, job)),
             "standing_by": is_following,
         })
     }
 
+    /// The limits of the key-value store that this controller assumes to be in force.
+    fn inspect_store_limits(&self) -> serde_json::Value {
+        let limits = self.effects.store_limits.current();
+        serde_json::json!({
+            "write_rps": limits.write_rps,
+            "value_bytes": limits.value_bytes,
+            "txn_ops": limits.txn_ops,
+        })
+    }
+
     fn inspect_peers(&self) -> Vec<serde_json::Value> {
         let now = self.effects.now.time;
         let peers = self.peers.iter().map(|(node_id, peer)| {
--- a/crates/controller/src/core/node/machine_type_cache.rs
+++ b/crates/controller/src/core/node/machine_type_cache.rs
@@ -2,11 +2,12 @@
 //! while the cloud API is unavailable.
 
 use super::{Node, PendingCall};
+use crate::core::store_limits::{Division, RefusalCause, TransactionSize};
 use crate::core::{Reply, Target, job_records};
 use crate::types::{TimeSpan, Version};
 use crate::wire;
 use crate::wire::cloud::{MachineType, MachineTypes};
-use crate::wire::kvstore::{EntryPage, Operation, Precondition, Transaction};
+use crate::wire::kvstore::{EntryPage, Operation, Precondition, Transaction, error_text};
 
 /// Time between reads of the stored machine types once some are known.
 const READ_PERIOD: TimeSpan = TimeSpan::millis(30_000);
@@ -42,6 +43,7 @@
             }
             return;
         };
+        self.stored_machine_type_chunks = page.items.len();
         let entries = page.items.iter();
         let chunks = entries.filter_map(|e| job_records::read_record::<Vec<MachineType>>(&e.value));
         let types = MachineTypes {
@@ -56,34 +58,65 @@
     /// Stores machine types that the cloud has just listed, if they changed. Only the
     /// leader writes them, on the condition that it still holds the leader's key.
     pub(super) fn store_machine_types(&mut self, types: MachineTypes) {
+        if self.leader.is_none() || self.machine_types.as_ref() == Some(&types) {
+            return;
+        }
+        self.write_machine_types(&types);
+        self.machine_types = Some(types);
+    }
+
+    fn write_machine_types(&mut self, types: &MachineTypes) {
         let Some(leader) = &self.leader else {
             return;
         };
-        if self.machine_types.as_ref() == Some(&types) {
-            return;
-        }
-        let limits = &self.settings.state_limits;
-        let ops = split_by_size(&types.kinds, limits.value_bytes)
+        let limits = *self.effects.store_limits.current();
+        let chunks = split_by_size(&types.kinds, limits.value_bytes);
+        let key = |number: usize| format!("{}/{number:03}", job_records::MACHINE_TYPES_KEY);
+        let puts = chunks
             .iter()
             .enumerate()
-            .take(limits.txn_ops)
-            .map(|(i, chunk)| Operation::Put {
-                key: format!("{}/{i:03}", job_records::MACHINE_TYPES_KEY),
+            .map(|(number, chunk)| Operation::Put {
+                key: key(number),
                 value: serde_json::to_value(chunk).unwrap_or_default(),
                 lease: None,
-            })
-            .collect();
+            });
+        // Chunks of an earlier list that was divided into more of them are obsolete.
+        let obsolete = chunks.len()..self.stored_machine_type_chunks;
+        let deletes = obsolete.map(|number| Operation::Delete { key: key(number) });
         let txn = Transaction {
             conditions: vec![Precondition {
                 key: leader.leader_key.into(),
                 version: Version(leader.token.0),
             }],
-            ops,
+            ops: puts.chain(deletes).take(limits.txn_ops).collect(),
         };
+        let size = TransactionSize::of(&txn);
         let body = wire::encode(&txn);
-        self.effects
+        let call = self
+            .effects
             .call(Target::Store, "POST", "/commit".into(), body, CALL_TIMEOUT);
-        self.machine_types = Some(types);
+        self.pending_calls
+            .add(call, PendingCall::MachineTypeWrite(size));
+        self.stored_machine_type_chunks = self.stored_machine_type_chunks.max(chunks.len());
+    }
+
+    /// Handles the reply to a write of machine types. A refused one is repeated in smaller
+    /// values; each refusal lowers a limit, so this ends. After any other failure the copy
+    /// stays as it was until the list changes again.
+    pub(super) fn handle_machine_type_write(&mut self, size: TransactionSize, reply: &Reply) {
+        let Reply::Answer(400, body) = reply else {
+            return;
+        };
+        let cause = self.effects.record_store_refusal(size, Division::Values);
+        if cause != RefusalCause::TooLarge {
+            let error = error_text(body);
+            tracing::error!(error, "the key-value store refuses the machine types");
+            return;
+        }
+        if let Some(types) = self.machine_types.take() {
+            self.write_machine_types(&types);
+            self.machine_types = Some(types);
+        }
     }
 }
 
--- a/crates/controller/src/core/node/replies.rs
+++ b/crates/controller/src/core/node/replies.rs
@@ -47,6 +47,7 @@
             PendingCall::SuspicionQuery => self.handle_suspicion_report(reply),
             PendingCall::LeaderKey => self.handle_leader_key_reply(reply),
             PendingCall::VersionWrite(activated) => self.handle_version_write(activated, reply),
+            PendingCall::MachineTypeWrite(size) => self.handle_machine_type_write(size, reply),
             // Handled by the caller, which needs the reply by value.
             PendingCall::ForwardedHeartbeat { .. } | PendingCall::CloudCall { .. } => {}
         }
--- a/crates/controller/src/core/pending_writes.rs
+++ b/crates/controller/src/core/pending_writes.rs
@@ -10,6 +10,8 @@
 pub struct PendingWrites {
     puts: BTreeMap<String, Value>,
     deletes: BTreeSet<String>,
+    /// Records whose values are larger than the key-value store accepts.
+    oversized: BTreeMap<String, Value>,
     /// Number of changes taken out for a transaction so far, including any that were put
     /// back later. `/inspect` shows it.
     pub taken_total: u64,
@@ -64,9 +66,20 @@
         }
     }
 
+    /// Sets aside a record that was taken out and whose value is larger than the key-value
+    /// store accepts, until it is replaced by smaller ones.
+    pub fn set_oversized(&mut self, key: String, value: Value) {
+        self.oversized.insert(key, value);
+    }
+
+    /// Takes out the records whose values are too large.
+    pub fn take_oversized(&mut self) -> BTreeMap<String, Value> {
+        std::mem::take(&mut self.oversized)
+    }
+
     /// The number of pending changes.
     pub fn len(&self) -> usize {
-        self.puts.len() + self.deletes.len()
+        self.puts.len() + self.deletes.len() + self.oversized.len()
     }
 
     /// Whether no change is pending.
--- a/crates/controller/src/core/read_coalescing.rs
+++ b/crates/controller/src/core/read_coalescing.rs
@@ -4,6 +4,7 @@
 //! that is unchanged is still open. This module never sends anything.
 
 use super::job_records::{self, JobHeader};
+use super::store_limits::TransactionSize;
 use super::{Reply, RequestId};
 use crate::types::{JobId, Time, TimeSpan, Version};
 use crate::wire;
@@ -56,6 +57,16 @@
     sent: Time,
 }
 
+impl VersionComparison {
+    /// The size of the comparison's transaction.
+    pub fn size(&self) -> TransactionSize {
+        TransactionSize {
+            preconditions: self.headers.len(),
+            ..TransactionSize::default()
+        }
+    }
+}
+
 /// The polls of a comparison, grouped by what its reply proves.
 #[derive(Debug, Default, PartialEq)]
 pub struct ComparisonResult {
@@ -192,14 +203,14 @@
         comparison: VersionComparison,
         reply: &Reply,
     ) -> ComparisonResult {
-        let sent = comparison.sent;
-        if let Some(index) = self.in_flight.iter().position(|other| *other == sent) {
-            self.in_flight.swap_remove(index);
-        }
-        self.not_before = now + pause;
+        self.end_call(now, pause, &comparison);
         match reply {
             Reply::Answer(200, _) => confirm_open(comparison),
             Reply::Answer(409, body) => self.split_by_change(comparison, body),
+            Reply::Answer(400, _) => ComparisonResult {
+                changed: comparison.reads,
+                ..ComparisonResult::default()
+            },
             Reply::OutcomeUnknown => self.requeue_recent(now, comparison),
             // The store refused the comparison, and would refuse one for the waiting
             // polls too.
@@ -214,6 +225,26 @@
         }
     }
 
+    /// Handles the refusal of a comparison as too large: its polls wait for the next ones,
+    /// which cover fewer jobs. No further comparison is sent for the duration of `pause`.
+    pub fn retry_with_fewer_jobs(
+        &mut self,
+        now: Time,
+        pause: TimeSpan,
+        comparison: VersionComparison,
+    ) -> ComparisonResult {
+        self.end_call(now, pause, &comparison);
+        self.requeue_recent(now, comparison)
+    }
+
+    fn end_call(&mut self, now: Time, pause: TimeSpan, comparison: &VersionComparison) {
+        let sent = comparison.sent;
+        if let Some(index) = self.in_flight.iter().position(|other| *other == sent) {
+            self.in_flight.swap_remove(index);
+        }
+        self.not_before = now + pause;
+    }
+
     fn split_by_change(&mut self, comparison: VersionComparison, body: &[u8]) -> ComparisonResult {
         let mut result = ComparisonResult::default();
         let response = wire::decode::<TransactionResponse>(body).unwrap_or_default();
@@ -231,8 +262,8 @@
         result
     }
 
-    /// Requeues the recent polls of a comparison whose reply was lost, so that one lost
-    /// reply does not leave these polls, and those that arrived later, without an answer.
+    /// Requeues the recent polls of a comparison whose reply was lost, or that was refused as
+    /// too large, so that these polls, and those that arrived later, are still answered.
     fn requeue_recent(&mut self, now: Time, comparison: VersionComparison) -> ComparisonResult {
         let is_recent = |read: &WaitingRead| now.since(read.since) < MAX_AGE_TO_REQUEUE;
         let reads = comparison.reads.into_iter();
--- a/crates/controller/src/settings.rs
+++ b/crates/controller/src/settings.rs
@@ -106,7 +106,7 @@
 }
 
 /// Limits of the key-value store.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct StateLimits {
     /// Maximum requests per second of all controllers together.
     pub rps: f64,
@@ -147,6 +147,9 @@
     pub workers: WorkerTimes,
     /// The key-value store's limits.
     pub state_limits: StateLimits,
+    /// Limits that the key-value store will have from an unknown time on; `None`: no
+    /// change is announced.
+    pub next_state_limits: Option<StateLimits>,
     /// Calls per second that the cloud allows.
     pub cloud_rps: f64,
     /// Maximum age of the data in the cloud's list of machines.
--- a/crates/controller/src/settings/raw.rs
+++ b/crates/controller/src/settings/raw.rs
@@ -81,6 +81,17 @@
     pub(super) write_rps: f64,
     pub(super) value_kb: f64,
     pub(super) txn_ops: u32,
+    #[serde(default)]
+    pub(super) next: Option<RawNextState>,
+}
+
+/// Announced limits; an absent one stays as it is.
+#[derive(Deserialize)]
+pub(super) struct RawNextState {
+    pub(super) rps: Option<f64>,
+    pub(super) write_rps: Option<f64>,
+    pub(super) value_kb: Option<f64>,
+    pub(super) txn_ops: Option<u32>,
 }
 
 #[derive(Deserialize)]
--- a/crates/controller/src/settings/validate.rs
+++ b/crates/controller/src/settings/validate.rs
@@ -1,7 +1,9 @@
 //! Checks the raw settings file and converts it into typed settings. Only the first
 //! invalid field is reported.
 
-use super::raw::{RawFile, RawObjective, RawPeer, RawSettings, RawState, RawTeam, RawWorkers};
+use super::raw::{
+    RawFile, RawNextState, RawObjective, RawPeer, RawSettings, RawState, RawTeam, RawWorkers,
+};
 use super::{
     InvalidValue, Objective, ObjectiveKind, Peer, Settings, SettingsError, StateLimits, TeamShare,
     WorkerTimes,
@@ -15,6 +17,9 @@
 /// Minimum of the setting for open sockets: an eighth of them, at least four, are for the
 /// internal listener.
 const MIN_SOCKETS: u32 = 32;
+/// Minimum of the setting for the size of a value, in KiB: the records that cannot be divided
+/// are smaller.
+const MIN_VALUE_KB: u32 = 1;
 const BYTES_PER_KB: f64 = 1024.0;
 const MS_PER_SECOND: f64 = 1000.0;
 
@@ -37,6 +42,8 @@
         check_limits(settings)?;
         let workers = worker_times(&settings.workers)?;
         let objectives = objectives(&settings.objectives)?;
+        let limits = state_limits(&settings.state)?;
+        let next_limits = settings.state.next.as_ref();
         Ok(Settings {
             node_id: raw.node_id.as_str().into(),
             zone: raw.zone.as_str().into(),
@@ -50,7 +57,10 @@
             teams,
             objectives,
             workers,
-            state_limits: state_limits(&settings.state)?,
+            state_limits: limits,
+            next_state_limits: next_limits
+                .map(|next| next_state_limits(limits, next))
+                .transpose()?,
             cloud_rps: require_positive("settings.cloud.rps", settings.cloud.rps)?,
             list_lag: positive_seconds("settings.cloud.list_lag_s", settings.cloud.list_lag_s)?,
             max_sockets: settings.quota.max_sockets,
@@ -143,9 +153,6 @@
 }
 
 fn check_limits(settings: &RawSettings) -> Result<(), SettingsError> {
-    if settings.state.txn_ops < MIN_TXN_OPS {
-        return Err(InvalidValue::TooSmall(MIN_TXN_OPS).for_field("settings.state.txn_ops"));
-    }
     if settings.quota.max_sockets < MIN_SOCKETS {
         return Err(InvalidValue::TooSmall(MIN_SOCKETS).for_field("settings.quota.max_sockets"));
     }
@@ -172,12 +179,46 @@
     Ok(StateLimits {
         rps: require_positive("settings.state.rps", raw.rps)?,
         write_rps: require_positive("settings.state.write_rps", raw.write_rps)?,
-        value_bytes: (require_positive("settings.state.value_kb", raw.value_kb)? * BYTES_PER_KB)
-            as usize,
-        txn_ops: raw.txn_ops as usize,
+        value_bytes: value_bytes("settings.state.value_kb", raw.value_kb)?,
+        txn_ops: txn_ops("settings.state.txn_ops", raw.txn_ops)?,
     })
 }
 
+/// The announced limits; those that are not announced stay as they are.
+fn next_state_limits(
+    current: StateLimits,
+    raw: &RawNextState,
+) -> Result<StateLimits, SettingsError> {
+    let mut next = current;
+    if let Some(rps) = raw.rps {
+        next.rps = require_positive("settings.state.next.rps", rps)?;
+    }
+    if let Some(write_rps) = raw.write_rps {
+        next.write_rps = require_positive("settings.state.next.write_rps", write_rps)?;
+    }
+    if let Some(value_kb) = raw.value_kb {
+        next.value_bytes = value_bytes("settings.state.next.value_kb", value_kb)?;
+    }
+    if let Some(operations) = raw.txn_ops {
+        next.txn_ops = txn_ops("settings.state.next.txn_ops", operations)?;
+    }
+    Ok(next)
+}
+
+fn value_bytes(field: &str, kilobytes: f64) -> Result<usize, SettingsError> {
+    if require_positive(field, kilobytes)? < f64::from(MIN_VALUE_KB) {
+        return Err(InvalidValue::TooSmall(MIN_VALUE_KB).for_field(field));
+    }
+    Ok((kilobytes * BYTES_PER_KB) as usize)
+}
+
+fn txn_ops(field: &str, operations: u32) -> Result<usize, SettingsError> {
+    if operations < MIN_TXN_OPS {
+        return Err(InvalidValue::TooSmall(MIN_TXN_OPS).for_field(field));
+    }
+    Ok(operations as usize)
+}
+
 fn objectives(raw: &[RawObjective]) -> Result<Vec<Objective>, SettingsError> {
     let numbered = raw.iter().enumerate();
     numbered.map(|(index, raw)| objective(index, raw)).collect()
--- a/crates/controller/tests/inspect_format.rs
+++ b/crates/controller/tests/inspect_format.rs
@@ -36,7 +36,7 @@
 }
 
 /// The paths of all values in the inspection of a leader, when an agent runs tasks.
-const LEADER_PATHS: [&str; 126] = [
+const LEADER_PATHS: [&str; 129] = [
     "effort_us",
     "late_share",
     "leader",
@@ -145,6 +145,9 @@
     "slow",
     "standing",
     "standing_by",
+    "state_limits.txn_ops",
+    "state_limits.value_bytes",
+    "state_limits.write_rps",
     "state_ok",
     "strained",
     "times.poll.count",
--- a/crates/controller/tests/settings_format.rs
+++ b/crates/controller/tests/settings_format.rs
@@ -90,6 +90,24 @@
     assert_eq!((s.max_sockets, s.clock_error.as_secs()), (900, 1.0));
 }
 
+#[test]
+fn announced_limits_replace_only_what_they_name() {
+    let next = json!({"write_rps": 56.0, "value_kb": 2.0, "txn_ops": 16});
+    let s = parse(&file_with("/settings/state/next", Some(next))).expect("the settings are valid");
+    let next = s.next_state_limits.expect("limits are announced");
+    assert_eq!((next.rps, next.write_rps), (200.0, 56.0));
+    assert_eq!((next.value_bytes, next.txn_ops), (2048, 16));
+    assert_eq!(
+        (s.state_limits.value_bytes, s.state_limits.txn_ops),
+        (8192, 48)
+    );
+    for nothing in [json!(null), json!({})] {
+        let s = parse(&file_with("/settings/state/next", Some(nothing))).expect("valid");
+        let next = s.next_state_limits.unwrap_or(s.state_limits);
+        assert_eq!(next, s.state_limits);
+    }
+}
+
 #[test]
 fn objectives_keep_their_kinds_and_names() {
     let s = parse(&file()).expect("the settings are valid");
@@ -204,6 +222,21 @@
             json!(7),
             "settings.state.txn_ops: must be at least 8",
         ),
+        (
+            "/settings/state/value_kb",
+            json!(0.5),
+            "settings.state.value_kb: must be at least 1",
+        ),
+        (
+            "/settings/state/next",
+            json!({"txn_ops": 7}),
+            "settings.state.next.txn_ops: must be at least 8",
+        ),
+        (
+            "/settings/state/next",
+            json!({"write_rps": 0.0}),
+            "settings.state.next.write_rps: must be a positive number, not 0",
+        ),
         (
             "/settings/quota/max_sockets",
             json!(9),
--- a/crates/wire/src/kvstore.rs
+++ b/crates/wire/src/kvstore.rs
@@ -157,3 +157,14 @@
     #[serde(rename = "news", default)]
     pub events: Vec<WatchEvent>,
 }
+
+/// The body of a refusal.
+#[derive(Debug, Deserialize)]
+struct ErrorResponse {
+    error: String,
+}
+
+/// The text of a refusal, for operators; empty if the body has none.
+pub fn error_text(body: &[u8]) -> String {
+    crate::decode::<ErrorResponse>(body).map_or_else(String::new, |response| response.error)
+}
