--- a/crates/controller/src/core/election/tests.rs
+++ b/crates/controller/src/core/election/tests.rs
@@ -168,3 +168,43 @@
     );
     assert_eq!(election.member_versions.active_version(), UNVERSIONED);
 }
+
+// A controller whose member record is not stored may not serve. A policy with many
+// changed settings makes the record large.
+#[test]
+fn refused_member_record_is_stored_without_its_policy() {
+    let mut effects = effects_at(1.0);
+    let policy = (0..200).map(|n| (format!("setting_{n}"), 1.0)).collect();
+    let supported = Some(SupportedVersions::SUPPORTED);
+    let registry = MemberVersions::new("a".into(), supported, policy, 1);
+    let mut election = Election::new("a".into(), TimeSpan::secs(3.0), registry, FormatVersion(9));
+    let mut replies = vec![
+        TransactionResponse {
+            revision: Version(10),
+            failed: Vec::new(),
+        };
+        1
+    ];
+    let mut sizes = Vec::new();
+    for _ in 0..10 {
+        effects.now.time = effects.now.time + TimeSpan::secs(2.0);
+        election.tick(&mut effects);
+        let (call, pending) = take_last_call(&mut election, &mut effects);
+        let reply = match (&pending, call.body.len()) {
+            (PendingCall::Register, size) if size > 1000 => {
+                sizes.push(size);
+                Reply::Answer(400, Vec::new())
+            }
+            (PendingCall::Register, _) => {
+                Reply::Answer(200, wire::encode(&replies.pop().expect("registered once")))
+            }
+            _ => page(Vec::new(), 9),
+        };
+        election.handle_reply(&mut effects, pending, reply);
+        if replies.is_empty() {
+            break;
+        }
+    }
+    assert_eq!(sizes.len(), 1, "the whole record is sent once");
+    assert_eq!(election.member_versions.check_serving(), Ok(()));
+}
--- a/crates/controller/src/core/job_api/tests.rs
+++ b/crates/controller/src/core/job_api/tests.rs
@@ -268,3 +268,16 @@
     let expected: Vec<(u64, u16)> = (0..150).map(|number| (number, 200)).collect();
     assert_eq!(answered, expected);
 }
+
+#[test]
+fn refused_cancellation_is_not_confirmed() {
+    let (mut effects, mut job_api) = (effects_at(1.0), JobApi::default());
+    let cancel = Step::Cancel {
+        id: JobId::from("wk-1"),
+        retries_left: 1,
+    };
+    let refused = Reply::Answer(400, Vec::new());
+    job_api.handle_step_reply(&mut effects, RequestId(1), cancel, refused);
+    assert_eq!(take_answers(&mut effects), [(1, 503, None)]);
+    assert!(job_api.confirmed_cancellations.is_empty());
+}
--- a/crates/controller/src/core/node/tests.rs
+++ b/crates/controller/src/core/node/tests.rs
@@ -1,10 +1,12 @@
 use super::*;
 use crate::core::election::ElectionOutcome;
-use crate::core::{Reply, job_records};
+use crate::core::{CallId, Output, Reply, job_records};
 use crate::policy::DEFAULT_SCRIPT;
 use crate::testing;
 use crate::types::{Image, JobId};
 use crate::wire;
+use crate::wire::cloud::MachineType;
+use crate::wire::kvstore::{Operation, Transaction, TransactionResponse};
 use crate::wire::peers::PeerHeartbeat;
 
 // Controllers that restarted during a store outage reported not ready for all of it, and
@@ -331,3 +333,68 @@
         "the job resumes"
     );
 }
+
+/// The transaction that a node commits, with its call. Takes all outputs.
+fn take_commit(node: &mut Node) -> Option<(CallId, Transaction)> {
+    node.effects.take_outputs().into_iter().find_map(|output| {
+        let Output::Call(call) = output else {
+            return None;
+        };
+        let transaction = wire::decode(&call.body);
+        transaction.map(|transaction| (call.id, transaction))
+    })
+}
+
+// The copy of the machine types was refused for its size and not written again, so
+// controllers that started during an outage of the cloud rejected every submission.
+#[test]
+fn refused_machine_types_are_stored_in_smaller_values() {
+    let settings = testing::settings(0);
+    let policy = Policy::from_script(DEFAULT_SCRIPT, &settings).unwrap();
+    let mut node = Node::new(settings, policy, 1);
+    node.leader = Some(testing::leader());
+    let machine_type = |n: u32| MachineType {
+        name: format!("type-{n}").as_str().into(),
+        ..testing::machine_type()
+    };
+    let types = MachineTypes {
+        kinds: (0..20).map(machine_type).collect(),
+    };
+    node.store_machine_types(types.clone());
+    let limit = 1024;
+    let mut stored = Vec::new();
+    for _ in 0..10 {
+        let Some((id, transaction)) = take_commit(&mut node) else {
+            break;
+        };
+        let is_too_large = TransactionSize::of(&transaction).largest_value_bytes > limit;
+        let response = wire::encode(&TransactionResponse::default());
+        let reply = match is_too_large {
+            true => Reply::Answer(400, Vec::new()),
+            false => Reply::Answer(200, response),
+        };
+        if !is_too_large {
+            stored = transaction.ops;
+        }
+        node.handle_reply(id, reply);
+    }
+    let values = stored.iter().filter_map(|op| match op {
+        Operation::Put { value, .. } => job_records::read_record::<Vec<MachineType>>(value),
+        Operation::Delete { .. } => None,
+    });
+    let kinds: Vec<MachineType> = values.flatten().collect();
+    assert_eq!(kinds, types.kinds, "all are stored, in their order");
+    // A shorter list replaces all of it.
+    let one = MachineTypes {
+        kinds: vec![machine_type(0)],
+    };
+    node.store_machine_types(one);
+    let (_, transaction) = take_commit(&mut node).expect("it is stored");
+    let is_delete = |op: &&Operation| matches!(op, Operation::Delete { .. });
+    let deleted = transaction.ops.iter().filter(is_delete).count();
+    assert_eq!(
+        deleted,
+        stored.len() - 1,
+        "no part of the longer one remains"
+    );
+}
