Commit pipeline: the rewriting of outdated records is a module of its own

Change: `leader/record_rewrite` holds the list and decides what is queued; the pipeline says whether writes are spare. No behaviour changes.

--- a/crates/controller/src/core/leader.rs
+++ b/crates/controller/src/core/leader.rs
@@ -21,6 +21,7 @@
 mod placement_requests;
 mod preemption_search;
 mod record_load;
+mod record_rewrite;
 mod record_watch;
 mod refused_writes;
 mod scheduler;
@@ -396,7 +397,7 @@
 
     /// Whether all stored records have the format in force.
     pub fn is_rewritten(&self) -> bool {
-        self.writer.is_rewritten(self.format_version)
+        self.writer.rewriter.is_complete(self.format_version)
     }
 
     fn run_cycle(&mut self, at: Now) {
--- a/crates/controller/src/core/leader/commit_pipeline.rs
+++ b/crates/controller/src/core/leader/commit_pipeline.rs
@@ -8,6 +8,7 @@
 };
 use super::outcome::LeadershipOutcome;
 use super::pending_call::PendingCall;
+use super::record_rewrite::RecordRewriter;
 use super::refused_writes::RefusedWrites;
 use super::status_broadcast::StatusBroadcaster;
 use super::transaction_contents::{
@@ -16,11 +17,10 @@
 };
 use crate::core::autoscaler::intents::Intents;
 use crate::core::effects::{Effects, PendingCalls};
-use crate::core::format_version::chunk_progress::ChunkProgress;
-use crate::core::format_version::{FormatVersion, WITH_HISTORY};
+use crate::core::format_version::FormatVersion;
 use crate::core::garbage_collection::GarbageCollector;
 use crate::core::job_records::{
-    self, BuiltTransaction, CommitItem, CommitPipeline, Job, TransactionBuilder, TransactionLimits,
+    self, BuiltTransaction, CommitItem, CommitPipeline, TransactionBuilder, TransactionLimits,
 };
 use crate::core::store_limits::StoreLimits;
 use crate::core::{Reply, Target};
@@ -31,9 +31,6 @@
 use crate::wire::rate_limit::TokenBucket;
 use std::collections::BTreeSet;
 
-/// Most records rewritten in a newer format per step, and the time between two steps.
-const MAX_REWRITTEN_CHUNKS: usize = 4;
-const REWRITE_INTERVAL: TimeSpan = TimeSpan::millis(250);
 /// Least time between two commits.
 const MIN_COMMIT_INTERVAL: TimeSpan = TimeSpan::millis(40);
 /// Pause after the rate limit of calls has prevented a commit.
@@ -62,10 +59,8 @@
     pub backoff: Backoff,
     /// Rate limiter of written operations.
     pub write_tokens: TokenBucket,
-    /// Chunks whose record has an older format than the format version in force writes.
-    pub outdated_chunks: BTreeSet<(JobId, u32)>,
-    /// When the next outdated chunks may be queued for rewriting.
-    pub rewrite_due: Time,
+    /// Rewrites records in the format version in force.
+    pub rewriter: RecordRewriter,
     /// Deletes keys that belong to no job.
     pub garbage_collector: GarbageCollector,
     /// Writes that the store refuses for another reason than their size.
@@ -88,8 +83,7 @@
             pipeline: CommitPipeline::default(),
             backoff: Backoff::default(),
             write_tokens: TokenBucket::new(rate, rate),
-            outdated_chunks: BTreeSet::new(),
-            rewrite_due: now,
+            rewriter: RecordRewriter::new(now),
             garbage_collector: GarbageCollector::default(),
             refused: RefusedWrites::default(),
         }
@@ -380,41 +374,20 @@
         LeadershipOutcome::Continue
     }
 
-    /// Queues the next records for rewriting in the format in force: a few at a time, and
-    /// only while less than half of the write rate is used.
+    /// Queues the next records for rewriting in the format in force, if they are due and
+    /// less than half of the write rate is used.
     pub fn queue_outdated_chunks(
         &mut self,
         now: Time,
         cluster: &mut ClusterState,
         format: FormatVersion,
     ) {
-        if format < WITH_HISTORY || now < self.rewrite_due || self.outdated_chunks.is_empty() {
-            return;
-        }
-        self.rewrite_due = now + REWRITE_INTERVAL;
-        if self.write_tokens.level(now) < self.write_tokens.burst() / 2.0 {
-            return;
-        }
-        let jobs = &cluster.jobs;
-        // Records of ended jobs are deleted, so they need no rewriting.
-        self.outdated_chunks
-            .retain(|(id, _)| jobs.get(id).is_some_and(Job::is_open));
-        let is_writable = |(id, _): &&(JobId, u32)| {
-            jobs.get(id)
-                .is_some_and(|job| job.is_open() && !job.unreadable)
-        };
-        let next = self.outdated_chunks.iter().filter(is_writable);
-        let next: Vec<(JobId, u32)> = next.take(MAX_REWRITTEN_CHUNKS).cloned().collect();
-        for chunk in next {
-            cluster.unwritten.dirty_chunks.mark(chunk, now, false);
+        if self.rewriter.is_due(now, format) {
+            let has_spare_writes = self.write_tokens.level(now) >= self.write_tokens.burst() / 2.0;
+            self.rewriter.queue_next(now, cluster, has_spare_writes);
         }
     }
 
-    /// Whether all stored records have the format in force.
-    pub fn is_rewritten(&self, format: FormatVersion) -> bool {
-        format < WITH_HISTORY || self.outdated_chunks.is_empty()
-    }
-
     /// Queues an item that was not written for a later transaction.
     fn requeue(&mut self, now: Time, context: &mut WriteContext<'_>, item: CommitItem) {
         let unwritten = &mut context.cluster.unwritten;
@@ -445,7 +418,7 @@
     ) {
         match item {
             CommitItem::Chunk { job, chunk, change } => {
-                self.record_chunk_format(&job, chunk, transaction);
+                self.rewriter.record_stored_chunk(&job, chunk, transaction);
                 apply_stored_chunk(context, &job, chunk, change, revision);
             }
             CommitItem::Finish(id) => apply_stored_outcome(context.cluster, id),
@@ -466,31 +439,13 @@
         }
     }
 
-    /// Removes a job that has no records any more, in memory or stored. The list of its
-    /// outdated chunks is removed too: where a format version is held back for weeks the
-    /// list would grow without bound.
+    /// Removes a job that has no records any more, in memory or stored.
     fn forget_job(&mut self, context: &mut WriteContext<'_>, id: &JobId) {
-        let job = context.cluster.jobs.remove(id);
-        for chunk in job.iter().flat_map(|job| job.chunks.keys()) {
-            self.outdated_chunks.remove(&(id.clone(), *chunk));
+        if let Some(job) = context.cluster.jobs.remove(id) {
+            self.rewriter.forget_job(id, &job);
         }
         context.status.forget_job(id);
     }
-
-    /// Records whether a stored chunk has the format in force.
-    fn record_chunk_format(&mut self, id: &JobId, chunk: u32, transaction: &Transaction) {
-        let chunk_key = job_records::chunk_key(id, chunk);
-        let value = transaction.ops.iter().find_map(|op| match op {
-            Operation::Put { key, value, .. } if *key == chunk_key => Some(value),
-            _ => None,
-        });
-        let chunk = (id.clone(), chunk);
-        if value.is_some_and(|value| ChunkProgress::has_form_of(value, WITH_HISTORY)) {
-            self.outdated_chunks.remove(&chunk);
-        } else {
-            self.outdated_chunks.insert(chunk);
-        }
-    }
 }
 
 /// The keys whose precondition failed, according to the answer to a transaction.
--- a/crates/controller/src/core/leader/commit_pipeline/tests.rs
+++ b/crates/controller/src/core/leader/commit_pipeline/tests.rs
@@ -109,7 +109,11 @@
             let assigned = Assignment::inherited("host-1".into(), AgentEpoch(1), Attempt(1));
             job.assignments.insert(0, assigned);
         }
-        leader.writer.outdated_chunks.insert((id.clone(), 0));
+        leader
+            .writer
+            .rewriter
+            .outdated_chunks
+            .insert((id.clone(), 0));
         leader.cluster.unwritten.finished_jobs.insert(id.clone());
         let limits = StoreLimits::new(&leader.cluster.settings);
         let mut parts = leader.writer_parts();
@@ -140,7 +144,7 @@
         }
         let job_remains = leader.cluster.jobs.contains_key(&id);
         assert_eq!(
-            leader.writer.outdated_chunks.is_empty(),
+            leader.writer.rewriter.outdated_chunks.is_empty(),
             !job_remains,
             "outdated chunks of a deleted job must be removed"
         );
--- a/crates/controller/src/core/leader/record_load.rs
+++ b/crates/controller/src/core/leader/record_load.rs
@@ -160,7 +160,10 @@
             return;
         };
         if !ChunkProgress::has_form_of(&entry.value, WITH_HISTORY) {
-            self.writer.outdated_chunks.insert((id.clone(), chunk));
+            self.writer
+                .rewriter
+                .outdated_chunks
+                .insert((id.clone(), chunk));
         }
         if let Err(error) = job.load_chunk(chunk, entry.version, &entry.value) {
             tracing::error!(job = %id, key = entry.key, %error, "a record cannot be read; its job is left as it is");
