Workflow records: lists that the key-value store refuses become smaller

Seen by callers: after the state service lowered its limit on values, a workflow's runner ended with "the state service refuses: POST /commit", and each later one was refused the same list of outcomes. Change: a refused write halves the size of lists, down to 1 KiB; a list of the old size that is written again is divided. Any other refusal is an error with the store's words, which controllers log as well (one type for both).

--- a/crates/wire/src/kvstore.rs
+++ b/crates/wire/src/kvstore.rs
@@ -2,6 +2,7 @@
 //! JSON-like data.
 
 use crate::types::Version;
+use crate::users::ErrorResponse;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
@@ -158,12 +159,6 @@
     pub events: Vec<WatchEvent>,
 }
 
-/// The body of a refusal.
-#[derive(Debug, Deserialize)]
-struct ErrorResponse {
-    error: String,
-}
-
 /// The text of a refusal, for operators; empty if the body has none.
 pub fn error_text(body: &[u8]) -> String {
     crate::decode::<ErrorResponse>(body).map_or_else(String::new, |response| response.error)
--- a/crates/workflow/src/records.rs
+++ b/crates/workflow/src/records.rs
@@ -7,7 +7,7 @@
 use pebblefold_net::{Client, SentFlag};
 use pebblefold_wire::kvstore::{
     EntryPage, LeaseGrant, LeaseGrantRequest, Operation, Precondition, Transaction,
-    TransactionResponse,
+    TransactionResponse, error_text,
 };
 use pebblefold_wire::types::Version;
 use pebblefold_wire::{decode, encode};
@@ -20,8 +20,11 @@
 
 /// The format of the head; a newer one is left alone.
 const FORMAT: u32 = 1;
-/// JSON bytes of one list; the state service takes 8 KiB.
+/// Maximum size of one list, in bytes of JSON, while the state service accepts 8 KiB.
 const MOST_LIST: usize = 6 * 1024;
+/// Least limit on the size of a list that is tried when the state service refuses larger
+/// ones. One entry fits.
+const LEAST_LIST: usize = 1024;
 /// Longest reason that is kept, in bytes.
 const MOST_REASON: usize = 400;
 /// How long one request waits.
@@ -115,6 +118,8 @@
     tries: u32,
     head: (Head, Version),
     lists: Vec<(List, Version)>,
+    /// Maximum size of a list that is written, in bytes of JSON.
+    max_list_bytes: usize,
     last: Cell<Option<Instant>>,
     /// Transactions sent.
     writes: Cell<u64>,
@@ -128,6 +133,22 @@
     serde_json::to_vec(list).map_or(usize::MAX, |b| b.len())
 }
 
+/// Divides a list into lists of at most `max_bytes`, or of one entry. There is at least one.
+fn divide(list: List, max_bytes: usize) -> Vec<List> {
+    let mut parts = vec![List::new()];
+    for (path, entry) in list {
+        let Some(part) = parts.last_mut() else {
+            break;
+        };
+        part.insert(path.clone(), entry.clone());
+        if part.len() > 1 && length(part) > max_bytes {
+            part.remove(&path);
+            parts.push(List::from([(path, entry)]));
+        }
+    }
+    parts
+}
+
 /// A text with so many bytes at most.
 fn cut(text: &str, most: usize) -> String {
     let end = (0..=most.min(text.len())).rev();
@@ -204,6 +225,7 @@
             tries: TRIES.0,
             head: (head, Version(0)),
             lists: Vec::new(),
+            max_list_bytes: MOST_LIST,
             last: Cell::new(None),
             writes: Cell::new(0),
         }
@@ -309,9 +331,9 @@
                 if left.len() == list.len() {
                     break;
                 }
-                let k = key(&self.name, i);
-                let op = put(k.clone(), &left, None);
-                self.commit(vec![(k, version)], vec![op]).await?;
+                let (conditions, ops) = self.replacement(i, version, left);
+                let replaced = self.commit(conditions, ops).await;
+                self.retry_if_too_large(replaced)?;
                 self.load().await?;
             }
         }
@@ -325,6 +347,43 @@
         .await
     }
 
+    /// The transaction that replaces a list, which becomes several if it is too large.
+    fn replacement(
+        &self,
+        i: usize,
+        version: Version,
+        list: List,
+    ) -> (Vec<(String, Version)>, Vec<Operation>) {
+        let new_lists = (self.lists.len()..).map(|new| (new, Version(0)));
+        let places = std::iter::once((i, version)).chain(new_lists);
+        let parts = divide(list, self.max_list_bytes);
+        places
+            .zip(&parts)
+            .map(|((i, version), part)| {
+                let key = key(&self.name, i);
+                ((key.clone(), version), put(key, part, None))
+            })
+            .unzip()
+    }
+
+    /// Passes on the result of a commit. `None` also if it was refused and smaller lists
+    /// may be accepted: the state service may have lowered its limits.
+    ///
+    /// # Errors
+    /// The error of the commit, if smaller lists cannot help.
+    fn retry_if_too_large(
+        &mut self,
+        result: Result<Option<Version>, RecordError>,
+    ) -> Result<Option<Version>, RecordError> {
+        match result {
+            Err(RecordError::Refused(_)) if self.max_list_bytes > LEAST_LIST => {
+                self.max_list_bytes = (self.max_list_bytes / 2).max(LEAST_LIST);
+                Ok(None)
+            }
+            result => result,
+        }
+    }
+
     async fn ask(
         &self,
         method: &str,
@@ -338,7 +397,8 @@
             match timeout(PATIENCE, asked).await {
                 Ok(Ok(r)) if matches!(r.status, 200 | 404 | 409) => return Ok((r.status, r.body)),
                 Ok(Ok(r)) if r.status == 400 => {
-                    return Err(RecordError::Refused(format!("{method} {path}")));
+                    let why = error_text(&r.body);
+                    return Err(RecordError::Refused(format!("{method} {path}: {why}")));
                 }
                 Ok(Ok(r)) => last = format!("status {}", r.status),
                 Ok(Err(e)) => last = e.to_string(),
@@ -419,12 +479,13 @@
             let last = self.lists.len().saturating_sub(1);
             fresh.extend(self.lists.last().map(|(l, v)| (last, l.clone(), *v)));
             let mut touched = BTreeSet::new();
+            let max_bytes = self.max_list_bytes;
             for (path, entry) in new {
                 let entry = match entry {
                     Entry::Failed(reason) => Entry::Failed(cut(reason, MOST_REASON)),
                     Entry::Done => Entry::Done,
                 };
-                let room = |l: &List| length(l) + path.as_str().len() + MOST_REASON <= MOST_LIST;
+                let room = |l: &List| length(l) + path.as_str().len() + MOST_REASON <= max_bytes;
                 if !fresh.last().is_some_and(|(_, l, _)| room(l)) {
                     let next = fresh.last().map_or(0, |(i, _, _)| i + 1);
                     // One transaction holds 48 changes and 64 KiB.
@@ -443,15 +504,17 @@
             let ops = fresh
                 .iter()
                 .map(|(i, l, _)| put(key(&self.name, *i), l, None));
-            let done = self.commit(conditions.collect(), ops.collect()).await?;
-            match done {
+            let (conditions, ops) = (conditions.collect(), ops.collect());
+            let done = self.commit(conditions, ops).await;
+            match self.retry_if_too_large(done)? {
                 Some(v) => {
                     for (i, list, _) in fresh {
                         self.lists.truncate(i);
                         self.lists.push((list, v));
                     }
                 }
-                // Somebody else wrote, or our own write whose answer was lost.
+                // Somebody else wrote, or our own write whose answer was lost, or the lists
+                // were too large.
                 None => self.load().await?,
             }
         }
