A flood of requests does not lower the assumed write rate

Cause: three writes in a row that got 429 lowered the assumed write rate to three quarters, also those of users. Change: only the leader's commits count, and only an announced rate is assumed. Commits that get 429 are still made smaller.

--- a/crates/controller/src/core/effects.rs
+++ b/crates/controller/src/core/effects.rs
@@ -132,12 +132,14 @@
         cause
     }
 
-    /// Records what the reply to a write shows of the store's rate limits.
-    pub fn record_write_reply(&mut self, reply: &Reply) {
+    /// Records what the reply to a commit of the leader, with this many operations, shows
+    /// of the store's rate limits.
+    pub fn record_commit_reply(&mut self, operations: usize, reply: &Reply) {
         match reply {
-            Reply::Answer(200 | 409, _) => self.store_limits.record_success(),
+            Reply::Answer(200 | 409, _) => self.store_limits.record_committed(),
             Reply::Answer(429, _) => {
-                self.store_limits.record_rate_refusal(self.now.time);
+                let now = self.now.time;
+                self.store_limits.record_rate_refusal(now, operations);
                 self.apply_write_rate();
             }
             _ => {}
--- a/crates/controller/src/core/job_api.rs
+++ b/crates/controller/src/core/job_api.rs
@@ -154,9 +154,6 @@
         step: Step,
         reply: Reply,
     ) {
-        if matches!(step, Step::Accept { .. } | Step::Cancel { .. }) {
-            effects.record_write_reply(&reply);
-        }
         match step {
             Step::Accept { job, limits } => {
                 self.handle_accept(effects, request, job, limits, reply);
--- a/crates/controller/src/core/leader/commit_pipeline.rs
+++ b/crates/controller/src/core/leader/commit_pipeline.rs
@@ -194,11 +194,7 @@
         let pause = self
             .backoff
             .next_pause(SHORTEST_BACKOFF, LONGEST_BACKOFF, effects.jitter());
-        effects.record_write_reply(&reply);
-        if matches!(reply, Reply::Answer(429, _)) {
-            let operations = transaction.ops.len();
-            effects.store_limits.record_burst_refusal(operations);
-        }
+        effects.record_commit_reply(transaction.ops.len(), &reply);
         match reply {
             Reply::Answer(200, body) => {
                 self.handle_committed(now, context, &transaction, items, &body)
--- a/crates/controller/src/core/store_limits.rs
+++ b/crates/controller/src/core/store_limits.rs
@@ -9,7 +9,7 @@
 //! | 400 to any other transaction | half as many operations are tried |
 //! | 400 to a transaction that cannot be divided | its largest value is too large |
 //! | 400 to a transaction that can be made no smaller | the cause is not its size |
-//! | 429 several times in a row | the announced or a lower write rate is in force |
+//! | 429 to several commits in a row | the announced write rate is in force |
 //! | no refusal for a while | higher limits are tried, up to the configured ones |
 //!
 //! A limit that is assumed too low only costs throughput, and one that is assumed too high
@@ -31,12 +31,8 @@
 pub const MIN_VALUE_BYTES: usize = 512;
 /// The part of a refused value's size that is tried next.
 const VALUE_DECREASE: f64 = 0.75;
-/// Least assumed write rate, in operations per second.
-const MIN_WRITE_RPS: f64 = 8.0;
-/// The part of the write rate that is kept after repeated refusals.
-const WRITE_RATE_DECREASE: f64 = 0.75;
-/// How many writes in a row have to exceed the write rate before a lower one is assumed;
-/// single ones come from bursts.
+/// How many commits in a row have to be refused with 429 before the announced write rate is
+/// assumed; single ones come from bursts of any requests.
 const MAX_CONSECUTIVE_RATE_REFUSALS: u32 = 3;
 /// Shortest and longest time after which higher limits are tried.
 const SHORTEST_RAISE_PAUSE: TimeSpan = TimeSpan::millis(30_000);
@@ -212,35 +208,30 @@
         RefusalCause::TooLarge
     }
 
-    /// Records that a transaction was executed or that its preconditions were compared.
-    pub fn record_success(&mut self) {
+    /// Records that a commit was executed or that its preconditions were compared.
+    pub fn record_committed(&mut self) {
         self.consecutive_rate_refusals = 0;
         self.burst_operations = (self.burst_operations * 2).min(self.configured.txn_ops);
     }
 
-    /// Records that a write was refused with status 429.
-    pub fn record_rate_refusal(&mut self, now: Time) {
+    /// Records that a commit of this many operations was refused with status 429. The next
+    /// one is smaller: with a lower write rate the limiter may never have room for as many
+    /// at once. The status does not tell whether writes or requests were too many, so no
+    /// rate is assumed that is not announced.
+    pub fn record_rate_refusal(&mut self, now: Time, operations: usize) {
+        self.burst_operations = (operations / 2).max(MIN_OPERATIONS);
         self.consecutive_rate_refusals += 1;
         if self.consecutive_rate_refusals < MAX_CONSECUTIVE_RATE_REFUSALS {
             return;
         }
         self.consecutive_rate_refusals = 0;
-        let decreased = self.current.write_rps * WRITE_RATE_DECREASE;
         let announced = self.announced.map(|limits| limits.write_rps);
-        let announced = announced.filter(|rate| *rate < self.current.write_rps);
-        let lower = announced.unwrap_or(decreased).max(MIN_WRITE_RPS);
-        if lower < self.current.write_rps {
+        if let Some(lower) = announced.filter(|rate| *rate < self.current.write_rps) {
             self.current.write_rps = lower;
             self.record_lowering(now);
         }
     }
 
-    /// Records that a commit of this many operations was refused with status 429: with a
-    /// lower write rate the limiter may never have room for as many at once.
-    pub fn record_burst_refusal(&mut self, operations: usize) {
-        self.burst_operations = (operations / 2).max(MIN_OPERATIONS);
-    }
-
     /// Raises lowered limits once no transaction has been refused for a while, as the store
     /// may have raised its own.
     pub fn raise_if_due(&mut self, now: Time) {
--- a/crates/controller/src/core/store_limits/tests.rs
+++ b/crates/controller/src/core/store_limits/tests.rs
@@ -103,18 +103,20 @@
     assert_eq!(in_force(&limits), (48, 8192, 80.0));
 }
 
+// Refusals that a flood of users' requests brought about took a quarter of the write rate
+// from the leader and from submissions.
 #[test]
-fn only_repeated_rate_refusals_lower_the_rate() {
-    for (announced, lower) in [(Some((16, 2048, 56.0)), 56.0), (None, 60.0)] {
+fn only_repeated_rate_refusals_put_an_announced_rate_in_force() {
+    for (announced, lower) in [(Some((16, 2048, 56.0)), 56.0), (None, 80.0)] {
         let mut limits = limits(announced);
         for _ in 0..5 {
-            limits.record_rate_refusal(BEFORE);
-            limits.record_rate_refusal(BEFORE);
-            limits.record_success();
+            limits.record_rate_refusal(BEFORE, 4);
+            limits.record_rate_refusal(BEFORE, 4);
+            limits.record_committed();
         }
         assert_eq!(limits.write_rps(), 80.0);
-        for _ in 0..3 {
-            limits.record_rate_refusal(BEFORE);
+        for _ in 0..9 {
+            limits.record_rate_refusal(BEFORE, 4);
         }
         assert_eq!(in_force(&limits), (48, 8192, lower));
         limits.raise_if_due(BEFORE + SHORTEST_RAISE_PAUSE);
@@ -130,13 +132,13 @@
     let burst = 10;
     let mut refusals = 0;
     while limits.commit_operations() > burst {
-        limits.record_burst_refusal(limits.commit_operations());
+        limits.record_rate_refusal(BEFORE, limits.commit_operations());
         refusals += 1;
     }
     assert_eq!(refusals, 3);
     assert_eq!(limits.current().txn_ops, 48);
     for _ in 0..4 {
-        limits.record_success();
+        limits.record_committed();
     }
     assert_eq!(limits.commit_operations(), 48);
 }
