--- a/review/stand-2/cases.rs
+++ b/review/stand-2/cases.rs
@@ -1,6 +1,6 @@
 //! The cases. Each returns what broke the rule, or nothing if the rule held.
 
-use crate::cluster::{Cluster, Paths, SIGTERM, guard, job, kill_named, signal, with};
+use crate::cluster::{Cluster, Paths, SIGCONT, SIGSTOP, SIGTERM, guard, job, kill_named, signal, with};
 use crate::http::ask;
 use crate::pack::{V, map};
 use crate::record::Record;
@@ -17,6 +17,7 @@
     match case {
         "gang" => gang(trouble, record),
         "halt" => halt(trouble, record),
+        "hang" => hang(trouble, record),
         "once" => once(trouble, record),
         "mistakes" => mistakes(trouble, record),
         "drained" => drained(trouble, record),
@@ -182,6 +183,73 @@
     }
 }
 
+/// A machine hangs for longer than its lease, and goes on.
+fn hang(trouble: bool, record: &Record) -> Verdict {
+    const HANG_S: f64 = 40.0;
+    let cluster = Cluster::start("hang", record)?;
+    let shared = cluster.paths.dir.clone();
+    let env = [("SHARED", shared.display().to_string())];
+    for (id, zone) in [("wk-000910", "poa-central"), ("wk-000920", "caxias-room")] {
+        cluster.cloud.up(zone, false)?;
+        let desk = cluster.submit(&service(id, zone), "exec sleep 1000", &env)?;
+        if !cluster.wait_for(&desk, "running", seconds(30.0)) {
+            return Err("a service did not run within 30 s".into());
+        }
+    }
+    let job = with(job("wk-000901"), &[("guess_s", 60.0.into())]);
+    // Each step has an effect outside the machine: a line with the try and the time.
+    let command = "n=0; while [ $n -lt 600 ]; do n=$((n+1)); \
+        echo \"$(date +%s.%N) try $PEBBLEFOLD_TRY step $n\" >> \"$SHARED/steps\"; sleep 0.1; done";
+    let id = cluster.submit(&job, command, &env)?;
+    if !exists_within(&shared.join("steps"), seconds(30.0)) {
+        return Err("the job did not begin within 30 s".into());
+    }
+    std::thread::sleep(seconds(4.0));
+    let name = cluster.machines().into_iter().find(|name| {
+        let report = cluster.inspect(name);
+        let pieces = report.map_or(Vec::new(), |r| r.get("pieces").map_or(&[][..], V::list).to_vec());
+        pieces.iter().any(|p| p.get("piece").and_then(V::text) == Some("wk-000901/0"))
+    });
+    let name = name.ok_or("no machine runs the task")?;
+    if trouble {
+        let all = cluster.cloud.with(|c| c.processes(&name));
+        // Those that watch over the task stop last and go on first.
+        all.iter().rev().for_each(|p| signal(*p, SIGSTOP));
+        record.line(&format!("{name} hangs: {} processes stopped", all.len()));
+        std::thread::sleep(seconds(HANG_S));
+        all.iter().for_each(|p| signal(*p, SIGCONT));
+        record.line(&format!("{name} goes on after {HANG_S} s"));
+    } else {
+        std::thread::sleep(seconds(HANG_S));
+    }
+    std::thread::sleep(seconds(3.0));
+    cluster.record_machines();
+    let steps = fs::read_to_string(shared.join("steps")).unwrap_or_default();
+    let mut last: Vec<(u64, &str)> = Vec::new();
+    let mut stale = Vec::new();
+    for line in steps.lines() {
+        let number: u64 = line.split(' ').nth(2).and_then(|t| t.parse().ok()).unwrap_or(0);
+        if last.last().is_some_and(|(t, _)| number < *t) {
+            stale.push(line);
+        }
+        if last.last().is_none_or(|(t, _)| number > *t) {
+            last.push((number, line));
+        }
+    }
+    last.iter().for_each(|(t, l)| record.line(&format!("{id}: try {t} begins: {l}")));
+    stale.iter().for_each(|l| record.line(&format!("{id}: after a later try had begun: {l}")));
+    if trouble && last.len() < 2 {
+        return Err("the task was not started again".into());
+    }
+    if stale.is_empty() {
+        return Ok(None);
+    }
+    Ok(Some(format!(
+        "ran_twice: {id} acted on {name}, {} times, after its lease was over and while its next try ran elsewhere",
+        stale.len()
+    )))
+}
+
 /// A service that takes part of its machine, and a job that may only run beside it.
 fn service(id: &str, zone: &str) -> Vec<(&'static str, V)> {
     with(
--- a/review/stand-2/cloud.rs
+++ b/review/stand-2/cloud.rs
@@ -3,7 +3,7 @@
 //! of each zone and kind as the case begins with: a hire is filled only for a machine that
 //! was given back or taken.
 
-use crate::cluster::{Paths, kill_marked};
+use crate::cluster::{Paths, kill_marked, marked};
 use crate::http;
 use crate::pack::{V, map};
 use crate::record::Record;
@@ -182,6 +182,16 @@
         }
     }
 
+    /// The processes of a machine: its agent, then what was started there.
+    pub fn processes(&self, name: &str) -> Vec<u32> {
+        let Some(m) = self.machines.get(name) else {
+            return Vec::new();
+        };
+        let mut all: Vec<u32> = m.agent.iter().map(Child::id).collect();
+        all.extend(marked(&m.dir));
+        all
+    }
+
     /// A machine is gone, with everything on it.
     pub fn gone(&mut self, name: &str) {
         let Some(mut m) = self.machines.remove(name) else {
--- a/review/stand-2/cluster.rs
+++ b/review/stand-2/cluster.rs
@@ -17,34 +17,43 @@
 
 pub const SIGKILL: i32 = 9;
 pub const SIGTERM: i32 = 15;
+pub const SIGCONT: i32 = 18;
+pub const SIGSTOP: i32 = 19;
 
 pub fn signal(pid: u32, number: i32) {
     // SAFETY: the call has no memory effects; the process was started by this program.
     unsafe { kill(pid as i32, number) };
 }
 
-/// Kills the processes whose environment names this directory: the tasks, and the processes
-/// between them and their agent, that were started there.
-pub fn kill_marked(dir: &Path) {
+/// The processes whose environment names this directory, in the order of their ids: the
+/// tasks, and the processes between them and their agent, that were started there.
+pub fn marked(dir: &Path) -> Vec<u32> {
     let name = dir.display().to_string();
-    for _ in 0..5 {
-        let mut found = false;
-        for entry in fs::read_dir("/proc").into_iter().flatten().flatten() {
-            let Some(pid) = entry.file_name().to_str().and_then(|s| s.parse::<u32>().ok()) else {
-                continue;
-            };
-            let environ = fs::read(entry.path().join("environ")).unwrap_or_default();
-            let marked = environ.split(|b| *b == 0).any(|e| {
-                e.starts_with(b"PEBBLEFOLD_ATTEMPT=") && String::from_utf8_lossy(e).contains(&name)
-            });
-            if marked && pid != std::process::id() {
-                signal(pid, SIGKILL);
-                found = true;
-            }
+    let mut all = Vec::new();
+    for entry in fs::read_dir("/proc").into_iter().flatten().flatten() {
+        let Some(pid) = entry.file_name().to_str().and_then(|s| s.parse::<u32>().ok()) else {
+            continue;
+        };
+        let environ = fs::read(entry.path().join("environ")).unwrap_or_default();
+        let marked = environ.split(|b| *b == 0).any(|e| {
+            e.starts_with(b"PEBBLEFOLD_ATTEMPT=") && String::from_utf8_lossy(e).contains(&name)
+        });
+        if marked && pid != std::process::id() {
+            all.push(pid);
         }
-        if !found {
+    }
+    all.sort_unstable();
+    all
+}
+
+/// Kills those processes.
+pub fn kill_marked(dir: &Path) {
+    for _ in 0..5 {
+        let all = marked(dir);
+        if all.is_empty() {
             return;
         }
+        all.iter().for_each(|pid| signal(*pid, SIGKILL));
         std::thread::sleep(Duration::from_millis(20));
     }
 }
