review: case 6, a machine's report passes 64 KiB and all its tasks are lost

Cause: nothing bounds the tasks of a machine by what its report may hold; the controllers refuse the report with 413, so that the lease ends again and again.

--- a/review/stand-2/cases.rs
+++ b/review/stand-2/cases.rs
@@ -1,9 +1,14 @@
-//! The cases. Each returns what broke the rule, or nothing if the rule held.
+//! The cases. Each returns what broke the rule, or nothing if the rule held. The cases 4 to 8
+//! are `gang`, `never`, `burst`, `mistakes` and `drained`; `halt`, `once` and `hang` are plays
+//! that `review/REPORT-2.md` names and that are no cases.
 
-use crate::cluster::{Cluster, Paths, SIGCONT, SIGSTOP, SIGTERM, guard, job, kill_named, signal, with};
+use crate::cluster::{
+    Cluster, Paths, SIGCONT, SIGSTOP, SIGTERM, guard, job, kill_named, signal, with,
+};
 use crate::http::ask;
 use crate::pack::{V, map};
 use crate::record::Record;
+use crate::worker::Tasks;
 use std::collections::{BTreeMap, BTreeSet};
 use std::fs;
 use std::net::TcpListener;
@@ -17,6 +22,7 @@
     match case {
         "gang" => gang(trouble, record),
         "halt" => halt(trouble, record),
+        "burst" => burst(trouble, record),
         "hang" => hang(trouble, record),
         "once" => once(trouble, record),
         "mistakes" => mistakes(trouble, record),
@@ -79,17 +85,34 @@
     if trouble {
         std::thread::sleep(seconds(RUN_S - 4.0).saturating_sub(began.elapsed()));
         let place = fs::read_to_string(shared.join("began.1.1")).unwrap_or_default();
-        let name = place.split('/').find(|p| p.starts_with("host-")).unwrap_or("").to_string();
+        let name = place
+            .split('/')
+            .find(|p| p.starts_with("host-"))
+            .unwrap_or("")
+            .to_string();
         cluster.cloud.with(|c| c.gone(&name));
-        record.line(&format!("{name}, which runs task 1, is taken without notice, everything on it with it"));
-    }
-    let result = |i: u32| cluster.paths.store().join(&id).join(i.to_string()).join("result.json").exists();
+        record.line(&format!(
+            "{name}, which runs task 1, is taken without notice, everything on it with it"
+        ));
+    }
+    let result = |i: u32| {
+        cluster
+            .paths
+            .store()
+            .join(&id)
+            .join(i.to_string())
+            .join("result.json")
+            .exists()
+    };
     if !cluster.wait_for(&id, "done", seconds(60.0)) {
         record.line("the job was not called done within 60 s");
         return Ok(None);
     }
     let at_done = (result(0), result(1));
-    record.line(&format!("called done; results published: task 0 {}, task 1 {}", at_done.0, at_done.1));
+    record.line(&format!(
+        "called done; results published: task 0 {}, task 1 {}",
+        at_done.0, at_done.1
+    ));
     std::thread::sleep(seconds(15.0));
     let later = (result(0), result(1));
     let ended = shared.join("ended.1.1").exists();
@@ -160,7 +183,12 @@
             ("guess_s", 3.0.into()),
         ],
     );
-    let at = || fs::read_to_string(shared.join("at")).unwrap_or_default().trim().to_string();
+    let at = || {
+        fs::read_to_string(shared.join("at"))
+            .unwrap_or_default()
+            .trim()
+            .to_string()
+    };
     record.line(&format!("{id} has counted to {}", at()));
     let second = cluster.submit(&urgent, "sleep 3", &env)?;
     if !cluster.wait_for(&second, "done", seconds(30.0)) {
@@ -173,7 +201,10 @@
     for line in progress.lines() {
         record.line(&format!("{id}: {line}"));
     }
-    let starts: Vec<&str> = progress.lines().filter(|l| l.contains("begins at")).collect();
+    let starts: Vec<&str> = progress
+        .lines()
+        .filter(|l| l.contains("begins at"))
+        .collect();
     match starts.as_slice() {
         [_] => Err("the first job was never stopped".into()),
         [_, again, ..] if again.ends_with(" at 0") => Ok(Some(format!(
@@ -183,6 +214,61 @@
     }
 }
 
+/// Jobs of many small tasks come 2.5 times as often.
+fn burst(trouble: bool, record: &Record) -> Verdict {
+    const TASKS: i32 = 400;
+    const CPUS: f64 = 0.015;
+    let cluster = Cluster::start("burst", record)?;
+    let tasks = Tasks {
+        cpus: CPUS,
+        fetch: seconds(1.7),
+        run: seconds(30.0),
+    };
+    let worker = cluster.cloud.up_with_worker("poa-central", tasks)?;
+    let count = if trouble { 5 } else { 2 };
+    let mut jobs = Vec::new();
+    for i in 0..count {
+        let small = with(
+            job(&format!("wk-00100{i}")),
+            &[
+                ("pieces", TASKS.into()),
+                ("vcpus", CPUS.into()),
+                ("accelerators", 0.0.into()),
+                ("memory_gb", 0.05.into()),
+                ("guess_s", 30.0.into()),
+            ],
+        );
+        jobs.push(cluster.submit(&small, "", &[])?);
+    }
+    let begun = Instant::now();
+    let mut open = jobs.clone();
+    while !open.is_empty() && begun.elapsed() < seconds(100.0) {
+        open.retain(|id| {
+            let done = cluster.stage(id).as_deref() == Some("done");
+            if done {
+                record.line(&format!("user: GET /submissions/{id} -> done"));
+            }
+            !done
+        });
+        std::thread::sleep(seconds(1.0));
+    }
+    let (done, killed, lapses) = worker.counts();
+    record.line(&format!(
+        "{} of {count} jobs done; worker: {done} tasks came to their end, {killed} were killed as the lease ended {lapses} times",
+        jobs.len() - open.len()
+    ));
+    if lapses == 0 && open.is_empty() {
+        return Ok(None);
+    }
+    if lapses == 0 {
+        return Err("the jobs were not done, and no lease ended".into());
+    }
+    Ok(Some(format!(
+        "accepted work is lost: {killed} tasks were killed on a machine that is up and sends its reports in time, {} of {count} jobs are not done after 100 s",
+        open.len()
+    )))
+}
+
 /// A machine hangs for longer than its lease, and goes on.
 fn hang(trouble: bool, record: &Record) -> Verdict {
     const HANG_S: f64 = 40.0;
@@ -207,8 +293,12 @@
     std::thread::sleep(seconds(4.0));
     let name = cluster.machines().into_iter().find(|name| {
         let report = cluster.inspect(name);
-        let pieces = report.map_or(Vec::new(), |r| r.get("pieces").map_or(&[][..], V::list).to_vec());
-        pieces.iter().any(|p| p.get("piece").and_then(V::text) == Some("wk-000901/0"))
+        let pieces = report.map_or(Vec::new(), |r| {
+            r.get("pieces").map_or(&[][..], V::list).to_vec()
+        });
+        pieces
+            .iter()
+            .any(|p| p.get("piece").and_then(V::text) == Some("wk-000901/0"))
     });
     let name = name.ok_or("no machine runs the task")?;
     if trouble {
@@ -228,7 +318,11 @@
     let mut last: Vec<(u64, &str)> = Vec::new();
     let mut stale = Vec::new();
     for line in steps.lines() {
-        let number: u64 = line.split(' ').nth(2).and_then(|t| t.parse().ok()).unwrap_or(0);
+        let number: u64 = line
+            .split(' ')
+            .nth(2)
+            .and_then(|t| t.parse().ok())
+            .unwrap_or(0);
         if last.last().is_some_and(|(t, _)| number < *t) {
             stale.push(line);
         }
@@ -236,8 +330,11 @@
             last.push((number, line));
         }
     }
-    last.iter().for_each(|(t, l)| record.line(&format!("{id}: try {t} begins: {l}")));
-    stale.iter().for_each(|l| record.line(&format!("{id}: after a later try had begun: {l}")));
+    last.iter()
+        .for_each(|(t, l)| record.line(&format!("{id}: try {t} begins: {l}")));
+    stale
+        .iter()
+        .for_each(|l| record.line(&format!("{id}: after a later try had begun: {l}")));
     if trouble && last.len() < 2 {
         return Err("the task was not started again".into());
     }
@@ -273,7 +370,11 @@
     cluster.cloud.up("poa-central", false)?;
     let shared = cluster.paths.dir.clone();
     let env = [("SHARED", shared.display().to_string())];
-    let desk = cluster.submit(&service("wk-000601", "caxias-room"), "exec sleep 1000", &env)?;
+    let desk = cluster.submit(
+        &service("wk-000601", "caxias-room"),
+        "exec sleep 1000",
+        &env,
+    )?;
     if !cluster.wait_for(&desk, "running", seconds(30.0)) {
         return Err("the service did not run within 30 s".into());
     }
@@ -288,7 +389,9 @@
         return Ok(None);
     }
     let tries = fs::read_to_string(shared.join("tries")).unwrap_or_default();
-    tries.lines().for_each(|l| record.line(&format!("{id}: {l}")));
+    tries
+        .lines()
+        .for_each(|l| record.line(&format!("{id}: {l}")));
     cluster.record_machines();
     if cluster.stage(&desk).as_deref() != Some("running") || cluster.inspect(&host).is_none() {
         return Err("the machine did not stay up".into());
@@ -306,27 +409,35 @@
         cluster.cloud.up(zone, false)?;
     }
     let env: [(&str, String); 0] = [];
+    let mut desks = Vec::new();
     for (i, zone) in zones.iter().enumerate() {
-        let id = cluster.submit(&service(&format!("wk-00070{i}"), zone), "exec sleep 1000", &env)?;
-        if !cluster.wait_for(&id, "running", seconds(30.0)) {
+        let desk = service(&format!("wk-00070{i}"), zone);
+        desks.push(cluster.submit(&desk, "exec sleep 1000", &env)?);
+    }
+    for desk in &desks {
+        if !cluster.wait_for(desk, "running", seconds(30.0)) {
             return Err("a service did not run within 30 s".into());
         }
     }
     if trouble {
         let a = cluster.submit(&job("wk-000711"), "exit 1", &env)?;
         let b = cluster.submit(&job("wk-000712"), "exit 1", &env)?;
-        std::thread::sleep(seconds(12.0));
+        std::thread::sleep(seconds(10.0));
         cluster.cancel(&a)?;
         cluster.cancel(&b)?;
         record.line("the users of both have cancelled them");
     }
-    let good = cluster.submit(&job("wk-000720"), "sleep 1; echo read > \"$PEBBLEFOLD_OUT/read\"", &env)?;
-    if cluster.wait_for(&good, "done", seconds(80.0)) {
+    let good = cluster.submit(
+        &job("wk-000720"),
+        "sleep 1; echo read > \"$PEBBLEFOLD_OUT/read\"",
+        &env,
+    )?;
+    if cluster.wait_for(&good, "done", seconds(91.0)) {
         return Ok(None);
     }
     cluster.record_machines();
     Ok(Some(format!(
-        "accepted work does not run: {good} was not started in 80 s though all three machines are up and have room"
+        "accepted work does not run: {good} was not started in 90 s though all three machines are up and have room"
     )))
 }
 
@@ -345,21 +456,38 @@
     if trouble {
         let dir = cluster.cloud.with(|c| c.machines[&first].dir.clone());
         fs::write(dir.join("agent/drain"), "").map_err(|e| e.to_string())?;
-        record.line(&format!("{first} is drained: what runs there goes on, new work is refused"));
+        record.line(&format!(
+            "{first} is drained: what runs there goes on, new work is refused"
+        ));
         std::thread::sleep(seconds(1.0));
     }
-    let id = cluster.submit(&job("wk-000801"), "sleep 1; echo read > \"$PEBBLEFOLD_OUT/read\"", &env)?;
+    let id = cluster.submit(
+        &job("wk-000801"),
+        "sleep 1; echo read > \"$PEBBLEFOLD_OUT/read\"",
+        &env,
+    )?;
     // Which tries the machines were told to start, as they tell themselves.
     let mut tries: BTreeMap<String, BTreeSet<String>> = BTreeMap::new();
     let begun = Instant::now();
     let mut next_poll = begun;
     let mut done = false;
-    while !done && begun.elapsed() < seconds(80.0) {
+    while !done && begun.elapsed() < seconds(91.0) {
         for name in cluster.machines() {
             let report = cluster.inspect(&name);
-            for piece in report.iter().flat_map(|r| r.get("pieces").map_or(&[][..], V::list)) {
-                let own = piece.get("piece").and_then(V::text).is_some_and(|p| p.starts_with(&id));
-                if own && tries.entry(name.clone()).or_default().insert(piece.to_string()) {
+            for piece in report
+                .iter()
+                .flat_map(|r| r.get("pieces").map_or(&[][..], V::list))
+            {
+                let own = piece
+                    .get("piece")
+                    .and_then(V::text)
+                    .is_some_and(|p| p.starts_with(&id));
+                if own
+                    && tries
+                        .entry(name.clone())
+                        .or_default()
+                        .insert(piece.to_string())
+                {
                     record.line(&format!("{name}: {piece}"));
                 }
             }
@@ -371,14 +499,19 @@
         std::thread::sleep(seconds(0.03));
     }
     let handed = tries.get(&first).map_or(0, BTreeSet::len);
-    record.line(&format!("user: GET /submissions/{id} -> {}", cluster.stage(&id).unwrap_or_default()));
-    record.line(&format!("{first} was seen with {handed} states of starts of {id}"));
+    record.line(&format!(
+        "user: GET /submissions/{id} -> {}",
+        cluster.stage(&id).unwrap_or_default()
+    ));
+    record.line(&format!(
+        "{first} was seen with {handed} states of starts of {id}"
+    ));
     cluster.record_machines();
     if done {
         return Ok(None);
     }
     Ok(Some(format!(
-        "accepted work does not run: {id} was handed to the machine that is drained, {handed} times as far as seen, and not run in 80 s"
+        "accepted work does not run: {id} was handed to the machine that is drained, {handed} times as far as seen, and not run in 90 s"
     )))
 }
 
@@ -422,7 +555,9 @@
     (0..100)
         .map(|i| first + i * 11)
         .find(|base| {
-            let all: Vec<_> = (*base..base + count).map(|p| TcpListener::bind(("127.0.0.1", p))).collect();
+            let all: Vec<_> = (*base..base + count)
+                .map(|p| TcpListener::bind(("127.0.0.1", p)))
+                .collect();
             all.iter().all(Result::is_ok)
         })
         .ok_or("no free ports".into())
@@ -456,10 +591,15 @@
         .spawn()
         .map_err(io)?;
     guard(up.id(), &paths.dir);
-    record.line(&format!("pebblectl up: process {}, ports from {port}", up.id()));
+    record.line(&format!(
+        "pebblectl up: process {}, ports from {port}",
+        up.id()
+    ));
     let front = ([127, 0, 0, 1], port).into();
     let begun = Instant::now();
-    while !ask(front, "GET", "/submissions/wk-000000", &[], seconds(2.0)).is_ok_and(|(s, _)| s == 404) {
+    while !ask(front, "GET", "/submissions/wk-000000", &[], seconds(2.0))
+        .is_ok_and(|(s, _)| s == 404)
+    {
         if begun.elapsed() > seconds(30.0) {
             return Err("the cluster does not answer after 30 s".into());
         }
@@ -503,17 +643,32 @@
     }
     let ctl = |verb: &[&str], file: Option<&Path>| -> Result<Output, String> {
         let mut c = Command::new(paths.program("pebblectl"));
-        c.arg("--config").arg(&config).arg("workflow").args(verb).arg("--work").arg(paths.dir.join("work"));
-        c.args(["--user", "ana"]).args(file).current_dir(&paths.root).stdin(Stdio::null());
+        c.arg("--config")
+            .arg(&config)
+            .arg("workflow")
+            .args(verb)
+            .arg("--work")
+            .arg(paths.dir.join("work"));
+        c.args(["--user", "ana"])
+            .args(file)
+            .current_dir(&paths.root)
+            .stdin(Stdio::null());
         let out = c.output().map_err(io)?;
-        record.line(&format!("pebblectl workflow {} -> exit {:?}", verb.join(" "), out.status.code()));
+        record.line(&format!(
+            "pebblectl workflow {} -> exit {:?}",
+            verb.join(" "),
+            out.status.code()
+        ));
         for line in String::from_utf8_lossy(&out.stderr).lines() {
             record.line(&format!("    {line}"));
         }
         Ok(out)
     };
     let template = paths.dir.join("job.json");
-    let fields = with(job("template"), &[("size_gb", 0.5.into()), ("guess_s", 4.0.into())]);
+    let fields = with(
+        job("template"),
+        &[("size_gb", 0.5.into()), ("guess_s", 4.0.into())],
+    );
     fs::write(&template, map(&fields).to_string()).map_err(io)?;
     let template = template.display().to_string();
     let first = ctl(
@@ -527,7 +682,9 @@
     fs::write(&gate, "").map_err(io)?;
     let again = ctl(&["resume", "bills", "--again"], None)?;
     let effects = fs::read_to_string(&log).unwrap_or_default();
-    effects.lines().for_each(|l| record.line(&format!("effect: {l}")));
+    effects
+        .lines()
+        .for_each(|l| record.line(&format!("effect: {l}")));
     signal(up.id(), SIGTERM);
     let ended = Instant::now();
     while !matches!(up.try_wait(), Ok(Some(_))) && ended.elapsed() < seconds(10.0) {
--- a/review/stand-2/cloud.rs
+++ b/review/stand-2/cloud.rs
@@ -7,6 +7,7 @@
 use crate::http;
 use crate::pack::{V, map};
 use crate::record::Record;
+use crate::worker::{Tasks, Worker};
 use std::collections::BTreeMap;
 use std::fs;
 use std::net::{SocketAddr, TcpListener};
@@ -31,6 +32,8 @@
     born: Instant,
     aged_s: f64,
     pub agent: Option<Child>,
+    /// Instead of an agent: a worker of the stand's own.
+    worker: Option<Worker>,
     boots_until: Option<Instant>,
 }
 
@@ -80,6 +83,32 @@
         })
     }
 
+    /// Likewise, with a worker of the stand's own in place of an agent.
+    pub fn up_with_worker(&self, zone: &str, tasks: Tasks) -> Result<Worker, String> {
+        self.with(|c| {
+            *c.capacity.entry((zone.into(), false)).or_default() += 1;
+            let name = c.add(zone, false, 600.0)?;
+            let (nodes, record) = (c.controllers.clone(), c.record.clone());
+            let m = c.machines.get_mut(&name).ok_or("no such machine")?;
+            let listener = TcpListener::bind("127.0.0.1:0").map_err(|e| e.to_string())?;
+            m.addr = listener.local_addr().map_err(|e| e.to_string())?;
+            let fields = [
+                ("box", V::from(name.as_str())),
+                ("addr", m.addr.to_string().into()),
+                ("box_kind", KIND.into()),
+                ("yard", zone.into()),
+                ("borrowed", false.into()),
+            ];
+            let fields = fields
+                .into_iter()
+                .map(|(k, v)| (k.to_string(), v))
+                .collect();
+            let worker = Worker::start(fields, listener, nodes, tasks, record);
+            m.worker = Some(worker.clone());
+            Ok(worker)
+        })
+    }
+
     /// Begins to answer, and to start the agents of machines that have booted.
     pub fn serve(&self, listener: TcpListener, zones: Vec<String>) {
         let cloud = self.clone();
@@ -94,8 +123,12 @@
                 cloud.with(|c| {
                     let now = Instant::now();
                     let due = |m: &&Machine| m.boots_until.is_some_and(|t| now >= t);
-                    let names: Vec<String> =
-                        c.machines.values().filter(due).map(|m| m.name.clone()).collect();
+                    let names: Vec<String> = c
+                        .machines
+                        .values()
+                        .filter(due)
+                        .map(|m| m.name.clone())
+                        .collect();
                     for name in names {
                         if let Some(m) = c.machines.get_mut(&name) {
                             m.boots_until = None;
@@ -125,6 +158,7 @@
             born: Instant::now(),
             aged_s,
             agent: None,
+            worker: None,
             boots_until: None,
         };
         self.machines.insert(name.clone(), machine);
@@ -197,6 +231,9 @@
         let Some(mut m) = self.machines.remove(name) else {
             return;
         };
+        if let Some(worker) = &m.worker {
+            worker.stop();
+        }
         if let Some(agent) = m.agent.as_mut() {
             let _ = agent.kill();
             let _ = agent.wait();
@@ -226,11 +263,18 @@
                 (200, map(&[("kinds_of_box", vec![kind].into())]))
             }
             ("GET", "/machines") => {
-                let since = query.split('&').find_map(|p| p.strip_prefix("since=")).unwrap_or("");
+                let since = query
+                    .split('&')
+                    .find_map(|p| p.strip_prefix("since="))
+                    .unwrap_or("");
                 let listed = self.machines.values().filter(|m| m.name.as_str() > since);
                 let boxes: Vec<V> = listed
                     .map(|m| {
-                        let stage = if m.boots_until.is_some() { "booting" } else { "running" };
+                        let stage = if m.boots_until.is_some() {
+                            "booting"
+                        } else {
+                            "running"
+                        };
                         map(&[
                             ("ref", m.name.as_str().into()),
                             ("addr", m.addr.to_string().into()),
@@ -242,7 +286,10 @@
                         ])
                     })
                     .collect();
-                (200, map(&[("boxes", boxes.into()), ("truncated", false.into())]))
+                (
+                    200,
+                    map(&[("boxes", boxes.into()), ("truncated", false.into())]),
+                )
             }
             ("POST", "/machines") => {
                 let (Some(hire), Some(zone), Some(V::Bool(spot)), Some(count)) = (
@@ -254,24 +301,38 @@
                     return bad;
                 };
                 if !self.hires.contains_key(hire) {
-                    let up = self.machines.values().filter(|m| m.zone == zone && m.spot == *spot).count();
-                    let all = self.capacity.get(&(zone.to_string(), *spot)).copied().unwrap_or(0);
+                    let up = self
+                        .machines
+                        .values()
+                        .filter(|m| m.zone == zone && m.spot == *spot)
+                        .count();
+                    let all = self
+                        .capacity
+                        .get(&(zone.to_string(), *spot))
+                        .copied()
+                        .unwrap_or(0);
                     let count = all.saturating_sub(up).min(count as usize);
                     if count == 0 {
                         return (503, map(&[("error", "no capacity".into())]));
                     }
                     let mut names = Vec::new();
                     for _ in 0..count {
-                        let Ok(name) = self.add(zone, *spot, 0.0) else { break };
+                        let Ok(name) = self.add(zone, *spot, 0.0) else {
+                            break;
+                        };
                         if let Some(m) = self.machines.get_mut(&name) {
                             m.boots_until = Some(Instant::now() + Duration::from_secs_f64(BOOT_S));
                         }
                         names.push(name);
                     }
-                    self.record.line(&format!("cloud: {hire} hires {names:?} in {zone}"));
+                    self.record
+                        .line(&format!("cloud: {hire} hires {names:?} in {zone}"));
                     self.hires.insert(hire.into(), names);
                 }
-                let names = self.hires[hire].iter().map(|n| n.as_str().into()).collect::<Vec<V>>();
+                let names = self.hires[hire]
+                    .iter()
+                    .map(|n| n.as_str().into())
+                    .collect::<Vec<V>>();
                 (200, map(&[("boxes", names.into())]))
             }
             ("POST", "/machines/release") => {
--- a/review/stand-2/cluster.rs
+++ b/review/stand-2/cluster.rs
@@ -31,7 +31,11 @@
     let name = dir.display().to_string();
     let mut all = Vec::new();
     for entry in fs::read_dir("/proc").into_iter().flatten().flatten() {
-        let Some(pid) = entry.file_name().to_str().and_then(|s| s.parse::<u32>().ok()) else {
+        let Some(pid) = entry
+            .file_name()
+            .to_str()
+            .and_then(|s| s.parse::<u32>().ok())
+        else {
             continue;
         };
         let environ = fs::read(entry.path().join("environ")).unwrap_or_default();
@@ -63,7 +67,11 @@
 pub fn kill_named(dir: &Path) {
     let name = dir.display().to_string();
     for entry in fs::read_dir("/proc").into_iter().flatten().flatten() {
-        let Some(pid) = entry.file_name().to_str().and_then(|s| s.parse::<u32>().ok()) else {
+        let Some(pid) = entry
+            .file_name()
+            .to_str()
+            .and_then(|s| s.parse::<u32>().ok())
+        else {
             continue;
         };
         let line = fs::read(entry.path().join("cmdline")).unwrap_or_default();
@@ -105,14 +113,17 @@
         let exe = std::env::current_exe().map_err(|e| e.to_string())?;
         // target/review-2/stand
         let root = exe.ancestors().nth(3).ok_or("no repository")?.to_path_buf();
-        let dir = std::env::temp_dir().join(format!("pebblefold-review-2-{case}-{}", std::process::id()));
+        let dir =
+            std::env::temp_dir().join(format!("pebblefold-review-2-{case}-{}", std::process::id()));
         for sub in ["jobs/jobs", "jobs/commands", "store", "logs"] {
             fs::create_dir_all(dir.join(sub)).map_err(|e| format!("{}: {e}", dir.display()))?;
         }
         let paths = Paths { root, dir };
         for name in ["pebblefold", "pebblectl", "pebblefold-agent"] {
             if !paths.program(name).exists() {
-                return Err(format!("target/release/{name} is missing: run review/build-2.sh"));
+                return Err(format!(
+                    "target/release/{name} is missing: run review/build-2.sh"
+                ));
             }
         }
         Ok(paths)
@@ -221,7 +232,10 @@
 }
 
 /// Changes fields of a job.
-pub fn with(mut job: Vec<(&'static str, V)>, changes: &[(&'static str, V)]) -> Vec<(&'static str, V)> {
+pub fn with(
+    mut job: Vec<(&'static str, V)>,
+    changes: &[(&'static str, V)],
+) -> Vec<(&'static str, V)> {
     for (name, value) in changes {
         if let Some(field) = job.iter_mut().find(|(n, _)| n == name) {
             field.1 = value.clone();
@@ -238,7 +252,12 @@
         let state = Command::new(paths.program("pebblectl"))
             .args(["state", "serve", "--dir"])
             .arg(paths.dir.join("state"))
-            .args(["--listen", &state_addr.to_string(), "--admin", &admin.to_string()])
+            .args([
+                "--listen",
+                &state_addr.to_string(),
+                "--admin",
+                &admin.to_string(),
+            ])
             .args(["--rps", "200", "--write-rps", "80"])
             .stdin(Stdio::null())
             .stdout(paths.log("state")?)
@@ -254,9 +273,15 @@
             api.push(free_port()?);
             internal.push(free_port()?);
         }
-        let named = api.iter().enumerate().map(|(i, a)| (format!("pebble-{i}"), *a));
+        let named = api
+            .iter()
+            .enumerate()
+            .map(|(i, a)| (format!("pebble-{i}"), *a));
         let cloud = Cloud::new(paths.clone(), record.clone(), named.collect());
-        cloud.serve(cloud_listener, ZONES.iter().map(|z| z.to_string()).collect());
+        cloud.serve(
+            cloud_listener,
+            ZONES.iter().map(|z| z.to_string()).collect(),
+        );
         let mut cluster = Cluster {
             paths: paths.clone(),
             record: record.clone(),
@@ -301,7 +326,8 @@
             .stderr(log)
             .spawn()
             .map_err(|e| format!("pebblefold: {e}"))?;
-        self.record.line(&format!("{}: started, process {}", c.label, process.id()));
+        self.record
+            .line(&format!("{}: started, process {}", c.label, process.id()));
         c.process = Some(process);
         Ok(())
     }
@@ -327,13 +353,21 @@
 
     /// Puts a job's description and command where the agents find them, and submits it until
     /// it is accepted.
-    pub fn submit(&self, job: &[(&'static str, V)], command: &str, env: &[(&str, String)]) -> Result<String, String> {
+    pub fn submit(
+        &self,
+        job: &[(&'static str, V)],
+        command: &str,
+        env: &[(&str, String)],
+    ) -> Result<String, String> {
         let id = job[0].1.text().unwrap_or("").to_string();
         let description = map(job);
         let mut vars: Vec<(&str, V)> = vec![("PATH", "/usr/local/bin:/usr/bin:/bin".into())];
         vars.extend(env.iter().map(|(k, v)| (*k, v.as_str().into())));
         let spec = map(&[
-            ("argv", vec!["/bin/sh".into(), "-c".into(), command.into()].into()),
+            (
+                "argv",
+                vec!["/bin/sh".into(), "-c".into(), command.into()].into(),
+            ),
             ("dir", "".into()),
             ("env", map(&vars)),
         ]);
@@ -346,7 +380,9 @@
         loop {
             let answer = self.request("POST", "/submissions", &description.encode());
             if let Some((status, body)) = answer {
-                self.record.line(&format!("user: POST /submissions {description} -> {status} {body}"));
+                self.record.line(&format!(
+                    "user: POST /submissions {description} -> {status} {body}"
+                ));
                 return match status {
                     200 | 201 => Ok(id),
                     _ => Err(format!("{id} was refused with {status}")),
@@ -370,8 +406,12 @@
 
     pub fn cancel(&self, id: &str) -> Result<(), String> {
         for _ in 0..10 {
-            if let Some((status, body)) = self.request("POST", &format!("/submissions/{id}/cancel"), &[]) {
-                self.record.line(&format!("user: POST /submissions/{id}/cancel -> {status} {body}"));
+            if let Some((status, body)) =
+                self.request("POST", &format!("/submissions/{id}/cancel"), &[])
+            {
+                self.record.line(&format!(
+                    "user: POST /submissions/{id}/cancel -> {status} {body}"
+                ));
                 if status == 200 {
                     return Ok(());
                 }
@@ -390,7 +430,8 @@
             let now = self.stage(id);
             if now != last {
                 let text = now.as_deref().unwrap_or("no answer");
-                self.record.line(&format!("user: GET /submissions/{id} -> {text}"));
+                self.record
+                    .line(&format!("user: GET /submissions/{id} -> {text}"));
             }
             if now.as_deref() == Some(stage) {
                 return true;
@@ -405,7 +446,9 @@
 
     /// A worker's own report, by `GET /inspect`.
     pub fn inspect(&self, machine: &str) -> Option<V> {
-        let addr = self.cloud.with(|c| c.machines.get(machine).map(|m| m.addr))?;
+        let addr = self
+            .cloud
+            .with(|c| c.machines.get(machine).map(|m| m.addr))?;
         let (status, body) = ask(addr, "GET", "/inspect", &[], Duration::from_secs(2)).ok()?;
         V::decode(&body).filter(|_| status == 200)
     }
@@ -419,7 +462,9 @@
     pub fn record_machines(&self) {
         for name in self.machines() {
             match self.inspect(&name) {
-                Some(report) => self.record.line(&format!("{name}: GET /inspect -> {report}")),
+                Some(report) => self
+                    .record
+                    .line(&format!("{name}: GET /inspect -> {report}")),
                 None => self.record.line(&format!("{name}: no answer")),
             }
         }
--- a/review/stand-2/http.rs
+++ b/review/stand-2/http.rs
@@ -60,7 +60,9 @@
         for stream in listener.incoming().flatten() {
             let handle = Arc::clone(&handle);
             std::thread::spawn(move || {
-                let Ok(mut out) = stream.try_clone() else { return };
+                let Ok(mut out) = stream.try_clone() else {
+                    return;
+                };
                 let mut reader = BufReader::new(stream);
                 while let Some((first, length)) = read_head(&mut reader) {
                     let mut body = vec![0; length];
@@ -71,8 +73,15 @@
                     let method = words.next().unwrap_or("");
                     let target = words.next().unwrap_or("");
                     let (status, answer) = handle(method, target, &body);
-                    let head = format!("HTTP/1.1 {status} x\r\nContent-Length: {}\r\n\r\n", answer.len());
-                    if out.write_all(head.as_bytes()).and_then(|()| out.write_all(&answer)).is_err() {
+                    let head = format!(
+                        "HTTP/1.1 {status} x\r\nContent-Length: {}\r\n\r\n",
+                        answer.len()
+                    );
+                    if out
+                        .write_all(head.as_bytes())
+                        .and_then(|()| out.write_all(&answer))
+                        .is_err()
+                    {
                         return;
                     }
                 }
--- a/review/stand-2/main.rs
+++ b/review/stand-2/main.rs
@@ -11,6 +11,7 @@
 mod http;
 mod pack;
 mod record;
+mod worker;
 
 use std::path::PathBuf;
 use std::process::exit;
--- a/review/stand-2/pack.rs
+++ b/review/stand-2/pack.rs
@@ -46,7 +46,12 @@
 
 /// A map of these fields.
 pub fn map(fields: &[(&str, V)]) -> V {
-    V::Map(fields.iter().map(|(k, v)| (k.to_string(), v.clone())).collect())
+    V::Map(
+        fields
+            .iter()
+            .map(|(k, v)| (k.to_string(), v.clone()))
+            .collect(),
+    )
 }
 
 impl V {
@@ -86,6 +91,11 @@
             V::Nil => out.push(0xc0),
             V::Bool(b) => out.push(if *b { 0xc3 } else { 0xc2 }),
             V::Int(n) if (0..128).contains(n) => out.push(*n as u8),
+            V::Int(n) if (0..256).contains(n) => out.extend([0xcc, *n as u8]),
+            V::Int(n) if (0..65_536).contains(n) => {
+                out.push(0xcd);
+                out.extend((*n as u16).to_be_bytes());
+            }
             V::Int(n) if *n >= 0 => {
                 out.push(0xcf);
                 out.extend((*n as u64).to_be_bytes());
@@ -99,18 +109,15 @@
                 out.extend(f.to_be_bytes());
             }
             V::Text(s) => {
-                out.push(0xdb);
-                out.extend((s.len() as u32).to_be_bytes());
+                length(out, s.len(), (0xa0, 31), 0xda, 0xdb);
                 out.extend(s.as_bytes());
             }
             V::List(l) => {
-                out.push(0xdd);
-                out.extend((l.len() as u32).to_be_bytes());
+                length(out, l.len(), (0x90, 15), 0xdc, 0xdd);
                 l.iter().for_each(|v| v.write(out));
             }
             V::Map(m) => {
-                out.push(0xdf);
-                out.extend((m.len() as u32).to_be_bytes());
+                length(out, m.len(), (0x80, 15), 0xde, 0xdf);
                 for (k, v) in m {
                     V::Text(k.clone()).write(out);
                     v.write(out);
@@ -125,6 +132,19 @@
     }
 }
 
+/// The shortest form of a length: within the first byte, two bytes or four.
+fn length(out: &mut Vec<u8>, n: usize, (first, most): (u8, usize), two: u8, four: u8) {
+    if n <= most {
+        out.push(first | n as u8);
+    } else if n < 65_536 {
+        out.push(two);
+        out.extend((n as u16).to_be_bytes());
+    } else {
+        out.push(four);
+        out.extend((n as u32).to_be_bytes());
+    }
+}
+
 fn take<'b>(b: &'b [u8], at: &mut usize, n: usize) -> Option<&'b [u8]> {
     let part = b.get(*at..at.checked_add(n)?)?;
     *at += n;
@@ -132,7 +152,11 @@
 }
 
 fn number(b: &[u8], at: &mut usize, n: usize) -> Option<u64> {
-    Some(take(b, at, n)?.iter().fold(0, |a, x| a << 8 | u64::from(*x)))
+    Some(
+        take(b, at, n)?
+            .iter()
+            .fold(0, |a, x| a << 8 | u64::from(*x)),
+    )
 }
 
 fn read(b: &[u8], at: &mut usize) -> Option<V> {
@@ -175,13 +199,18 @@
 }
 
 fn list(b: &[u8], at: &mut usize, n: usize) -> Option<V> {
-    (0..n).map(|_| read(b, at)).collect::<Option<Vec<V>>>().map(V::List)
+    (0..n)
+        .map(|_| read(b, at))
+        .collect::<Option<Vec<V>>>()
+        .map(V::List)
 }
 
 fn fields(b: &[u8], at: &mut usize, n: usize) -> Option<V> {
     let mut out = Vec::new();
     for _ in 0..n {
-        let V::Text(k) = read(b, at)? else { return None };
+        let V::Text(k) = read(b, at)? else {
+            return None;
+        };
         out.push((k, read(b, at)?));
     }
     Some(V::Map(out))
--- a/review/stand-2/record.rs
+++ b/review/stand-2/record.rs
@@ -24,7 +24,16 @@
         self.started.elapsed().as_secs_f64()
     }
 
+    /// Writes a line; paths of this machine are left out of it.
     pub fn line(&self, text: &str) {
+        let temporary = std::env::temp_dir().display().to_string();
+        let exe = std::env::current_exe().unwrap_or_default();
+        let root = exe.ancestors().nth(3).map(|p| p.display().to_string());
+        let text = text.replace(&temporary, "TMP");
+        let text = match root.filter(|r| r.len() > 1) {
+            Some(root) => text.replace(&root, "REPOSITORY"),
+            None => text,
+        };
         let line = format!("{:7.2} s  {text}\n", self.seconds());
         print!("{line}");
         if let Ok(mut file) = self.file.lock() {
