--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Builds what the cases 4 to 8 start, after the build of the deploy file: the project's own
+# Builds what the cases 4 to 7 start, after the build of the deploy file: the project's own
 # stand-ins (pebblectl, pebblefold-agent) and the review's stand, a program of the standard
 # library alone.
 set -eu
--- a/review/stand-2/cases.rs
+++ b/review/stand-2/cases.rs
@@ -1,5 +1,5 @@
-//! The cases. Each returns what broke the rule, or nothing if the rule held. The cases 4 to 8
-//! are `gang`, `never`, `burst`, `mistakes` and `drained`; `halt`, `once` and `hang` are plays
+//! The cases. Each returns what broke the rule, or nothing if the rule held. The cases 4 to 7
+//! are `gang`, `never`, `mistakes` and `drained`; `burst`, `halt`, `once` and `hang` are plays
 //! that `review/REPORT-2.md` names and that are no cases.
 
 use crate::cluster::{
@@ -67,6 +67,8 @@
             ("memory_gb", 150.0.into()),
             ("same_place", true.into()),
             ("guess_s", RUN_S.into()),
+            ("snapshot_every_s", 30.0.into()),
+            ("snapshot_s", 6.0.into()),
         ],
     );
     let command = format!(
@@ -422,7 +424,7 @@
     if trouble {
         let a = cluster.submit(&job("wk-000711"), "exit 1", &env)?;
         let b = cluster.submit(&job("wk-000712"), "exit 1", &env)?;
-        std::thread::sleep(seconds(10.0));
+        std::thread::sleep(Duration::from_secs(10));
         cluster.cancel(&a)?;
         cluster.cancel(&b)?;
         record.line("the users of both have cancelled them");
@@ -522,10 +524,10 @@
 [cluster]
 zones = ["poa-central", "caxias-room", "cloud-sul", "cloud-sudeste"]
 controllers = ["poa-central", "caxias-room", "cloud-sul"]
-workers = { report_s = 1.0, lease_s = 10.0, gang_wait_s = 30.0, gang_peer_s = 8.0, cancel_s = 40.0 }
+workers = { report_s = 1.0, lease_s = 10, gang_wait_s = 30.0, gang_peer_s = 8.0, cancel_s = 40.0 }
 state = { rps = 200.0, write_rps = 80.0 }
 cloud = { rps = 6.0, list_lag_s = 4.0, never_up = 0.0, slow_boot = 0.0 }
-kinds = [{ name = "pampa-node", cpus = 32, gpus = 4, memory_gb = 192, cache_gb = 80, fetch_gb_per_s = 0.6, price = 10.74, spot_price = 2.64, boot_s = 25 }]
+kinds = [{ name = "pampa-node", cpus = 32, gpus = 4, memory_gb = 192, cache_gb = 80, fetch_gb_per_s = 0.6, price = 1074e-2, spot_price = 2.64, boot_s = 25 }]
 machines = [
   { kind = "pampa-node", zone = "poa-central", capacity = 9, up = 3 },
   { kind = "pampa-node", zone = "caxias-room", capacity = 9, up = 2 },
@@ -687,7 +689,7 @@
         .for_each(|l| record.line(&format!("effect: {l}")));
     signal(up.id(), SIGTERM);
     let ended = Instant::now();
-    while !matches!(up.try_wait(), Ok(Some(_))) && ended.elapsed() < seconds(10.0) {
+    while !matches!(up.try_wait(), Ok(Some(_))) && ended.elapsed() < Duration::from_secs(10) {
         std::thread::sleep(seconds(0.1));
     }
     let sent = effects.lines().filter(|l| *l == "send begins").count();
--- a/review/stand-2/cloud.rs
+++ b/review/stand-2/cloud.rs
@@ -176,7 +176,7 @@
             .collect();
         let text = format!(
             "dir = {own:?}\njobs = {:?}\nstore = {:?}\ncontrollers = [{}]\n\
-             times = {{ report_s = 1.0, lease_s = 10.0, gang_wait_s = 30.0, gang_peer_s = 8.0 }}\n\
+             times = {{ report_s = 1.0, lease_s = 10, gang_wait_s = 30.0, gang_peer_s = 8.0 }}\n\
              [machine]\nid = \"{name}\"\naddr = \"{}\"\nkind = \"{KIND}\"\nzone = \"{}\"\nspot = {}\n\
              cpus = {CPUS:?}\ngpus = {GPUS:?}\nmemory_gb = {MEMORY_GB:?}\n",
             self.paths.jobs(),
@@ -255,7 +255,7 @@
                     ("memory_gb", MEMORY_GB.into()),
                     ("cache_gb", 80.0.into()),
                     ("fetch_gb_per_s", 0.6.into()),
-                    ("rate", 10.74.into()),
+                    ("rate", (1074.0 / 100.0).into()),
                     ("low_price", 2.64.into()),
                     ("startup_s", BOOT_S.into()),
                     ("yards", zones.into()),
--- a/review/stand-2/cluster.rs
+++ b/review/stand-2/cluster.rs
@@ -13,6 +13,8 @@
 
 unsafe extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
+    #[link_name = "signal"]
+    fn signal_handler(number: i32, handler: extern "C" fn(i32)) -> usize;
 }
 
 pub const SIGKILL: i32 = 9;
@@ -62,10 +64,11 @@
     }
 }
 
-/// Kills the processes whose command names this directory, which is the run's own: every
-/// process that a run starts has a file of it as an argument.
+/// Kills the processes whose command, environment or working directory names this directory,
+/// which is the run's own.
 pub fn kill_named(dir: &Path) {
     let name = dir.display().to_string();
+    let mut all = Vec::new();
     for entry in fs::read_dir("/proc").into_iter().flatten().flatten() {
         let Some(pid) = entry
             .file_name()
@@ -74,12 +77,54 @@
         else {
             continue;
         };
-        let line = fs::read(entry.path().join("cmdline")).unwrap_or_default();
-        if pid != std::process::id() && String::from_utf8_lossy(&line).contains(&name) {
-            signal(pid, SIGKILL);
+        let read = |file: &str| fs::read(entry.path().join(file)).unwrap_or_default();
+        let within = fs::read_link(entry.path().join("cwd")).is_ok_and(|cwd| cwd.starts_with(dir));
+        let texts = [read("cmdline"), read("environ")];
+        let named = texts
+            .iter()
+            .any(|t| String::from_utf8_lossy(t).contains(&name));
+        if pid != std::process::id() && (within || named) {
+            all.push(pid);
+        }
+    }
+    all.iter().for_each(|pid| signal(*pid, SIGKILL));
+}
+
+/// The directory of this run, once there is one.
+static OWN: std::sync::OnceLock<PathBuf> = std::sync::OnceLock::new();
+/// Whether somebody asked this program to end.
+static ASKED: std::sync::atomic::AtomicBool = std::sync::atomic::AtomicBool::new(false);
+
+extern "C" fn asked(_: i32) {
+    ASKED.store(true, std::sync::atomic::Ordering::Relaxed);
+}
+
+/// Ends everything that the run has left, however it went.
+pub fn sweep() {
+    if let Some(dir) = OWN.get() {
+        for _ in 0..5 {
+            kill_named(dir);
+            std::thread::sleep(Duration::from_millis(20));
+        }
+        if std::env::var("KEEP").is_err() {
+            let _ = fs::remove_dir_all(dir);
         }
     }
-    kill_marked(dir);
+}
+
+/// Sweeps also when this program is asked to end.
+pub fn sweep_when_asked() {
+    for number in [1, 2, SIGTERM] {
+        // SAFETY: the handler only stores a flag.
+        unsafe { signal_handler(number, asked) };
+    }
+    std::thread::spawn(|| {
+        while !ASKED.load(std::sync::atomic::Ordering::Relaxed) {
+            std::thread::sleep(Duration::from_millis(50));
+        }
+        sweep();
+        std::process::exit(2);
+    });
 }
 
 /// Ends the run after 118 s at the latest, with everything that it started.
@@ -115,6 +160,7 @@
         let root = exe.ancestors().nth(3).ok_or("no repository")?.to_path_buf();
         let dir =
             std::env::temp_dir().join(format!("pebblefold-review-2-{case}-{}", std::process::id()));
+        let _ = OWN.set(dir.clone());
         for sub in ["jobs/jobs", "jobs/commands", "store", "logs"] {
             fs::create_dir_all(dir.join(sub)).map_err(|e| format!("{}: {e}", dir.display()))?;
         }
@@ -191,7 +237,7 @@
 {{"kind":"finished","class":"score-urgent","within_s":350.0,"share":0.88}},
 {{"kind":"deadline","class":"fraud-backfill","share":0.96}},
 {{"kind":"guarantee","within_s":20.0,"share":0.9}}],
-"workers":{{"report_s":1.0,"lease_s":10.0,"gang_wait_s":30.0,"gang_peer_s":8.0,"cancel_s":40.0}},
+"workers":{{"report_s":1.0,"lease_s":10,"gang_wait_s":30.0,"gang_peer_s":8.0,"cancel_s":40.0}},
 "state":{{"rps":200.0,"write_rps":80.0,"value_kb":8.0,"txn_ops":48}},
 "cloud":{{"rps":6.0,"list_lag_s":4.0}},
 "quota":{{"core_share":0.12,"ram_mb":56.0,"max_sockets":900}},
@@ -224,7 +270,7 @@
         ("same_place", false.into()),
         ("scatter", false.into()),
         ("borrowed", true.into()),
-        ("guess_s", 10.0.into()),
+        ("guess_s", 12.0.into()),
         ("snapshot_every_s", 0.0.into()),
         ("snapshot_s", 0.0.into()),
         ("due_s", V::Nil),
--- a/review/stand-2/main.rs
+++ b/review/stand-2/main.rs
@@ -34,7 +34,10 @@
         "case {case}, {} the disruption",
         if trouble { "with" } else { "without" }
     ));
-    let verdict = cases::play(&case, trouble, &record);
+    cluster::sweep_when_asked();
+    let verdict = std::panic::catch_unwind(|| cases::play(&case, trouble, &record));
+    let verdict = verdict.unwrap_or_else(|_| Err("the stand panicked".into()));
+    cluster::sweep();
     let (status, text) = match verdict {
         Ok(None) => (0, "the rule held".to_string()),
         Ok(Some(broken)) => (1, format!("rule broken: {broken}")),
--- a/review/stand-2/record.rs
+++ b/review/stand-2/record.rs
@@ -1,4 +1,4 @@
-//! The record of a run: one line for each event, with the seconds since the start.
+//! The record of a run: one line for each event, with the milliseconds since the start.
 
 use std::fs::File;
 use std::io::Write;
@@ -20,10 +20,6 @@
         })
     }
 
-    pub fn seconds(&self) -> f64 {
-        self.started.elapsed().as_secs_f64()
-    }
-
     /// Writes a line; paths of this machine are left out of it.
     pub fn line(&self, text: &str) {
         let temporary = std::env::temp_dir().display().to_string();
@@ -34,7 +30,7 @@
             Some(root) => text.replace(&root, "REPOSITORY"),
             None => text,
         };
-        let line = format!("{:7.2} s  {text}\n", self.seconds());
+        let line = format!("{:6} ms  {text}\n", self.started.elapsed().as_millis());
         print!("{line}");
         if let Ok(mut file) = self.file.lock() {
             let _ = file.write_all(line.as_bytes());
