simulator: jobs with a mistake, machines on which tasks fail

Cause: no rehearsal could play a job that fails on every machine until its user cancels it, nor a machine on which every task fails (PROTOCOL, why `error`).

--- a/crates/pebblectl/tests/equal.rs
+++ b/crates/pebblectl/tests/equal.rs
@@ -231,6 +231,7 @@
         for spec in submitter.next_jobs(&done) {
             let run_s = spec.estimate_s;
             world.stand_mut().add_job(Planned {
+                mistaken: false,
                 spec,
                 run_s,
                 at: now,
--- a/crates/simulator/src/fleet.rs
+++ b/crates/simulator/src/fleet.rs
@@ -4,7 +4,7 @@
 use crate::checker::HistoryEvent;
 use crate::waiting::FreeCapacity;
 use crate::worker::{Heard, Jobs, Key, Task, Times, Worker, job_of};
-use pebblefold_controller::types::{NodeId, Time, TimeSpan};
+use pebblefold_controller::types::{JobId, NodeId, Time, TimeSpan};
 use pebblefold_controller::wire::cloud::{ListedMachine, MachineTypes};
 use pebblefold_controller::wire::users::{JobShape, Submission};
 use pebblefold_controller::wire::workers::{
@@ -23,6 +23,8 @@
     /// Saved progress: of a task, or of the whole gang under 0.
     saved: BTreeMap<u32, f64>,
     done: BTreeSet<u32>,
+    /// Whether its tasks fail wherever they run.
+    mistaken: bool,
 }
 
 /// A gang's attempt.
@@ -56,6 +58,8 @@
     pub repeated_s: f64,
     /// Tasks that were killed because a lease ran out.
     pub lease_kills: u64,
+    /// Tasks that failed.
+    pub failures: u64,
 }
 
 /// A worker's report, to be sent.
@@ -96,6 +100,7 @@
             last: Time(0),
             repeated_s: 0.0,
             lease_kills: 0,
+            failures: 0,
         }
     }
 
@@ -108,6 +113,11 @@
         self.jobs.insert(id, job);
     }
 
+    /// A job's tasks fail wherever they run: it was submitted with a mistake.
+    pub fn set_mistaken(&mut self, job: &JobId) {
+        self.work.entry(job.to_string()).or_default().mistaken = true;
+    }
+
     /// A job's tasks end now, wherever they run: something outside has done their
     /// work.
     pub fn complete(&mut self, job: &str) {
@@ -507,16 +517,24 @@
             let work = self.work.entry(job.clone()).or_default();
             let shape = self.jobs.get(&job).map(|j| j.shape);
             let index = index_of(&task);
-            if work.done.contains(&index) {
+            let ends_at_once = if work.done.contains(&index) {
                 // The result is kept: started again, it is done at once.
+                Some((StopReason::Done, "was complete already"))
+            } else if work.mistaken || w.is_faulty(now) {
+                self.failures += 1;
+                Some((StopReason::Error, "failed"))
+            } else {
+                None
+            };
+            if let Some((reason, why)) = ends_at_once {
                 if let Some(t) = w.tasks.get_mut(&(task.clone(), attempt)) {
-                    t.end(now, StopReason::Done, None);
+                    t.end(now, reason, None);
                 }
                 self.seen.push(HistoryEvent::TaskRemoved {
                     machine: machine.into(),
                     task,
                     attempt,
-                    why: "was complete already",
+                    why,
                 });
                 continue;
             }
--- a/crates/simulator/src/script.rs
+++ b/crates/simulator/src/script.rs
@@ -419,6 +419,12 @@
     /// Share of the jobs that their users cancel.
     #[serde(default)]
     pub cancelled: f64,
+    /// How long after its submission a job is cancelled, in seconds; none: at a random time.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub cancel_after_s: Option<f64>,
+    /// Submitted with a mistake: each task fails as soon as it has its image.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub mistaken: bool,
 }
 
 fn one() -> u32 {
@@ -628,6 +634,17 @@
         /// How long.
         for_s: f64,
     },
+    /// Machines on which each task fails as soon as it has its image.
+    Faulty {
+        /// How many; with `zone` alone, all there.
+        #[serde(default)]
+        count: u32,
+        /// Only in this zone.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        zone: Option<String>,
+        /// How long.
+        for_s: f64,
+    },
     /// Machines run their tasks slower.
     Slow {
         /// How many.
--- a/crates/simulator/src/script/check.rs
+++ b/crates/simulator/src/script/check.rs
@@ -183,6 +183,9 @@
                 | What::Vanish {
                     zone: Some(zone), ..
                 }
+                | What::Faulty {
+                    zone: Some(zone), ..
+                }
                 | What::MachineDeaf {
                     zone: Some(zone), ..
                 }
--- a/crates/simulator/src/stand.rs
+++ b/crates/simulator/src/stand.rs
@@ -297,6 +297,9 @@
         for p in &planned {
             checker.add_job(p.spec.clone());
             fleet.describe(p.spec.clone(), p.run_s);
+            if p.mistaken {
+                fleet.set_mistaken(&p.spec.id);
+            }
         }
         let mut stand = Stand {
             labels: (0..nodes).map(label).collect(),
--- a/crates/simulator/src/stand/faults.rs
+++ b/crates/simulator/src/stand/faults.rs
@@ -227,6 +227,20 @@
                     }
                 }
             }
+            What::Faulty { count, zone, for_s } => {
+                let there = |w: &crate::worker::Worker| {
+                    zone.as_ref().is_none_or(|z| w.machine.zone.as_str() == z)
+                };
+                let count = match count {
+                    0 => usize::MAX,
+                    n => *n as usize,
+                };
+                for m in self.pick_machines(count, there) {
+                    if let Some(w) = self.fleet.worker(&m) {
+                        w.faulty = Some(until(*for_s));
+                    }
+                }
+            }
             What::Slow {
                 count,
                 factor,
--- a/crates/simulator/src/users.rs
+++ b/crates/simulator/src/users.rs
@@ -42,6 +42,8 @@
     pub at: Time,
     /// When its user cancels it, if so.
     pub cancel_at: Option<Time>,
+    /// Whether each of its tasks fails as soon as it has its image.
+    pub mistaken: bool,
 }
 
 /// The jobs of a script, with all that is left to chance decided.
@@ -93,7 +95,8 @@
     let cancel_at = if j.shape == JobShape::Service {
         Some((at + TimeSpan::secs(run_s)).min(Time(0) + script.length().scaled(0.8)))
     } else if rng.random_bool(j.cancelled.clamp(0.0, 1.0)) {
-        Some(at + TimeSpan::secs(run_s * rng.random_range(0.0..1.5)))
+        let random_s = run_s * rng.random_range(0.0..1.5);
+        Some(at + TimeSpan::secs(j.cancel_after_s.unwrap_or(random_s)))
     } else {
         None
     };
@@ -102,6 +105,7 @@
         run_s,
         at,
         cancel_at,
+        mistaken: j.mistaken,
     }
 }
 
--- a/crates/simulator/src/worker.rs
+++ b/crates/simulator/src/worker.rs
@@ -91,6 +91,8 @@
     pub deaf: Option<Time>,
     /// Until then it reaches no controller.
     pub mute: Option<Time>,
+    /// Until then each task fails on it.
+    pub faulty: Option<Time>,
     /// It is taken then, and has been told so.
     pub taken: Option<Time>,
     /// How fast its tasks run.
@@ -135,6 +137,7 @@
             hung: None,
             deaf: None,
             mute: None,
+            faulty: None,
             taken: None,
             speed: rng.random_range(0.95..1.05),
             tasks: BTreeMap::new(),
@@ -153,6 +156,11 @@
         self.deaf.is_some_and(|t| now < t)
     }
 
+    /// Whether tasks fail on it.
+    pub fn is_faulty(&self, now: Time) -> bool {
+        self.faulty.is_some_and(|t| now < t)
+    }
+
     /// Whether what it sends by itself is lost.
     pub fn is_mute(&self, now: Time) -> bool {
         self.mute.is_some_and(|t| now < t)
--- a/crates/simulator/tests/common/mod.rs
+++ b/crates/simulator/tests/common/mod.rs
@@ -72,6 +72,8 @@
         zone: None,
         deadline: None,
         cancelled: 0.0,
+        cancel_after_s: None,
+        mistaken: false,
     }
 }
 
