Mistaken jobs no longer take machines from all other work

Cause: two jobs that fail on a machine within ten minutes set it to `Draining`, in memory and stored under d/m/. Nothing led out of that state: neither the cancellation of the jobs, nor their failing everywhere, nor time. Only an empty machine was replaced, and a machine that runs a service is never empty.

Change: a circuit breaker for each machine (core/circuit_breaker, decisions in leader/machine_failures) takes the place of `Draining`. It is open only while failures of two jobs count. They don't count once their job was cancelled, or has failed on several machines while none of its tasks has run well anywhere; both are evaluated every 200 ms from the tables, so it doesn't matter how a reason goes away. A machine that may really be faulty gets a trial, one job at a time, after 60 s, doubled by each failed trial; a job that has got no machine for the patience of the policy may begin one 60 s after the last failure. An empty machine is replaced once its circuit has been open for as long as idle machines are kept. A successor reads the jobs that count; a drained machine of an older build is read as a circuit that a trial can close, and none is written for an older build, which would keep it for ever.

Tests that changed: quarantine, stored_format and format_version named `drain` and a flag that no longer exist; they check the circuit in its place, and that a stored "d" is still read. inspect_format has the new field `circuit`.

--- a/crates/controller/benches/cycle.rs
+++ b/crates/controller/benches/cycle.rs
@@ -62,6 +62,7 @@
                 cache,
                 fetch_rate: 0.6,
                 quarantined: false,
+                trial: None,
             }
         })
         .collect()
@@ -105,6 +106,7 @@
                 overdue: false,
                 promised_start: None,
                 held_back_too_long: false,
+                stalled: false,
                 avoid: BTreeSet::new(),
             }
         })
--- a/crates/controller/src/core/failpoints.rs
+++ b/crates/controller/src/core/failpoints.rs
@@ -90,6 +90,10 @@
     /// A rule that only makes work wait for a better machine no longer applies to work
     /// that has waited for long. Otherwise the work could wait forever.
     AgedWorkSkipsPreferences,
+    /// Failures do not count against a machine once their job was cancelled or has failed on
+    /// other machines too. Otherwise a few jobs with a mistake would take machines from all
+    /// other work.
+    RefutedFailuresDoNotCount,
     /// Tasks that may still be on machines restrict the zones of the other tasks of their
     /// job, so that a job bound to one zone is never in two.
     AssignmentsBindZones,
--- a/crates/controller/src/core/format_version/tests.rs
+++ b/crates/controller/src/core/format_version/tests.rs
@@ -48,8 +48,12 @@
         machines: 2,
     };
     assert_eq!(intents.open(), open);
-    let mark = Quarantine::default().load("d/m/host-1", &json!({"n": 2, "t": 5, "d": true}));
-    assert_eq!(mark, Some(("host-1".into(), true)));
+    let drained = json!({"n": 2, "t": 5, "d": true});
+    let mark = Quarantine::default().load("d/m/host-1", &drained, WallTime(6));
+    let mark = mark.unwrap();
+    let circuit = mark.circuit.unwrap();
+    assert_eq!((mark.machine, circuit.openings), ("host-1".into(), 1));
+    assert_eq!(circuit.since_last_failure, TimeSpan::millis(1));
     let came = json!({"t": 30000, "c": [["low", "red", [[1, [2.0, 60.0, 1]]]]]});
     assert_eq!(
         ArrivalHistory::new(TimeSpan::secs(600.0))
--- a/crates/controller/src/core/job_records/job.rs
+++ b/crates/controller/src/core/job_records/job.rs
@@ -32,8 +32,14 @@
     pub failures: u32,
     /// Earliest time at which tasks are placed (backoff after failures).
     pub not_before: Time,
-    /// Machines on which tasks of the job failed.
+    /// Machines on which tasks of the job failed lately. They are avoided while another
+    /// machine fits.
     pub failed_on: BTreeSet<MachineId>,
+    /// Whether tasks of the job failed on several machines: unless other tasks of it run,
+    /// the job is at fault and not the machines.
+    pub failed_on_several: bool,
+    /// Time at which a task of the job was last placed; `None` if none was.
+    pub last_placed: Option<Time>,
     /// Time since which the job has waiting tasks; `None` if no task waits.
     pub waiting_since: Option<Time>,
     /// Start time that was first predicted for the job while machines are reserved for
--- a/crates/controller/src/core/keys.rs
+++ b/crates/controller/src/core/keys.rs
@@ -10,7 +10,7 @@
 //! | `r/REF/C` | tasks of chunk C: highest attempt, done ranges, assignments | until no task of the job can run |
 //! | `types` | the machine types last read from the cloud | overwritten |
 //! | `d/h/NAME`, `d/x/NAME` | an intent to provision or to terminate, which may already have been requested | until settled |
-//! | `d/m/MACHINE` | why a machine is in quarantine or drained | while the machine exists |
+//! | `d/m/MACHINE` | why a machine is in quarantine, or its circuit is open | while the machine exists |
 //! | `d/f` | recent arrivals by class and team | overwritten |
 //!
 //! The leader watches all keys below `w/`.
--- a/crates/controller/src/core/leader.rs
+++ b/crates/controller/src/core/leader.rs
@@ -15,6 +15,7 @@
 mod heartbeat_reconciliation;
 mod inspection;
 mod job_objectives;
+mod machine_failures;
 mod outcome;
 mod oversized_records;
 mod pending_call;
@@ -114,7 +115,7 @@
     pub(super) commands: CommandDispatcher,
     /// Provisions and terminates machines.
     pub(super) autoscaler: Autoscaler,
-    /// Machines that are quarantined or drained because of failures.
+    /// The stored records of machines that failed.
     pub(super) quarantine: Quarantine,
     /// Records arrivals of jobs, from which reserve capacity and fair shares are
     /// computed.
@@ -416,6 +417,7 @@
     /// machines to terminate because they are of no use any more.
     fn check_machine_health(&mut self, at: Now) {
         self.expire_leases(at);
+        self.evaluate_circuits(at);
         self.cluster
             .mark_unhealthy_machines(at.time, self.autoscaler.last_list);
         self.autoscaler
@@ -456,6 +458,15 @@
             .expire_leases(at, &mut recorder, inherited_until);
     }
 
+    /// Opens and closes the circuit breakers of machines.
+    fn evaluate_circuits(&mut self, at: Now) {
+        let mut recorder = QuarantineRecorder {
+            quarantine: &mut self.quarantine,
+            pending_writes: &mut self.autoscaler.intents.pending_writes,
+        };
+        self.cluster.evaluate_circuits(at, &mut recorder);
+    }
+
     fn record_parts(&mut self) -> RecordParts<'_> {
         RecordParts {
             records: &mut self.records,
--- a/crates/controller/src/core/leader/capacity_planning.rs
+++ b/crates/controller/src/core/leader/capacity_planning.rs
@@ -251,6 +251,7 @@
             cache: ImageCache::default(),
             fetch_rate: machine_type.fetch_gb_per_s,
             quarantined: false,
+            trial: None,
         };
         (0..request.count).map(row).collect()
     }
@@ -337,7 +338,7 @@
         }
     }
 
-    /// The idle machines of these rows, without quarantined ones: `fleet_health` decides about
+    /// The idle machines of these rows, without suspect ones: `fleet_health` decides about
     /// those. Sets `idle_since` of machines that have just become idle.
     fn idle_machines(
         &mut self,
@@ -350,7 +351,7 @@
         let idle_factor = if is_quiet { QUIET_IDLE_FACTOR } else { 1.0 };
         let idle_limit = TimeSpan::secs(self.policy.idle_s).scaled(idle_factor);
         let mut idle = Vec::new();
-        for row in rows.iter().filter(|row| !row.quarantined) {
+        for row in rows.iter().filter(|row| !row.is_suspect()) {
             let Some(machine) = self.machines.get_mut(&row.id) else {
                 continue;
             };
@@ -417,9 +418,9 @@
         && request.zone_room(zone) > 0
 }
 
-/// The number of machines without tasks, except quarantined ones.
+/// The number of machines without tasks, except suspect ones.
 fn count_idle_rows(rows: &[MachineRow]) -> usize {
-    let usable = rows.iter().filter(|row| !row.quarantined);
+    let usable = rows.iter().filter(|row| !row.is_suspect());
     usable.filter(|row| is_empty(row)).count()
 }
 
--- a/crates/controller/src/core/leader/cycle_inputs.rs
+++ b/crates/controller/src/core/leader/cycle_inputs.rs
@@ -10,12 +10,15 @@
 use std::collections::{BTreeMap, HashMap};
 
 impl ClusterState {
-    /// One row for each machine that work may be placed on, quarantined machines included.
+    /// One row for each machine that work may be placed on, also of quarantined machines and
+    /// of those that accept a trial.
     pub fn machine_rows(&self, now: Time) -> Vec<MachineRow> {
         let max_silence = self.max_silence();
         self.machines
             .iter()
-            .filter(|(_, machine)| machine.is_healthy(now, max_silence))
+            .filter(|(_, machine)| {
+                machine.is_healthy(now, max_silence) && machine.circuit_breaker.accepts_tasks(now)
+            })
             .filter_map(|(id, machine)| self.machine_row(now, id, machine))
             .collect()
     }
@@ -38,6 +41,7 @@
             cache: machine.cache.clone(),
             fetch_rate: machine_type.fetch_gb_per_s,
             quarantined: machine.is_quarantined(now),
+            trial: machine.circuit_breaker.trial_slot(now),
         })
     }
 
--- a/crates/controller/src/core/leader/fleet_health.rs
+++ b/crates/controller/src/core/leader/fleet_health.rs
@@ -80,14 +80,12 @@
 
 impl HealthCheck {
     fn evaluate(&self, machine: &Machine, boot_limit: TimeSpan) -> HealthResult {
-        match machine.lifecycle {
-            MachineLifecycle::Terminating => return HealthResult::Keep,
-            MachineLifecycle::Draining if machine.tasks.is_empty() => {
-                return HealthResult::Terminate("put aside");
-            }
-            MachineLifecycle::Draining | MachineLifecycle::InService => {}
+        if machine.lifecycle == MachineLifecycle::Terminating {
+            return HealthResult::Keep;
         }
-        if machine.tasks.is_empty() && self.has_long_quarantine_left(machine) {
+        let is_set_aside =
+            self.has_long_quarantine_left(machine) || self.has_failed_for_long(machine);
+        if machine.tasks.is_empty() && is_set_aside {
             // The machine costs money and does no work, like an idle machine.
             return HealthResult::Terminate("put aside");
         }
@@ -137,6 +135,13 @@
         until.is_some_and(|until| until.since(self.now) > self.idle_limit)
     }
 
+    /// Whether the machine's circuit has been open for as long as an idle machine is kept:
+    /// enough for the failed jobs to show on other machines whether they are at fault.
+    fn has_failed_for_long(&self, machine: &Machine) -> bool {
+        let opened_at = machine.circuit_breaker.opened_at();
+        opened_at.is_some_and(|opened| self.now.since(opened) > self.idle_limit)
+    }
+
     fn is_unreachable_for_long(&self, machine: &Machine) -> bool {
         let unreachable = machine.delivery.loss_duration(self.now);
         unreachable.is_some_and(|span| span > self.silence_limit)
--- a/crates/controller/src/core/leader/inspection.rs
+++ b/crates/controller/src/core/leader/inspection.rs
@@ -48,7 +48,7 @@
     pub writer: &'a TransactionWriter,
     /// The open provisions and terminations.
     pub autoscaler: &'a Autoscaler,
-    /// The machines that are quarantined or drained.
+    /// The stored records of machines that failed.
     pub quarantine: &'a Quarantine,
     /// Recent arrivals; their classes are the classes shown.
     pub arrivals: &'a ArrivalRecorder,
@@ -201,12 +201,27 @@
             "usable": machine.is_schedulable(now, self.cluster.max_silence()),
             "lost": machine.presumed_dead,
             "deaf_s": unreachable_for.map(|span| span.as_secs()),
+            "circuit": self.circuit(machine),
             "leaving": machine.lifecycle != MachineLifecycle::InService,
             "taken_in_s": notice.map(|at| at.since(now).as_secs()),
             "images": images, "tasks": tasks,
         })
     }
 
+    /// The machine's open circuit; null: it is closed.
+    fn circuit(&self, machine: &Machine) -> Value {
+        let breaker = &machine.circuit_breaker;
+        if !breaker.is_open() {
+            return Value::Null;
+        }
+        let failed_jobs: Vec<_> = breaker.failed_jobs().collect();
+        let pause = breaker.remaining_pause(self.at.time);
+        json!({
+            "failed_jobs": failed_jobs, "trial": breaker.trial(),
+            "pause_s": pause.map(|span| span.as_secs()),
+        })
+    }
+
     fn task(&self, task: &TaskId) -> Value {
         let job = self.cluster.jobs.get(&task.job);
         let assignment: Option<&Assignment> = job.and_then(|job| job.assignments.get(&task.index));
--- a/crates/controller/src/core/leader/placement_requests.rs
+++ b/crates/controller/src/core/leader/placement_requests.rs
@@ -31,6 +31,8 @@
     promise_slack: TimeSpan,
     /// After how long a job that found only reserved room may use some of that room.
     held_back_limit: TimeSpan,
+    /// Whether earlier failures keep work away from any machine.
+    has_open_circuit: bool,
 }
 
 impl ClusterState {
@@ -49,6 +51,7 @@
             patience: TimeSpan::secs(self.policy.patience_s),
             promise_slack: TimeSpan::secs(self.policy.promise_slack_s),
             held_back_limit: TimeSpan::secs(self.policy.held_back_s),
+            has_open_circuit: self.has_open_circuit(),
         };
         let mut requests = Vec::new();
         let waiting = self.jobs.iter_mut();
@@ -68,6 +71,11 @@
         requests
     }
 
+    fn has_open_circuit(&self) -> bool {
+        let mut machines = self.machines.values();
+        machines.any(|machine| machine.circuit_breaker.is_open())
+    }
+
     /// Marks the open jobs within their team's guaranteed quota: those that fit into the
     /// quota together with all open jobs of the team that were accepted earlier.
     fn mark_within_guarantee(&mut self) {
@@ -89,6 +97,16 @@
 }
 
 impl RequestInputs<'_> {
+    /// Whether the job waits, has got no machine for the patience of the policy, and could
+    /// begin a trial.
+    fn is_stalled(&self, job: &Job) -> bool {
+        let waits_since = job.scheduling.waiting_since.max(job.scheduling.last_placed);
+        let has_waited = waits_since.is_some_and(|since| self.at.time.since(since) > self.patience);
+        has_waited
+            && self.has_open_circuit
+            && failpoints::enforced(SafetyCheck::AgedWorkSkipsPreferences)
+    }
+
     fn request(
         &self,
         id: &JobId,
@@ -140,6 +158,7 @@
                 .scheduling
                 .held_back_since
                 .is_some_and(|since| self.at.time.since(since) >= self.held_back_limit),
+            stalled: self.is_stalled(job),
             avoid: job.scheduling.failed_on.clone(),
         }
     }
--- a/crates/controller/src/core/leader/record_load.rs
+++ b/crates/controller/src/core/leader/record_load.rs
@@ -8,13 +8,14 @@
 use super::scheduler::Scheduler;
 use crate::core::Now;
 use crate::core::autoscaler::intents::Intents;
+use crate::core::circuit_breaker::CircuitBreaker;
 use crate::core::format_version::WITH_HISTORY;
 use crate::core::format_version::chunk_progress::ChunkProgress;
 use crate::core::job_records::{
     self, HeaderStage, JobHeader, JobOutcome, SubmissionAssembler, WatchedKey,
 };
 use crate::core::leader_authority::LeaderAuthority;
-use crate::core::machine::{Machine, MachineLifecycle};
+use crate::core::machine::Machine;
 use crate::core::quarantine::Quarantine;
 use crate::core::quota::arrival_history;
 use crate::types::{FencingToken, JobId, TaskId, Time, TimeSpan, Version};
@@ -201,14 +202,15 @@
     }
 
     fn load_quarantine(&mut self, at: Now, entry: &Entry) {
-        let Some((id, is_drained)) = self.quarantine.load(&entry.key, &entry.value) else {
+        let Some(record) = self.quarantine.load(&entry.key, &entry.value, at.wall) else {
             return;
         };
+        let id = record.machine;
         let remaining_pause = self.quarantine.remaining_pause(&id, at.wall);
         let machine = self.cluster.register_machine(at.time, &id, self.intents);
         machine.quarantined_until = remaining_pause.map(|pause| at.time + pause);
-        if is_drained && machine.lifecycle == MachineLifecycle::InService {
-            machine.lifecycle = MachineLifecycle::Draining;
+        if let Some(circuit) = record.circuit {
+            machine.circuit_breaker = CircuitBreaker::inherited(at.time, circuit);
         }
     }
 }
--- a/crates/controller/src/core/leader/task_completion.rs
+++ b/crates/controller/src/core/leader/task_completion.rs
@@ -1,12 +1,11 @@
 //! The end of tasks: reported as exited by their machine, or removed together with a
-//! machine whose lease has expired. Also records which machines fail repeatedly. Sends
-//! nothing.
+//! machine whose lease has expired. Also records which machines miss their leases
+//! repeatedly. Sends nothing.
 
 use super::cluster_state::ClusterState;
 use super::task_lifecycle::{RemovalReason, StopDurability};
 use crate::core::Now;
 use crate::core::failpoints::{self, SafetyCheck};
-use crate::core::job_records::Job;
 use crate::core::machine::*;
 use crate::core::pending_writes::PendingWrites;
 use crate::core::quarantine::Quarantine;
@@ -14,17 +13,9 @@
 use crate::wire::workers::{ReportedTask, StopReason};
 use std::collections::BTreeMap;
 
-/// Number of different jobs whose failure on a machine makes the machine suspect.
-const MIN_FAILED_JOBS_OF_SUSPECT: usize = 2;
-/// How long a failure counts against a machine.
-const FAILURE_LIFETIME: TimeSpan = TimeSpan::millis(600_000);
 /// Most machines of one zone that may miss their leases in one check and still count as
 /// faulty themselves.
 const MAX_FAULTY_MACHINES_PER_ZONE: usize = 3;
-/// Most machines that are remembered as those on which a job failed.
-const MAX_FAILED_MACHINES_PER_JOB: usize = 4;
-/// Largest exponent of a job's backoff: 32 s after six failures in a row.
-const MAX_BACKOFF_EXPONENT: u32 = 6;
 /// How long a job waits after a machine had no room for one of its tasks.
 const NO_ROOM_PAUSE: TimeSpan = TimeSpan::millis(1000);
 /// How much longer than their lease tasks may run: factor for the drift of clocks, and
@@ -44,9 +35,11 @@
 }
 
 impl QuarantineRecorder<'_> {
-    /// Records that a machine receives no more tasks.
-    fn record_drain(&mut self, id: &MachineId, wall: WallTime) {
-        self.quarantine.drain(self.pending_writes, id, wall);
+    /// Stores the state of a machine's circuit for successors.
+    pub fn record_circuit(&mut self, id: &MachineId, machine: &Machine, at: Now) {
+        let state = machine.circuit_breaker.state(at.time);
+        self.quarantine
+            .store_circuit(self.pending_writes, id, state.as_ref(), at.wall);
     }
 
     /// Records that a machine was silent for a whole lease. Returns for how long it
@@ -82,6 +75,7 @@
         };
         let machine = assignment.machine.clone();
         if why == StopReason::Done && !job.is_service() {
+            self.record_machine_success(at, recorder, task, &machine);
             self.complete_task(now, task);
             return;
         }
@@ -116,34 +110,6 @@
         }
     }
 
-    /// Records that a task failed: its job backs off, and its machine may be at fault.
-    fn record_failure(
-        &mut self,
-        at: Now,
-        recorder: &mut QuarantineRecorder<'_>,
-        task: &TaskId,
-        id: &MachineId,
-    ) {
-        let now = at.time;
-        let Some(job) = self.jobs.get_mut(&task.job) else {
-            return;
-        };
-        back_off(now, job, id);
-        let Some(machine) = self.machines.get_mut(id) else {
-            return;
-        };
-        machine.failed_jobs.insert(task.job.clone(), now);
-        machine
-            .failed_jobs
-            .retain(|_, failed| now.since(*failed) < FAILURE_LIFETIME);
-        let is_suspect = machine.failed_jobs.len() >= MIN_FAILED_JOBS_OF_SUSPECT;
-        if is_suspect && machine.lifecycle == MachineLifecycle::InService {
-            tracing::info!(machine = %id, "machine draining: several jobs failed on it");
-            machine.lifecycle = MachineLifecycle::Draining;
-            recorder.record_drain(id, at.wall);
-        }
-    }
-
     /// Orders the tasks of a machine that the cloud will terminate to stop, so that they
     /// save a checkpoint, or at least exit early enough to prove that they are gone.
     pub fn stop_tasks_before_termination(&mut self, now: Time, id: &MachineId) {
@@ -247,19 +213,6 @@
     }
 }
 
-/// Makes a job wait longer after each failure in a row. A job that fails on every machine
-/// must not exhaust the machines: only its latest few failures exclude machines for it,
-/// and a single job never makes a machine suspect.
-fn back_off(now: Time, job: &mut Job, id: &MachineId) {
-    job.scheduling.failures += 1;
-    let exponent = job.scheduling.failures.min(MAX_BACKOFF_EXPONENT);
-    job.scheduling.not_before = now + TimeSpan::secs(f64::from(1 << exponent) / 2.0);
-    job.scheduling.failed_on.insert(id.clone());
-    if job.scheduling.failed_on.len() > MAX_FAILED_MACHINES_PER_JOB {
-        job.scheduling.failed_on.clear();
-    }
-}
-
 /// The reason why the tasks of a silent machine must have ended by now; `None`: some may
 /// still run.
 fn lease_expiry(
--- a/crates/controller/src/core/leader/task_lifecycle.rs
+++ b/crates/controller/src/core/leader/task_lifecycle.rs
@@ -98,8 +98,10 @@
             machine.last_high_priority = Some(now);
         }
         machine.idle_since = None;
+        machine.circuit_breaker.begin_trial(&task.job);
         machine.assign(task.clone(), spec.needs());
         job.waiting.remove(task.index);
+        job.scheduling.last_placed = Some(now);
         job.attempt = job.attempt.max(attempt);
         let change = job.record_change(self.chunk_size, task.index);
         let assignment = Assignment {
@@ -312,6 +314,7 @@
         job.outcome = Some(JobOutcome::Cancelled);
         job.waiting = Default::default();
         self.unwritten.finished_jobs.remove(id);
+        self.withdraw_failures(id);
         self.stop_ended_job(now, id, why);
     }
 
--- a/crates/controller/src/core/machine.rs
+++ b/crates/controller/src/core/machine.rs
@@ -1,22 +1,21 @@
 //! The leader's record of a machine, from the machine's heartbeats, the cloud's lists of
 //! machines and the assignments of tasks. This module makes no decisions.
 
+use super::circuit_breaker::CircuitBreaker;
 use super::delivery::DeliveryMonitor;
 use super::placement_tables::ImageCache;
 use crate::types::{
-    AgentEpoch, HeartbeatSequence, JobId, MachineTypeName, Resources, TaskId, Time, TimeSpan, Zone,
+    AgentEpoch, HeartbeatSequence, MachineTypeName, Resources, TaskId, Time, TimeSpan, Zone,
 };
 use crate::wire::cloud::MachineStage;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 use std::net::SocketAddrV4;
 
-/// Whether the leader keeps, drains or terminates a machine.
+/// Whether the leader keeps or terminates a machine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum MachineLifecycle {
     /// The machine receives new tasks.
     InService,
-    /// The machine receives no new tasks, and is terminated once it has none.
-    Draining,
     /// The leader has requested, or is to request, that the cloud terminates the machine,
     /// whatever tasks are on it.
     Terminating,
@@ -60,7 +59,7 @@
     pub first_seen: Time,
     /// Whether the agent's lease has expired and the machine's tasks were abandoned.
     pub presumed_dead: bool,
-    /// Whether the machine is in service, draining or to be terminated.
+    /// Whether the machine is in service or to be terminated.
     pub lifecycle: MachineLifecycle,
     /// Why the machine is to be terminated; empty if it is not.
     pub termination_reason: &'static str,
@@ -73,8 +72,8 @@
     pub last_high_priority: Option<Time>,
     /// Since when the machine has been found without tasks; `None`: it has tasks.
     pub idle_since: Option<Time>,
-    /// Jobs that failed on the machine, and when each last did.
-    pub failed_jobs: BTreeMap<JobId, Time>,
+    /// The failures of tasks on the machine, and whether they keep work away from it.
+    pub circuit_breaker: CircuitBreaker,
     /// Tasks assigned to the machine.
     pub tasks: BTreeSet<TaskId>,
     /// Total resources of the tasks assigned to the machine.
@@ -108,7 +107,7 @@
             cache: ImageCache::default(),
             last_high_priority: None,
             idle_since: None,
-            failed_jobs: BTreeMap::new(),
+            circuit_breaker: CircuitBreaker::default(),
             tasks: BTreeSet::new(),
             allocated: Resources::default(),
         }
@@ -152,11 +151,13 @@
     /// Whether new tasks may be assigned to the machine. `silence` is the time without a
     /// heartbeat after which a machine is no longer healthy.
     pub fn is_schedulable(&self, now: Time, silence: TimeSpan) -> bool {
-        self.is_healthy(now, silence) && !self.is_quarantined(now)
+        self.is_healthy(now, silence)
+            && !self.is_quarantined(now)
+            && !self.circuit_breaker.is_open()
     }
 
-    /// Whether new tasks may be assigned to the machine if no other machine fits: the
-    /// machine is healthy now, even if it is quarantined for earlier failures.
+    /// Whether the machine can run new tasks now, even if earlier failures keep most work
+    /// away from it.
     pub fn is_healthy(&self, now: Time, silence: TimeSpan) -> bool {
         self.has_current_token
             && self.delivery.answers_arrive()
--- a/crates/controller/src/core/mod.rs
+++ b/crates/controller/src/core/mod.rs
@@ -8,7 +8,7 @@
 //! | one controller and its peers | [`node`], [`election`], [`failure_detector`], [`self_health`], [`cache_hints`], [`leader_announcement`] |
 //! | formats shared by several builds | [`format_version`] |
 //! | users' requests | [`job_api`], [`read_coalescing`] |
-//! | the leader | [`leader`], [`leader_authority`], [`pending_writes`], [`delivery`], [`quarantine`], [`machine`], [`assignment`], [`garbage_collection`] |
+//! | the leader | [`leader`], [`leader_authority`], [`pending_writes`], [`delivery`], [`quarantine`], [`circuit_breaker`], [`machine`], [`assignment`], [`garbage_collection`] |
 //! | scheduling decisions | [`scheduling_cycle`], [`preemption`], [`quota`], [`placement_tables`] |
 //! | the cloud | [`autoscaler`] |
 //! | stored records | [`job_records`], [`keys`] |
@@ -17,6 +17,7 @@
 pub mod assignment;
 pub mod autoscaler;
 pub mod cache_hints;
+pub mod circuit_breaker;
 pub mod delivery;
 pub mod effects;
 pub mod election;
--- a/crates/controller/src/core/placement_tables/machine_row.rs
+++ b/crates/controller/src/core/placement_tables/machine_row.rs
@@ -1,6 +1,7 @@
 //! One machine's row in the tables of a scheduling cycle.
 
 use super::ImageCache;
+use crate::core::circuit_breaker::TrialSlot;
 use crate::types::{MachineId, MachineTypeName, Resources, Time, Zone};
 
 /// One machine's row in the tables of a scheduling cycle. The leader builds the row
@@ -31,4 +32,14 @@
     pub fetch_rate: f64,
     /// Whether the machine is in quarantine: only overdue work may be placed on it.
     pub quarantined: bool,
+    /// Which work the machine accepts as a trial; `None`: its circuit is closed, and it
+    /// accepts any.
+    pub trial: Option<TrialSlot>,
+}
+
+impl MachineRow {
+    /// Whether earlier failures keep most work away from the machine.
+    pub fn is_suspect(&self) -> bool {
+        self.quarantined || self.trial.is_some()
+    }
 }
--- a/crates/controller/src/core/preemption/tests.rs
+++ b/crates/controller/src/core/preemption/tests.rs
@@ -58,6 +58,7 @@
         overdue: false,
         promised_start: None,
         held_back_too_long: false,
+        stalled: false,
         avoid: BTreeSet::new(),
     }
 }
@@ -76,6 +77,7 @@
         cache: ImageCache::default(),
         fetch_rate: 1.0,
         quarantined: false,
+        trial: None,
     }
 }
 
--- a/crates/controller/src/core/scheduling_cycle/candidates.rs
+++ b/crates/controller/src/core/scheduling_cycle/candidates.rs
@@ -43,6 +43,8 @@
 /// compared from first to last.
 #[derive(PartialEq, Eq, PartialOrd, Ord)]
 struct Candidate {
+    /// Whether the row is used only if no other has room.
+    is_last_resort: bool,
     fetch_time: TimeSpan,
     /// Part of the machine that stays free, in thousandths.
     free_after: i64,
@@ -145,8 +147,9 @@
             .is_none_or(|last| self.parameters.now.since(last) > TimeSpan(fetch_time.0 / 2))
     }
 
-    /// Returns the rows with room for a task, best first: the shortest fetch, then the
-    /// tightest fit, so that whole machines stay free for gangs (bin packing).
+    /// Returns the rows with room for a task, best first: rows that are no last resort, the
+    /// shortest fetch, then the tightest fit, so that whole machines stay free for gangs (bin
+    /// packing).
     ///
     /// `room_index` is an index into `rows_with_room`. With `zone`, only rows of this
     /// zone are returned.
@@ -168,6 +171,7 @@
             .map(|(index, row)| {
                 let free_after = (row.free - request.need).share_of(&row.capacity);
                 Candidate {
+                    is_last_resort: request.is_last_resort(row),
                     fetch_time: self.fetch_time(request, row),
                     free_after: (free_after * 1000.0) as i64,
                     is_on_demand: !row.spot,
--- a/crates/controller/src/core/scheduling_cycle/placement.rs
+++ b/crates/controller/src/core/scheduling_cycle/placement.rs
@@ -177,6 +177,9 @@
         self.consume_spare(request, row);
         let machine = &mut self.rows[row];
         machine.free -= request.need;
+        if let Some(trial) = &mut machine.trial {
+            trial.job = Some(request.job.clone());
+        }
         match request.run_time {
             Some(run_time) => {
                 let ends_at = now + fetch_time + run_time;
--- a/crates/controller/src/core/scheduling_cycle/request.rs
+++ b/crates/controller/src/core/scheduling_cycle/request.rs
@@ -63,6 +63,9 @@
     /// Whether the job has waited too long while the only free room was reserved for
     /// other jobs.
     pub held_back_too_long: bool,
+    /// Whether tasks of the job wait, and none was placed for so long that the job may begin
+    /// a trial on a machine with an open circuit.
+    pub stalled: bool,
     /// Machines on which no task of the job is placed.
     pub avoid: BTreeSet<MachineId>,
 }
@@ -89,6 +92,15 @@
                 .is_none_or(|allowed| allowed.contains(&row.machine_type))
             && !self.avoid.contains(&row.id)
             && (self.overdue || !row.quarantined)
+            && row
+                .trial
+                .as_ref()
+                .is_none_or(|trial| trial.admits(&self.job, self.stalled))
+    }
+
+    /// Whether tasks of this job are placed on this machine only if no other has room.
+    pub fn is_last_resort(&self, row: &MachineRow) -> bool {
+        row.is_suspect()
     }
 
     /// Number of further tasks that the zone constraints allow in a zone.
@@ -130,6 +142,7 @@
             && self.machine_types == other.machine_types
             && self.tasks_in_zones == other.tasks_in_zones
             && self.avoid == other.avoid
+            && self.stalled == other.stalled
     }
 
     /// Whether the request counts as interactive work in the sense of the paper.
--- a/crates/controller/src/core/scheduling_cycle/reservation_tests.rs
+++ b/crates/controller/src/core/scheduling_cycle/reservation_tests.rs
@@ -45,6 +45,7 @@
         cache,
         fetch_rate: 1.0,
         quarantined: false,
+        trial: None,
     }
 }
 
@@ -73,6 +74,7 @@
         overdue: false,
         promised_start: None,
         held_back_too_long: false,
+        stalled: false,
         avoid: BTreeSet::new(),
     }
 }
--- a/crates/controller/src/core/scheduling_cycle/tests.rs
+++ b/crates/controller/src/core/scheduling_cycle/tests.rs
@@ -38,6 +38,7 @@
         cache,
         fetch_rate: 1.0,
         quarantined: false,
+        trial: None,
     }
 }
 
@@ -78,6 +79,7 @@
         overdue,
         promised_start: None,
         held_back_too_long: false,
+        stalled: false,
         avoid: BTreeSet::new(),
     }
 }
--- a/crates/controller/tests/inspect_format.rs
+++ b/crates/controller/tests/inspect_format.rs
@@ -36,7 +36,7 @@
 }
 
 /// The paths of all values in the inspection of a leader, when an agent runs tasks.
-const LEADER_PATHS: [&str; 129] = [
+const LEADER_PATHS: [&str; 130] = [
     "effort_us",
     "late_share",
     "leader",
@@ -85,6 +85,7 @@
     "leading.jobs[].why",
     "leading.jobs[].within_guarantee",
     "leading.loaded",
+    "leading.machines[].circuit",
     "leading.machines[].deaf_s",
     "leading.machines[].images[]",
     "leading.machines[].kind",
--- a/crates/controller/tests/stored_format.rs
+++ b/crates/controller/tests/stored_format.rs
@@ -2,6 +2,7 @@
 //! store that an older build has written.
 
 use pebblefold_controller::core::autoscaler::intents::{CapacityPool, Intents, OpenIntents};
+use pebblefold_controller::core::circuit_breaker::CircuitState;
 use pebblefold_controller::core::format_version::chunk_progress::ChunkProgress;
 use pebblefold_controller::core::format_version::member_versions::{
     self, BUILD, MemberRecord, MemberVersions,
@@ -410,12 +411,18 @@
     quarantine.record_missed_lease(&mut pending_writes, &id, WallTime(6));
     let after_missed_leases = json!([["d/m/host-1", {"n": 2, "t": 6, "d": false}]]);
     assert_eq!(written(&mut pending_writes), after_missed_leases);
-    quarantine.drain(&mut pending_writes, &id, WallTime(7));
-    let drained = json!([["d/m/host-1", {"n": 2, "t": 6, "d": true}]]);
-    assert_eq!(written(&mut pending_writes), drained);
+    let circuit = CircuitState {
+        openings: 3,
+        since_last_failure: TimeSpan::millis(2),
+        failed_jobs: vec!["wk-1".into()],
+    };
+    quarantine.store_circuit(&mut pending_writes, &id, Some(&circuit), WallTime(7));
+    let open =
+        json!([["d/m/host-1", {"n": 2, "t": 6, "d": false, "c": {"n": 3, "t": 5, "j": ["wk-1"]}}]]);
+    assert_eq!(written(&mut pending_writes), open);
     let old = json!({"n": 2, "t": 6});
-    let read = Quarantine::default().load("d/m/host-1", &old);
-    assert_eq!(read, Some((id, false)));
+    let read = Quarantine::default().load("d/m/host-1", &old, WallTime(7));
+    assert_eq!(read.map(|r| (r.machine, r.circuit)), Some((id, None)));
 }
 
 #[test]
