A job is tried again where it failed if it fits no other machine

Change: the machines on which a job failed are avoided only while another machine that takes work fits the job by type, zone, kind and size. A job that has got no machine for the patience of the policy may use them too, after all others (`PlacementRequest::stalled`).

--- a/crates/controller/src/core/leader/placement_requests.rs
+++ b/crates/controller/src/core/leader/placement_requests.rs
@@ -10,8 +10,9 @@
 use crate::core::machine::Machine;
 use crate::core::scheduling_cycle::PlacementRequest;
 use crate::types::{JobId, MachineId, Resources, Team, Time, TimeSpan, Zone};
-use crate::wire::users::JobShape;
-use std::collections::{BTreeMap, HashMap};
+use crate::wire::cloud::MachineType;
+use crate::wire::users::{JobShape, Submission};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 /// Most tasks in the placement request of a job that is not a gang.
 const MAX_TASKS_PER_REQUEST: usize = 512;
@@ -33,6 +34,16 @@
     held_back_limit: TimeSpan,
     /// Whether earlier failures keep work away from any machine.
     has_open_circuit: bool,
+    /// The machines that work may be placed on now without restriction.
+    schedulable: &'a [SchedulableMachine],
+}
+
+/// What decides whether a machine could run a task, whatever room it has now.
+struct SchedulableMachine {
+    id: MachineId,
+    zone: Zone,
+    spot: bool,
+    machine_type: MachineType,
 }
 
 impl ClusterState {
@@ -52,6 +63,7 @@
             promise_slack: TimeSpan::secs(self.policy.promise_slack_s),
             held_back_limit: TimeSpan::secs(self.policy.held_back_s),
             has_open_circuit: self.has_open_circuit(),
+            schedulable: &self.alternatives(at.time),
         };
         let mut requests = Vec::new();
         let waiting = self.jobs.iter_mut();
@@ -76,6 +88,28 @@
         machines.any(|machine| machine.circuit_breaker.is_open())
     }
 
+    /// The machines that a job may use in place of those on which it failed; empty if no job
+    /// failed lately.
+    fn alternatives(&self, now: Time) -> Vec<SchedulableMachine> {
+        let mut jobs = self.jobs.values();
+        if !jobs.any(|job| job.is_open() && !job.scheduling.failed_on.is_empty()) {
+            return Vec::new();
+        }
+        let silence = self.max_silence();
+        let machines = self.machines.iter();
+        machines
+            .filter(|(_, machine)| machine.is_schedulable(now, silence))
+            .filter_map(|(id, machine)| {
+                Some(SchedulableMachine {
+                    id: id.clone(),
+                    zone: machine.zone.clone()?,
+                    spot: machine.spot,
+                    machine_type: self.type_of(machine)?.clone(),
+                })
+            })
+            .collect()
+    }
+
     /// Marks the open jobs within their team's guaranteed quota: those that fit into the
     /// quota together with all open jobs of the team that were accepted earlier.
     fn mark_within_guarantee(&mut self) {
@@ -96,14 +130,38 @@
     }
 }
 
+impl SchedulableMachine {
+    /// Whether the machine could run a task of this job.
+    fn fits(&self, spec: &Submission) -> bool {
+        let allowed = spec.kinds.as_ref();
+        (spec.spot || !self.spot)
+            && spec.zone.as_ref().is_none_or(|zone| zone == &self.zone)
+            && allowed.is_none_or(|allowed| allowed.contains(&self.machine_type.name))
+            && spec.needs().fits_within(&self.machine_type.has())
+    }
+}
+
 impl RequestInputs<'_> {
+    /// The machines on which the job failed lately; none if no other machine could run it,
+    /// since it would then never be tried again.
+    fn avoided_machines(&self, job: &Job) -> BTreeSet<MachineId> {
+        let failed_on = &job.scheduling.failed_on;
+        let mut others = self.schedulable.iter();
+        let has_alternative =
+            others.any(|other| other.fits(&job.spec) && !failed_on.contains(&other.id));
+        if !has_alternative && failpoints::enforced(SafetyCheck::AgedWorkSkipsPreferences) {
+            return BTreeSet::new();
+        }
+        failed_on.clone()
+    }
+
     /// Whether the job waits, has got no machine for the patience of the policy, and could
-    /// begin a trial.
+    /// use machines that earlier failures keep it from.
     fn is_stalled(&self, job: &Job) -> bool {
         let waits_since = job.scheduling.waiting_since.max(job.scheduling.last_placed);
         let has_waited = waits_since.is_some_and(|since| self.at.time.since(since) > self.patience);
         has_waited
-            && self.has_open_circuit
+            && (self.has_open_circuit || !job.scheduling.failed_on.is_empty())
             && failpoints::enforced(SafetyCheck::AgedWorkSkipsPreferences)
     }
 
@@ -159,7 +217,7 @@
                 .held_back_since
                 .is_some_and(|since| self.at.time.since(since) >= self.held_back_limit),
             stalled: self.is_stalled(job),
-            avoid: job.scheduling.failed_on.clone(),
+            avoid: self.avoided_machines(job),
         }
     }
 }
--- a/crates/controller/src/core/scheduling_cycle/request.rs
+++ b/crates/controller/src/core/scheduling_cycle/request.rs
@@ -63,10 +63,10 @@
     /// Whether the job has waited too long while the only free room was reserved for
     /// other jobs.
     pub held_back_too_long: bool,
-    /// Whether tasks of the job wait, and none was placed for so long that the job may begin
-    /// a trial on a machine with an open circuit.
+    /// Whether tasks of the job wait, and none was placed for so long that the job may use
+    /// machines which it avoids, and begin a trial on a machine with an open circuit.
     pub stalled: bool,
-    /// Machines on which no task of the job is placed.
+    /// Machines on which no task of the job is placed, unless the job is stalled.
     pub avoid: BTreeSet<MachineId>,
 }
 
@@ -90,7 +90,7 @@
                 .machine_types
                 .as_ref()
                 .is_none_or(|allowed| allowed.contains(&row.machine_type))
-            && !self.avoid.contains(&row.id)
+            && (self.stalled || !self.avoid.contains(&row.id))
             && (self.overdue || !row.quarantined)
             && row
                 .trial
@@ -100,7 +100,7 @@
 
     /// Whether tasks of this job are placed on this machine only if no other has room.
     pub fn is_last_resort(&self, row: &MachineRow) -> bool {
-        row.is_suspect()
+        row.is_suspect() || self.avoid.contains(&row.id)
     }
 
     /// Number of further tasks that the zone constraints allow in a zone.
--- a/crates/simulator/tests/machine_failures.rs
+++ b/crates/simulator/tests/machine_failures.rs
@@ -5,7 +5,7 @@
 use common::*;
 use pebblefold_controller::core::failpoints::{SafetyCheck, disable_check};
 use pebblefold_controller::types::{Time, TimeSpan};
-use pebblefold_simulator::script::{JobShape, Jobs, Script, Spread, What};
+use pebblefold_simulator::script::{JobShape, Jobs, Nodes, Script, Spread, What};
 use pebblefold_simulator::simulated::Simulated;
 
 /// The class of the jobs that the tests measure.
@@ -100,6 +100,56 @@
     assert!(held > 30.0, "the machines were kept from work for {held} s");
 }
 
+// As above, before the users cancel, and across a change of leader.
+#[test]
+fn mistaken_jobs_that_nobody_cancels_leave_the_machines_to_others() {
+    for seed in 1..4 {
+        let mut script = machines_with_services(3, 240.0);
+        let mut mistaken = mistaken(4, 20.0);
+        mistaken.cancel_after_s = Some(200.0);
+        script.jobs.push(mistaken);
+        script.jobs.push(short_jobs(20, 25.0, 120.0));
+        let kill = What::Kill {
+            nodes: Nodes::Leader,
+            for_s: 3.0,
+        };
+        script.faults.push(at(30.0, kill));
+        let outcome = play(script, seed);
+        assert_eq!(outcome.broken, Vec::<String>::new(), "seed {seed}");
+        assert!(outcome.waited_s < 30.0, "seed {seed}: {}", outcome.waited_s);
+    }
+}
+
+// A job avoids machines on which it failed, but not if it fits no other.
+#[test]
+fn job_that_failed_on_its_only_machine_is_tried_again() {
+    for seed in 1..4 {
+        let mut script = machines_with_services(3, 200.0);
+        let mut bound = short_jobs(1, 20.0, 0.0);
+        bound.zone = Some("z1".into());
+        script.jobs.push(bound);
+        script.faults.push(at(18.0, faulty(0, Some("z1"), 12.0)));
+        let outcome = play(script, seed);
+        assert_eq!(outcome.broken, Vec::<String>::new(), "seed {seed}");
+        assert!(outcome.failures > 0, "seed {seed}: the job did not fail");
+        assert!(outcome.waited_s < 60.0, "seed {seed}: {}", outcome.waited_s);
+    }
+}
+
+// All machines that fit were faulty for a while: they get work again in time.
+#[test]
+fn recovered_machines_get_work_again() {
+    for seed in 1..4 {
+        let mut script = machines_with_services(3, 300.0);
+        script.jobs.push(short_jobs(30, 20.0, 60.0));
+        script.faults.push(at(18.0, faulty(0, None, 60.0)));
+        let outcome = play(script, seed);
+        assert_eq!(outcome.broken, Vec::<String>::new(), "seed {seed}");
+        assert!(outcome.failures > 0, "seed {seed}: no job failed");
+        assert!(outcome.waited_s < 90.0, "seed {seed}: {}", outcome.waited_s);
+    }
+}
+
 // A machine on which every task fails always has room. It must not get all work.
 #[test]
 fn faulty_machines_do_not_draw_all_work() {
