Agents forget an attempt only when no copy of its start can be executed

What could happen: an agent ignores a start of an attempt that it knows, but `clear` makes it forget an exited attempt, and a second copy of the start then runs the task once more: beside its next attempt on another machine, or after its job was cancelled (PROTOCOL, "Every command can be repeated, with one exception"). `clear` was sent as soon as the attempt had no placement and the machine carried the leader's token; under the same token and session nothing else stood against the copy.

Can it happen here? Starts travel in answers to reports alone, and agents drop those 4 s after the report; direct commands carry stops and announcements only, whose copies are harmless. So only an attempt that ends, is reported and is forgotten within 4 s of its start's report is in danger. Against copies that an agent takes later than it should there was no protection at all.

Change: core/sent_starts keeps the starts that a leader sent to a machine in its session. An exited attempt is forgotten no earlier than 5 s after its start was sent, the longest that an answer counts, and normally after 30 s. Longer reports than 256 tasks fall back to the 5 s; 256 such tasks take less than 32 KiB of the 64 (tested). A machine that lists nothing but exited tasks is idle as before, so its report is still a long poll.

The simulator has the trouble `late_commands`: direct commands held up by 2 to 16 s, or, with `again`, a copy of any command, also of those in answers, 0.1 to 16 s after it was carried out; token and session alone decide whether it counts.

history_format: the order of the commands is pinned; `clear` now comes after the second job's commands, as it is sent later. All commands are still compared.

--- a/crates/controller/src/core/failpoints.rs
+++ b/crates/controller/src/core/failpoints.rs
@@ -67,6 +67,10 @@
     /// A task's result is stored before its agent may discard it. Otherwise a failover
     /// would lose the result and run the task again.
     DoneBeforeClear,
+    /// An agent may forget an exited task only once no copy of its start can be executed any
+    /// more. Otherwise a copy would start the task again, beside its next attempt or after
+    /// its job was cancelled.
+    ForgetOnlyUnrepeatableStarts,
     /// A record is overwritten only in the version that was last read or written
     /// (compare-and-swap), so that a late write replaces no newer record.
     RecordsCompareVersions,
--- a/crates/controller/src/core/leader/command_dispatch.rs
+++ b/crates/controller/src/core/leader/command_dispatch.rs
@@ -158,8 +158,9 @@
         };
         let mut usage = machine.unrecorded_usage;
         let mut list = CommandList::default();
+        let count = reported.len();
         for task in reported {
-            add_commands_for_reported_task(&mut list, &mut usage, cluster, id, task);
+            add_commands_for_reported_task(&mut list, &mut usage, now, cluster, id, task, count);
         }
         if machine.has_current_token
             && let Some(machine_type) = cluster.type_of(machine)
@@ -238,14 +239,16 @@
     }
 }
 
-/// Adds the commands for one task that a machine reported, and adds the needs of an
-/// assigned running task to the machine's usage.
+/// Adds the commands for one of `count` tasks that a machine reported, and adds the needs of
+/// an assigned running task to the machine's usage.
 fn add_commands_for_reported_task(
     list: &mut CommandList,
     usage: &mut Resources,
+    now: Time,
     cluster: &ClusterState,
     id: &MachineId,
     reported: ReportedTaskState,
+    count: usize,
 ) {
     let Some(task) = TaskId::parse(&reported.name) else {
         return;
@@ -261,7 +264,14 @@
             && assignment.epoch == machine.epoch
     });
     if reported.state == TaskState::Exited {
-        if machine.has_current_token && !is_placed && !must_be_retained(job, &task, &reported) {
+        let starts = &machine.sent_starts;
+        let may_forget = starts.may_forget(now, &task, reported.attempt, count)
+            || !failpoints::enforced(SafetyCheck::ForgetOnlyUnrepeatableStarts);
+        if machine.has_current_token
+            && !is_placed
+            && may_forget
+            && !must_be_retained(job, &task, &reported)
+        {
             list.forgets.push(reported.into_forget_command());
         }
         return;
@@ -301,7 +311,7 @@
     mut free: Resources,
 ) {
     let size = cluster.chunk_size;
-    let Some(machine) = cluster.machines.get(id) else {
+    let Some(machine) = cluster.machines.get_mut(id) else {
         return;
     };
     for task in &machine.tasks {
@@ -322,6 +332,7 @@
         }
         free -= needs;
         if let Some(assignment) = job.assignments.get_mut(&task.index) {
+            machine.sent_starts.record(now, task, assignment.attempt);
             list.starts
                 .push(build_start_command(now, machine.sequence, task, assignment));
         }
--- a/crates/controller/src/core/leader/heartbeat_reconciliation.rs
+++ b/crates/controller/src/core/leader/heartbeat_reconciliation.rs
@@ -18,7 +18,7 @@
 use crate::core::quarantine::Quarantine;
 use crate::core::{Now, RequestId};
 use crate::types::{AgentEpoch, FencingToken, MachineId, TaskId, Time, TimeSpan};
-use crate::wire::workers::Heartbeat;
+use crate::wire::workers::{Heartbeat, TaskState};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Time between checks for deferred heartbeats that are due.
@@ -165,10 +165,11 @@
     }
 
     /// Whether a machine that has just sent a heartbeat runs no tasks and may receive
-    /// some.
+    /// some. Exited tasks that it lists are kept for a while.
     fn is_idle(&self, now: Time, heartbeat: &Heartbeat) -> bool {
         let machine = self.cluster.machines.get(&heartbeat.machine);
-        heartbeat.tasks.is_empty()
+        let mut tasks = heartbeat.tasks.iter();
+        tasks.all(|task| task.state == TaskState::Exited)
             && self.authority.may_start_tasks(now)
             && machine.is_some_and(|machine| {
                 machine.tasks.is_empty() && machine.is_schedulable(now, self.cluster.max_silence())
@@ -363,6 +364,7 @@
     if heartbeat.epoch > machine.epoch {
         machine.cache.drop_abandoned_fetches(|_| false);
         machine.presumed_dead = false;
+        machine.sent_starts.clear();
     }
     machine.epoch = heartbeat.epoch;
     machine.sequence = heartbeat.sequence;
--- a/crates/controller/src/core/machine.rs
+++ b/crates/controller/src/core/machine.rs
@@ -4,6 +4,7 @@
 use super::circuit_breaker::CircuitBreaker;
 use super::delivery::DeliveryMonitor;
 use super::placement_tables::ImageCache;
+use super::sent_starts::SentStarts;
 use crate::types::{
     AgentEpoch, HeartbeatSequence, MachineTypeName, Resources, TaskId, Time, TimeSpan, Zone,
 };
@@ -74,6 +75,8 @@
     pub idle_since: Option<Time>,
     /// The failures of tasks on the machine, and whether they keep work away from it.
     pub circuit_breaker: CircuitBreaker,
+    /// The starts that were sent to the machine lately.
+    pub sent_starts: SentStarts,
     /// Tasks assigned to the machine.
     pub tasks: BTreeSet<TaskId>,
     /// Total resources of the tasks assigned to the machine.
@@ -108,6 +111,7 @@
             last_high_priority: None,
             idle_since: None,
             circuit_breaker: CircuitBreaker::default(),
+            sent_starts: SentStarts::default(),
             tasks: BTreeSet::new(),
             allocated: Resources::default(),
         }
--- a/crates/controller/src/core/mod.rs
+++ b/crates/controller/src/core/mod.rs
@@ -8,7 +8,7 @@
 //! | one controller and its peers | [`node`], [`election`], [`failure_detector`], [`self_health`], [`cache_hints`], [`leader_announcement`] |
 //! | formats shared by several builds | [`format_version`] |
 //! | users' requests | [`job_api`], [`read_coalescing`] |
-//! | the leader | [`leader`], [`leader_authority`], [`pending_writes`], [`delivery`], [`quarantine`], [`circuit_breaker`], [`machine`], [`assignment`], [`garbage_collection`] |
+//! | the leader | [`leader`], [`leader_authority`], [`pending_writes`], [`delivery`], [`quarantine`], [`circuit_breaker`], [`sent_starts`], [`machine`], [`assignment`], [`garbage_collection`] |
 //! | scheduling decisions | [`scheduling_cycle`], [`preemption`], [`quota`], [`placement_tables`] |
 //! | the cloud | [`autoscaler`] |
 //! | stored records | [`job_records`], [`keys`] |
@@ -44,6 +44,7 @@
 pub mod read_coalescing;
 pub mod scheduling_cycle;
 pub mod self_health;
+pub mod sent_starts;
 pub mod store_limits;
 
 pub use inputs::{CallId, Input, Listener, Now, Reply, RequestId};
--- a/crates/controller/tests/history_format.rs
+++ b/crates/controller/tests/history_format.rs
@@ -146,12 +146,12 @@
         [
             command("start", "wk-1/0"),
             command("start", "wk-1/1"),
-            command("clear", "wk-1/0"),
-            command("clear", "wk-1/1"),
             command("start", "wk-2/0"),
             command("start", "wk-2/1"),
             halt("wk-2/0"),
             halt("wk-2/1"),
+            command("clear", "wk-1/0"),
+            command("clear", "wk-1/1"),
             command("clear", "wk-2/0"),
             command("clear", "wk-2/1"),
         ]
--- a/crates/simulator/src/script.rs
+++ b/crates/simulator/src/script.rs
@@ -431,6 +431,10 @@
     1
 }
 
+fn most_late_s() -> f64 {
+    16.0
+}
+
 fn about_right() -> Spread {
     Spread::Between(0.7, 1.4)
 }
@@ -759,6 +763,21 @@
         /// How long.
         for_s: f64,
     },
+    /// Direct commands get no answer and are carried out 2 s to `most_s` later, if token and
+    /// session still match.
+    LateCommands {
+        /// Which share of them.
+        share: f64,
+        /// They are carried out and answered at once, also those in answers to reports, and a
+        /// copy is carried out once more, up to `most_s` later.
+        #[serde(default)]
+        again: bool,
+        /// The latest that one is carried out, in seconds.
+        #[serde(default = "most_late_s")]
+        most_s: f64,
+        /// How long.
+        for_s: f64,
+    },
     /// Machines' reports arrive; answers and direct commands to them are lost.
     MachineDeaf {
         /// How many that have tasks; with `zone` alone, all there.
--- a/crates/simulator/src/script/check.rs
+++ b/crates/simulator/src/script/check.rs
@@ -166,7 +166,7 @@
                     format!("{share} is no share; it has to lie between 0 and 1"),
                 );
             }
-            for time in ["for_s", "hang_s", "notice_s", "delay_s"] {
+            for time in ["for_s", "hang_s", "notice_s", "delay_s", "most_s"] {
                 // What is no number to JSON is none here either.
                 if let Some(s) = value.get(time)
                     && !s.as_f64().is_some_and(|s| (0.0..=86_400.0).contains(&s))
--- a/crates/simulator/src/stand.rs
+++ b/crates/simulator/src/stand.rs
@@ -2,6 +2,7 @@
 //! users, with the faults of a script and the checker that listens.
 
 mod faults;
+mod late_commands;
 
 use crate::checker::{Checker, HistoryEvent};
 use crate::cloud::{Addresses, Cloud, Happened};
@@ -14,6 +15,7 @@
 use crate::users::{Planned, UserRequest, Users, plan};
 use crate::waiting::{PendingJob, could_start};
 use crate::worker::{HEARTBEAT_TIMEOUT, Times, job_of};
+use late_commands::LateCommands;
 use pebblefold_controller::core::format_version::chunk_progress::ChunkProgress;
 use pebblefold_controller::core::format_version::member_versions;
 use pebblefold_controller::core::job_records;
@@ -175,6 +177,8 @@
     Silence(u64, usize),
     /// A copy of a machine's report to a controller arrives.
     Heartbeat(String, usize, Vec<u8>),
+    /// Direct commands to a machine, or a copy of commands, arrive.
+    Commands(String, Vec<u8>),
 }
 
 /// What a moment is about.
@@ -234,6 +238,8 @@
     /// Which share of transactions, and of reports' copies, comes late, and until when.
     late_writes: (f64, Time),
     late_reports: (f64, Time),
+    /// Commands that are carried out late.
+    late_commands: LateCommands,
     /// Of which share of transactions only the answer is lost, and until when.
     lost_answers: (f64, Time),
     /// Of which share of reports a copy is kept for the next leader, until when, and those.
@@ -315,6 +321,7 @@
             links: Links::new(delays),
             late_writes: (0.0, Time(0)),
             late_reports: (0.0, Time(0)),
+            late_commands: LateCommands::default(),
             lost_answers: (0.0, Time(0)),
             kept_reports: (0.0, Time(0)),
             kept: VecDeque::new(),
@@ -412,6 +419,11 @@
         self.answers_lost
     }
 
+    /// Copies of commands that a machine has carried out once more.
+    pub fn commands_repeated(&self) -> u64 {
+        self.late_commands.repeated
+    }
+
     /// See [`Stand::answers_lost`].
     pub fn brought(&self) -> u64 {
         self.brought
@@ -744,8 +756,11 @@
             self.stalled.push((call, node, machine.into(), r));
             return;
         }
+        if r.path == "/commands" && self.holds_up_commands(now, machine, &r.body) {
+            return self.give(call, Host::Machine(machine.into()), node, Returned::Silence);
+        }
         let answer = match (r.method.as_str(), r.path.as_str()) {
-            ("POST", "/commands") => self.fleet.commanded(now, machine, &r.body),
+            ("POST", "/commands") => self.commanded(now, machine, &r.body),
             ("GET", "/inspect") => self.fleet.inspected(now, machine),
             (method, path) => {
                 self.checker
@@ -793,6 +808,9 @@
                 self.fleet
                     .answered(now, &m, Some((status, body)), &self.labels, &mut self.rng);
                 self.starts_at(now, Moment::StartDone, &starts, &about);
+                if status == 200 {
+                    self.copy_answer(now, &m, body);
+                }
             }
             Some(_) => {
                 self.users
--- a/crates/simulator/src/stand/faults.rs
+++ b/crates/simulator/src/stand/faults.rs
@@ -367,6 +367,15 @@
             What::LateReports { share, for_s, .. } => {
                 self.kept_reports = (*share, until(*for_s));
             }
+            What::LateCommands {
+                share,
+                again,
+                most_s,
+                for_s,
+            } => {
+                let until = until(*for_s);
+                self.late_commands.begin(*share, *again, *most_s, until);
+            }
             What::MachineMute { count, zone, for_s } => {
                 for m in self.pick_in(*count, zone.as_deref()) {
                     if let Some(w) = self.fleet.worker(&m) {
@@ -466,6 +475,7 @@
                     patience: HEARTBEAT_TIMEOUT,
                 });
             }
+            Heal::Commands(machine, body) => self.late_commands_arrive(now, &machine, body),
             Heal::Silence(call, node) => self.give(call, Host::State, node, Returned::Silence),
             Heal::CloudOut => self.cloud.out = false,
             Heal::CloudShort => self.cloud.short = false,
--- a/crates/simulator/src/worker.rs
+++ b/crates/simulator/src/worker.rs
@@ -201,6 +201,11 @@
         !self.tasks.is_empty() || !self.fetching.is_empty() || self.link.expired(now)
     }
 
+    /// Its session.
+    pub fn epoch(&self) -> AgentEpoch {
+        self.link.epoch()
+    }
+
     /// The controller it reports to.
     pub fn node(&self) -> usize {
         self.link.controller()
