A successor's pause for a faulty machine does not begin anew

Cause: an inherited circuit turned the time since the last failure into an instant of the process's steady clock. A process that had just started can't name an instant before its start, so the pause began anew: at most the pause longer than meant, found by the test of a machine that an older build drained. Change: the age of the inherited failure is kept beside the instant of reading.

--- a/crates/controller/src/core/circuit_breaker.rs
+++ b/crates/controller/src/core/circuit_breaker.rs
@@ -68,8 +68,11 @@
 pub struct CircuitBreaker {
     /// Jobs that failed on the machine, and when each last did.
     failed_jobs: BTreeMap<JobId, Time>,
-    /// When a task last failed on the machine.
+    /// When a task last failed on the machine, or when this leader read of that failure.
     last_failure: Option<Time>,
+    /// How long before `last_failure` an earlier leader saw that failure. The clock of this
+    /// process may not reach back so far.
+    inherited_age: TimeSpan,
     /// How often in a row the circuit was opened or a trial failed.
     openings: u32,
     /// `None`: the circuit is closed, and the machine gets work as any other.
@@ -107,7 +110,7 @@
     pub fn record_failure(&mut self, now: Time, job: &JobId) -> bool {
         self.forget_old_failures(now);
         self.failed_jobs.insert(job.clone(), now);
-        self.last_failure = Some(now);
+        (self.last_failure, self.inherited_age) = (Some(now), TimeSpan::ZERO);
         let Some(open) = self.open.as_mut().filter(|o| o.trial.as_ref() == Some(job)) else {
             return false;
         };
@@ -122,14 +125,18 @@
             self.failed_jobs
                 .retain(|_, failed| is_within(*failed, FAILURE_LIFETIME));
         }
-        if !self
-            .last_failure
-            .is_some_and(|at| is_within(at, OPENINGS_LIFETIME))
-        {
+        let failed_lately = self
+            .since_last_failure(now)
+            .is_some_and(|since| since < OPENINGS_LIFETIME);
+        if !failed_lately {
             self.openings = 0;
         }
     }
 
+    fn since_last_failure(&self, now: Time) -> Option<TimeSpan> {
+        Some(now.since(self.last_failure?) + self.inherited_age)
+    }
+
     /// Forgets the failures of a job: they were no sign of a faulty machine.
     pub fn withdraw(&mut self, job: &JobId) {
         self.failed_jobs.remove(job);
@@ -222,8 +229,8 @@
 
     fn remaining(&self, now: Time, pause: TimeSpan) -> Option<TimeSpan> {
         self.open.as_ref()?;
-        let over = self.last_failure? + pause;
-        (now < over).then(|| over.since(now))
+        let since = self.since_last_failure(now)?;
+        (since < pause).then(|| TimeSpan(pause.0 - since.0))
     }
 
     /// Whether the machine may get tasks now: its circuit is closed, or a trial may begin or
@@ -246,14 +253,13 @@
         self.open.as_ref()?;
         Some(CircuitState {
             openings: self.openings,
-            since_last_failure: self.last_failure.map_or(TimeSpan::ZERO, |at| now.since(at)),
+            since_last_failure: self.since_last_failure(now).unwrap_or(TimeSpan::ZERO),
             failed_jobs: self.failed_jobs.keys().cloned().collect(),
         })
     }
 
     /// The circuit that an earlier leader opened.
     pub fn inherited(now: Time, state: CircuitState) -> CircuitBreaker {
-        let last_failure = Time(now.0.saturating_sub(state.since_last_failure.0));
         let open = OpenCircuit {
             opened_at: now,
             trial: None,
@@ -261,8 +267,9 @@
         };
         let jobs = state.failed_jobs.into_iter();
         CircuitBreaker {
-            failed_jobs: jobs.map(|job| (job, last_failure)).collect(),
-            last_failure: Some(last_failure),
+            failed_jobs: jobs.map(|job| (job, now)).collect(),
+            last_failure: Some(now),
+            inherited_age: state.since_last_failure,
             openings: state.openings.max(1),
             open: Some(open),
         }
--- a/crates/controller/src/core/circuit_breaker/tests.rs
+++ b/crates/controller/src/core/circuit_breaker/tests.rs
@@ -103,9 +103,10 @@
     breaker.begin_trial(&job(3));
     breaker.record_failure(at(10), &job(3));
     let state = breaker.state(at(20)).unwrap();
-    let mut successor = CircuitBreaker::inherited(at(1000), state);
+    // The successor's process has just started.
+    let mut successor = CircuitBreaker::inherited(at(1), state);
     assert_eq!(
-        successor.remaining_pause(at(1000)),
+        successor.remaining_pause(at(1)),
         Some(TimeSpan::secs(110.0))
     );
     successor.withdraw(&job(1));
--- a/crates/controller/tests/history_format.rs
+++ b/crates/controller/tests/history_format.rs
@@ -195,3 +195,17 @@
         [json!({"n": 3, "d": [0, 1], "m": [["host-9", 1, 0, [1]]]})]
     );
 }
+
+// A build without circuit breakers drained a machine for ever. The machine gets work again, and
+// the record goes once it has shown that it runs tasks.
+#[test]
+fn machine_drained_by_an_older_build_gets_work_again() {
+    let mut cluster = TestCluster::default();
+    cluster.store_record("d/m/host-1", json!({"n": 0, "t": 900_000, "d": true}));
+    cluster.advance(10_000);
+    cluster.submit("wk-1", "batch");
+    cluster.advance(20_000);
+    let start = json!({"verb": "start", "piece": "wk-1/0", "try": 1});
+    assert!(cluster.commands.contains(&start), "{:?}", cluster.commands);
+    assert_eq!(cluster.written["d/m/host-1"].last(), Some(&Value::Null));
+}
