Placement requests borrow the machines that a failed job may use instead

Cause: the list of machines was cloned in each cycle while any open job had failed somewhere, also when none of its tasks waited. Change: borrowed fields, and only if a job waits that has failed.

--- a/crates/controller/src/core/leader/placement_requests.rs
+++ b/crates/controller/src/core/leader/placement_requests.rs
@@ -9,7 +9,7 @@
 use crate::core::leader_authority::LeaderAuthority;
 use crate::core::machine::Machine;
 use crate::core::scheduling_cycle::PlacementRequest;
-use crate::types::{JobId, MachineId, Resources, Team, Time, TimeSpan, Zone};
+use crate::types::{JobId, MachineId, MachineTypeName, Resources, Team, Time, TimeSpan, Zone};
 use crate::wire::cloud::MachineType;
 use crate::wire::users::{JobShape, Submission};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -34,16 +34,16 @@
     held_back_limit: TimeSpan,
     /// Whether earlier failures keep work away from any machine.
     has_open_circuit: bool,
-    /// The machines that work may be placed on now without restriction.
-    schedulable: &'a [SchedulableMachine],
+    /// The machines that jobs may use in place of those on which they failed.
+    alternatives: &'a [AlternativeMachine<'a>],
 }
 
 /// What decides whether a machine could run a task, whatever room it has now.
-struct SchedulableMachine {
-    id: MachineId,
-    zone: Zone,
+struct AlternativeMachine<'a> {
+    id: &'a MachineId,
+    zone: &'a Zone,
     spot: bool,
-    machine_type: MachineType,
+    machine_type: &'a MachineType,
 }
 
 impl ClusterState {
@@ -56,14 +56,21 @@
     ) -> Vec<PlacementRequest> {
         self.mark_within_guarantee();
         let fleet = self.fleet_resources();
+        let has_open_circuit = self.has_open_circuit();
+        let alternatives = if self.jobs.values().any(waits_after_failure) {
+            let silence = self.max_silence();
+            alternatives(at.time, silence, &self.machines, &self.machine_types)
+        } else {
+            Vec::new()
+        };
         let inputs = RequestInputs {
             at,
             objectives: JobObjectives::new(&self.settings, self.policy.small_first, fleet),
             patience: TimeSpan::secs(self.policy.patience_s),
             promise_slack: TimeSpan::secs(self.policy.promise_slack_s),
             held_back_limit: TimeSpan::secs(self.policy.held_back_s),
-            has_open_circuit: self.has_open_circuit(),
-            schedulable: &self.alternatives(at.time),
+            has_open_circuit,
+            alternatives: &alternatives,
         };
         let mut requests = Vec::new();
         let waiting = self.jobs.iter_mut();
@@ -88,28 +95,6 @@
         machines.any(|machine| machine.circuit_breaker.is_open())
     }
 
-    /// The machines that a job may use in place of those on which it failed; empty if no job
-    /// failed lately.
-    fn alternatives(&self, now: Time) -> Vec<SchedulableMachine> {
-        let mut jobs = self.jobs.values();
-        if !jobs.any(|job| job.is_open() && !job.scheduling.failed_on.is_empty()) {
-            return Vec::new();
-        }
-        let silence = self.max_silence();
-        let machines = self.machines.iter();
-        machines
-            .filter(|(_, machine)| machine.is_schedulable(now, silence))
-            .filter_map(|(id, machine)| {
-                Some(SchedulableMachine {
-                    id: id.clone(),
-                    zone: machine.zone.clone()?,
-                    spot: machine.spot,
-                    machine_type: self.type_of(machine)?.clone(),
-                })
-            })
-            .collect()
-    }
-
     /// Marks the open jobs within their team's guaranteed quota: those that fit into the
     /// quota together with all open jobs of the team that were accepted earlier.
     fn mark_within_guarantee(&mut self) {
@@ -130,12 +115,38 @@
     }
 }
 
-impl SchedulableMachine {
+/// Whether tasks of the job wait of which some have failed on a machine.
+fn waits_after_failure(job: &Job) -> bool {
+    job.is_open() && !job.waiting.is_empty() && !job.scheduling.failed_on.is_empty()
+}
+
+/// The machines that work may be placed on now without restriction.
+fn alternatives<'a>(
+    now: Time,
+    silence: TimeSpan,
+    machines: &'a BTreeMap<MachineId, Machine>,
+    types: &'a BTreeMap<MachineTypeName, MachineType>,
+) -> Vec<AlternativeMachine<'a>> {
+    let schedulable = machines
+        .iter()
+        .filter(|(_, machine)| machine.is_schedulable(now, silence));
+    let alternatives = schedulable.filter_map(|(id, machine)| {
+        Some(AlternativeMachine {
+            id,
+            zone: machine.zone.as_ref()?,
+            spot: machine.spot,
+            machine_type: types.get(machine.machine_type.as_ref()?)?,
+        })
+    });
+    alternatives.collect()
+}
+
+impl AlternativeMachine<'_> {
     /// Whether the machine could run a task of this job.
     fn fits(&self, spec: &Submission) -> bool {
         let allowed = spec.kinds.as_ref();
         (spec.spot || !self.spot)
-            && spec.zone.as_ref().is_none_or(|zone| zone == &self.zone)
+            && spec.zone.as_ref().is_none_or(|zone| zone == self.zone)
             && allowed.is_none_or(|allowed| allowed.contains(&self.machine_type.name))
             && spec.needs().fits_within(&self.machine_type.has())
     }
@@ -146,9 +157,9 @@
     /// since it would then never be tried again.
     fn avoided_machines(&self, job: &Job) -> BTreeSet<MachineId> {
         let failed_on = &job.scheduling.failed_on;
-        let mut others = self.schedulable.iter();
+        let mut others = self.alternatives.iter();
         let has_alternative =
-            others.any(|other| other.fits(&job.spec) && !failed_on.contains(&other.id));
+            others.any(|other| other.fits(&job.spec) && !failed_on.contains(other.id));
         if !has_alternative && failpoints::enforced(SafetyCheck::AgedWorkSkipsPreferences) {
             return BTreeSet::new();
         }
