--- a/crates/simulator/tests/meetings/cancels.rs
+++ b/crates/simulator/tests/meetings/cancels.rs
@@ -76,7 +76,7 @@
     guarded(
         SafetyCheck::EarlierLeadersAnswersExtendLeases,
         "quota",
-        1..6,
+        1..12,
         day,
     );
 }
--- a/crates/simulator/tests/meetings/main.rs
+++ b/crates/simulator/tests/meetings/main.rs
@@ -440,7 +440,7 @@
     guarded(
         SafetyCheck::RecordsCompareVersions,
         "ran_twice",
-        1..6,
+        1..12,
         late_writes,
     );
 }
--- a/crates/simulator/tests/rollout.rs
+++ b/crates/simulator/tests/rollout.rs
@@ -314,7 +314,7 @@
         }
         let mut low = jobs(JobShape::Array, 20, 6.0);
         (low.priority, low.team, low.from_s) = (JobPriority::Low, "blue".into(), 40.0);
-        let mut urgent = jobs(JobShape::Array, 30, 8.0);
+        let mut urgent = jobs(JobShape::Array, 28, 8.0);
         (urgent.priority, urgent.from_s, urgent.over_s) = (JobPriority::High, 54.0, 12.0);
         s.jobs.extend([low, urgent]);
         let mut world = start(s, seed);
