Starts of earlier leaders have a module of their own

Cause: task_reconciliation held both the comparison of heartbeats with the assignments and the resumption of starts that an earlier leader stored. The second is the path that the incident names; its changes are easier to read in a module with one job.

Change: resume_inherited_start, restart_tasks and gang_start move to leader/inherited_starts, letter for letter.

--- a/crates/controller/src/core/leader.rs
+++ b/crates/controller/src/core/leader.rs
@@ -13,6 +13,7 @@
 mod cycle_inputs;
 mod fleet_health;
 mod heartbeat_reconciliation;
+mod inherited_starts;
 mod inspection;
 mod job_objectives;
 mod machine_failures;
