Default logs show placements, removals and what a load found for each team

Change: one line for each job and input: 'tasks placed' (origin, attempt, use and limit of the team), 'tasks removed from their machines' (reason; completed tasks have none), at most 32 lines an input. After a load, one line a team with its use and whether it is over its limit. 'unrecorded task stopped' also says under whose token the heartbeat came and what is assigned instead. /inspect has leading.starts: resumed, withdrawn, unrecorded. No behaviour changes.

--- a/crates/controller/src/core/leader.rs
+++ b/crates/controller/src/core/leader.rs
@@ -4,6 +4,7 @@
 //! itself.
 
 mod arrival_recorder;
+mod assignment_log;
 mod autoscaling;
 mod capacity_planning;
 mod cluster_state;
@@ -246,6 +247,7 @@
             &self.authority,
             self.scheduler.cycles,
         );
+        self.cluster.log_assignment_changes(self.token);
     }
 
     /// Processes a reply to one of this leader's calls.
--- a/crates/controller/src/core/leader/cluster_state.rs
+++ b/crates/controller/src/core/leader/cluster_state.rs
@@ -1,6 +1,7 @@
 //! The leader's tables of jobs and machines, shared by all parts of the leader, and the
 //! changes to them that are still to be written or sent. Makes no calls itself.
 
+use super::assignment_log::AssignmentLog;
 use crate::core::assignment::Assignment;
 use crate::core::autoscaler::intents::Intents;
 use crate::core::job_records::{ChunkSize, DirtyChunks, Job};
@@ -70,6 +71,8 @@
     /// Tasks to stop by a direct command to their machine, ahead of the machine's next
     /// heartbeat.
     pub direct_stops: BTreeMap<MachineId, Vec<TaskId>>,
+    /// Changes of assignments that are not logged yet.
+    pub assignment_log: AssignmentLog,
 }
 
 impl ClusterState {
@@ -83,6 +86,7 @@
             chunk_size: ChunkSize::for_value(settings.state_limits.value_bytes),
             unwritten: UnwrittenChanges::default(),
             direct_stops: BTreeMap::new(),
+            assignment_log: AssignmentLog::default(),
             settings,
             policy,
         }
--- a/crates/controller/src/core/leader/command_dispatch.rs
+++ b/crates/controller/src/core/leader/command_dispatch.rs
@@ -10,6 +10,7 @@
 use crate::core::job_records::{ChunkSize, Job};
 use crate::core::leader_announcement::{AnnouncementPriority, LeaderAnnouncer};
 use crate::core::leader_authority::LeaderAuthority;
+use crate::core::machine::Machine;
 use crate::types::{
     AgentEpoch, Attempt, FencingToken, HeartbeatSequence, MachineId, Resources, TaskId, Time,
     TimeSpan,
@@ -287,12 +288,38 @@
         // this machine.
         Some(job) if job.is_open() && job.unreadable => {}
         _ => {
-            tracing::info!(task = %task, attempt = %reported.attempt, machine = %id, "unrecorded task stopped");
+            log_unrecorded_task(id, machine, &task, &reported, job);
             list.stops.push(reported.into_stop_command(0.0));
         }
     }
 }
 
+/// Logs a task that runs without an assignment, with what could explain it: a heartbeat
+/// without this leader's token may be an old copy, and the task may be assigned elsewhere.
+fn log_unrecorded_task(
+    id: &MachineId,
+    machine: &Machine,
+    task: &TaskId,
+    reported: &ReportedTaskState,
+    job: Option<&Job>,
+) {
+    let assignment = job.and_then(|job| job.assignments.get(&task.index));
+    tracing::info!(
+        task = %task,
+        attempt = %reported.attempt,
+        machine = %id,
+        state = ?reported.state,
+        epoch = %machine.epoch,
+        sequence = %machine.sequence,
+        has_current_token = machine.has_current_token,
+        is_job_known = job.is_some(),
+        is_done = job.is_some_and(|job| job.done.contains(task.index)),
+        assigned_machine = assignment.map(|assignment| assignment.machine.as_str()),
+        assigned_attempt = assignment.map(|assignment| assignment.attempt.0),
+        "unrecorded task stopped"
+    );
+}
+
 /// Whether an agent must keep an exited task. It may forget the task only once nothing
 /// can start the task again and, if the task is done, once that is stored.
 fn must_be_retained(job: Option<&Job>, task: &TaskId, reported: &ReportedTaskState) -> bool {
--- a/crates/controller/src/core/leader/heartbeat_reconciliation/tests.rs
+++ b/crates/controller/src/core/leader/heartbeat_reconciliation/tests.rs
@@ -1,5 +1,6 @@
 use super::*;
 use crate::core::job_records::Job;
+use crate::core::leader::assignment_log::StartOrigin;
 use crate::core::leader::{Leader, LeadershipOutcome};
 use crate::core::{Output, Reply};
 use crate::testing::submission;
@@ -48,9 +49,9 @@
     send_heartbeat(&mut leader, 1.0, heartbeat(1, 5));
     for index in 0..2 {
         let job = "wk-1".into();
-        leader
-            .cluster
-            .place_task(Time(1_000_000), &TaskId { job, index }, &id, Attempt(1));
+        let (now, task) = (Time(1_000_000), TaskId { job, index });
+        let cluster = &mut leader.cluster;
+        cluster.place_task(now, &task, &id, Attempt(1), StartOrigin::Cycle);
     }
     for chunk in leader
         .cluster
--- a/crates/controller/src/core/leader/inherited_starts.rs
+++ b/crates/controller/src/core/leader/inherited_starts.rs
@@ -2,6 +2,7 @@
 //! the same machines under a new attempt, or withdraws them. Changes only the leader's
 //! tables.
 
+use super::assignment_log::StartOrigin;
 use super::cluster_state::ClusterState;
 use super::task_lifecycle::RemovalReason;
 use crate::core::assignment::{Assignment, AssignmentPhase};
@@ -80,9 +81,12 @@
             let machine = self.jobs[&task.job].assignments[&task.index]
                 .machine
                 .clone();
-            self.remove_assignment(now, task, RemovalReason::NeverStarted);
             if can_restart_all {
-                self.place_task(now, task, &machine, attempt);
+                self.remove_assignment(now, task, RemovalReason::Resumed);
+                let origin = StartOrigin::EarlierLeader;
+                self.place_task(now, task, &machine, attempt, origin);
+            } else {
+                self.remove_assignment(now, task, RemovalReason::NeverStarted);
             }
         }
     }
--- a/crates/controller/src/core/leader/inspection.rs
+++ b/crates/controller/src/core/leader/inspection.rs
@@ -76,7 +76,7 @@
             "contact_s_ago": self.authority.age(self.at.time).as_secs(),
             "loaded": self.authority.is_loaded(),
             "cycles": self.scheduler.cycles, "duties": self.duties(),
-            "shares": self.shares(),
+            "shares": self.shares(), "starts": self.starts(),
             "totals": {"machines": cluster.machines.len(), "jobs": cluster.jobs.len()},
             "zones": self.zones(), "machines": machines, "jobs": jobs,
         })
@@ -151,6 +151,16 @@
         })
     }
 
+    /// What became of the starts of earlier leaders, and running tasks without an
+    /// assignment.
+    fn starts(&self) -> Value {
+        let totals = self.cluster.assignment_log.totals;
+        json!({
+            "resumed": totals.resumed, "withdrawn": totals.withdrawn,
+            "unrecorded": totals.unrecorded,
+        })
+    }
+
     /// Quota usage of teams, and service levels of teams and classes.
     fn shares(&self) -> Value {
         let cluster = self.cluster;
@@ -268,6 +278,6 @@
 
 /// Quota units as CPUs and GPUs.
 fn quota_json(held: QuotaUnits) -> Value {
-    let from_thousandths = |thousandths: i64| thousandths as f64 / 1000.0;
-    json!({"cpus": from_thousandths(held.cpus), "gpus": from_thousandths(held.gpus)})
+    let amounts = held.amounts();
+    json!({"cpus": amounts.cpus, "gpus": amounts.gpus})
 }
--- a/crates/controller/src/core/leader/record_watch.rs
+++ b/crates/controller/src/core/leader/record_watch.rs
@@ -232,7 +232,8 @@
         }
         context.authority.record_load_complete(sent);
         let cluster = &context.cluster;
-        tracing::info!(token = %context.token, jobs = cluster.jobs.len(), machines = cluster.machines.len(), "records loaded, leading");
+        tracing::info!(token = %context.token, revision = %self.revision, jobs = cluster.jobs.len(), machines = cluster.machines.len(), "records loaded, leading");
+        cluster.log_loaded_usage(context.token);
     }
 
     /// Applies the changes that the watch shows.
--- a/crates/controller/src/core/leader/scheduler.rs
+++ b/crates/controller/src/core/leader/scheduler.rs
@@ -2,6 +2,7 @@
 //! cluster's tables and waiting tasks, assigns tasks to machines and orders preemptions.
 
 use super::arrival_recorder::ArrivalRecorder;
+use super::assignment_log::StartOrigin;
 use super::cluster_state::ClusterState;
 use super::preemption_search::PreemptionSearch;
 use super::task_lifecycle::StopDurability;
@@ -266,7 +267,7 @@
                 .map(TimeSpan::as_secs)
         });
         tracing::debug!(task = %task, %machine, ?fetch_s, "task placed");
-        cluster.place_task(now, &task, &machine, *attempt);
+        cluster.place_task(now, &task, &machine, *attempt, StartOrigin::Cycle);
     }
 }
 
--- a/crates/controller/src/core/leader/task_lifecycle.rs
+++ b/crates/controller/src/core/leader/task_lifecycle.rs
@@ -2,6 +2,7 @@
 //! stop, done, and removed once it is proven gone. Every change is queued for the next
 //! transaction. Nothing is sent here.
 
+use super::assignment_log::StartOrigin;
 use super::cluster_state::ClusterState;
 use crate::core::assignment::{Assignment, AssignmentPhase, Stop};
 use crate::core::failpoints::{self, SafetyCheck};
@@ -22,7 +23,7 @@
 }
 
 /// Why a task is no longer assigned to its machine.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(in crate::core) enum RemovalReason {
     /// The machine reported the task as done.
     Done,
@@ -34,8 +35,10 @@
     NeverSent,
     /// The start was sent and did not arrive.
     NeverArrived,
-    /// The start of an earlier leader did not arrive.
+    /// The start of an earlier leader did not arrive, and is not resumed.
     NeverStarted,
+    /// The start of an earlier leader did not arrive, and is resumed under a new attempt.
+    Resumed,
     /// The start cannot arrive: the machine does not receive the answers to its
     /// heartbeats.
     MachineUnreachable,
@@ -60,6 +63,7 @@
             RemovalReason::NeverSent => "never sent",
             RemovalReason::NeverArrived => "never arrived",
             RemovalReason::NeverStarted => "never started",
+            RemovalReason::Resumed => "resumed under a new attempt",
             RemovalReason::MachineUnreachable => "machine receives no answers",
             RemovalReason::NotReported => "machine no longer reports the task",
             RemovalReason::LeaseExpired => "lease expired",
@@ -72,7 +76,15 @@
 
 impl ClusterState {
     /// Assigns a task to a machine. The start is sent once the assignment is stored.
-    pub fn place_task(&mut self, now: Time, task: &TaskId, id: &MachineId, attempt: Attempt) {
+    /// `origin` is for the log.
+    pub fn place_task(
+        &mut self,
+        now: Time,
+        task: &TaskId,
+        id: &MachineId,
+        attempt: Attempt,
+        origin: StartOrigin,
+    ) {
         let Some(machine) = self.machines.get_mut(id) else {
             return;
         };
@@ -118,6 +130,7 @@
         job.assignments.insert(task.index, assignment);
         let chunk = (task.job.clone(), self.chunk_size.of(task.index));
         self.unwritten.dirty_chunks.mark(chunk, now, true);
+        self.assignment_log.record_placed(&task.job, origin);
     }
 
     /// Marks a task as done, whichever machine reported it, and its job too if that was
@@ -176,6 +189,7 @@
         let is_deletable = job.assignments.is_empty() && !job.is_open();
         let chunk = (task.job.clone(), self.chunk_size.of(task.index));
         self.unwritten.dirty_chunks.mark(chunk, now, false);
+        self.assignment_log.record_removed(&task.job, reason);
         tracing::debug!(task = %task, attempt = %assignment.attempt, machine = %assignment.machine, %reason, "task removed from its machine");
         if let Some(machine) = self.machines.get_mut(&assignment.machine) {
             machine.release(task, needs);
--- a/crates/controller/src/core/leader/task_reconciliation.rs
+++ b/crates/controller/src/core/leader/task_reconciliation.rs
@@ -86,6 +86,7 @@
             };
             if reported.state != TaskState::Exited {
                 unrecorded_usage += job.spec.needs();
+                self.assignment_log.totals.unrecorded += 1;
             } else if reported.why == Some(StopReason::Done) {
                 self.accept_result(now, id, &task, reported.attempt);
             }
--- a/crates/controller/src/core/quota/usage.rs
+++ b/crates/controller/src/core/quota/usage.rs
@@ -19,8 +19,10 @@
 /// Maximum absolute value of one amount in thousandths, so that sums cannot overflow.
 const MAX_THOUSANDTHS: f64 = 1e15;
 
+const THOUSANDTHS_PER_UNIT: f64 = 1000.0;
+
 fn thousandths(amount: f64) -> i64 {
-    (amount * 1000.0)
+    (amount * THOUSANDTHS_PER_UNIT)
         .round()
         .clamp(-MAX_THOUSANDTHS, MAX_THOUSANDTHS) as i64
 }
@@ -34,6 +36,15 @@
         }
     }
 
+    /// The amounts in CPUs and GPUs; no memory.
+    pub fn amounts(self) -> Resources {
+        Resources {
+            cpus: self.cpus as f64 / THOUSANDTHS_PER_UNIT,
+            gpus: self.gpus as f64 / THOUSANDTHS_PER_UNIT,
+            ..Resources::default()
+        }
+    }
+
     /// These units multiplied by `count`.
     #[must_use]
     pub fn times(self, count: usize) -> QuotaUnits {
@@ -150,6 +161,11 @@
             .is_some_and(|usage| usage.can_lose(units))
     }
 
+    /// Quota and usage of one team; `None`: the team has no entry.
+    pub fn team(&self, team: &Team) -> Option<&TeamUsage> {
+        self.teams.get(team)
+    }
+
     /// All teams with their quotas and usage.
     pub fn teams(&self) -> impl Iterator<Item = (&Team, &TeamUsage)> {
         self.teams.iter()
--- a/crates/controller/tests/inspect_format.rs
+++ b/crates/controller/tests/inspect_format.rs
@@ -36,7 +36,7 @@
 }
 
 /// The paths of all values in the inspection of a leader, when an agent runs tasks.
-const LEADER_PATHS: [&str; 130] = [
+const LEADER_PATHS: [&str; 133] = [
     "effort_us",
     "late_share",
     "leader",
@@ -119,6 +119,9 @@
     "leading.shares.teams[].team",
     "leading.shares.teams[].used.cpus",
     "leading.shares.teams[].used.gpus",
+    "leading.starts.resumed",
+    "leading.starts.unrecorded",
+    "leading.starts.withdrawn",
     "leading.token",
     "leading.totals.jobs",
     "leading.totals.machines",
