Starts of an earlier leader are resumed only as a cycle would place them

Callers saw: a team over its limit.

Cause: a right that had lapsed, and a check in one path and not in another. When machines proved that a recorded start never arrived, restart_tasks resumed it without a look at the limit, the only path that placed without one. It did not look at the zones of the job's other tasks nor at room assigned to others meanwhile either.

Evidence: the unit test failed on the code before (48 GPUs about to start, limit 40).

Change: the resumption takes the checks of a cycle: the limit against all that is on the account, one_zone and spread, room on the machine (tasks being stopped leave theirs), besides an available machine of the same agent epoch as before. What does not pass is withdrawn and waits for a cycle.

Why it works: what may run without a further decision was within the limit when the earlier leader ended; the successor's account holds all of it and more.

--- a/crates/controller/src/core/failpoints.rs
+++ b/crates/controller/src/core/failpoints.rs
@@ -86,6 +86,10 @@
     /// A team's quota usage includes the tasks of ended jobs that may still be on
     /// machines.
     EndedJobsCountForQuota,
+    /// A start that an earlier leader stored is resumed only within its team's limit. The
+    /// records can show more than the limit, as a start is stored before the removal that
+    /// made room for it.
+    ResumedStartsNeedQuota,
     /// A new leader watches changes from the revision of the first page of its load on.
     /// Otherwise it would miss changes made during the load.
     WatchStartsAtFirstPage,
--- a/crates/controller/src/core/leader.rs
+++ b/crates/controller/src/core/leader.rs
@@ -196,6 +196,12 @@
         (self.cluster.machines.len(), reporting.count())
     }
 
+    /// The number of starts of earlier leaders that were withdrawn because of their team's
+    /// limit.
+    pub fn starts_withdrawn_for_quota(&self) -> u64 {
+        self.cluster.assignment_log.totals.withdrawn_for_quota
+    }
+
     /// Whether the leader has a record of a machine.
     pub fn tracks_machine(&self, machine: &MachineId) -> bool {
         self.cluster.machines.contains_key(machine)
--- a/crates/controller/src/core/leader/assignment_log.rs
+++ b/crates/controller/src/core/leader/assignment_log.rs
@@ -3,6 +3,7 @@
 //! them. Changes nothing itself.
 
 use super::cluster_state::ClusterState;
+use super::inherited_starts::ResumptionObstacle;
 use super::task_lifecycle::RemovalReason;
 use crate::core::quota::usage::QuotaUsage;
 use crate::types::{FencingToken, JobId};
@@ -43,8 +44,11 @@
 pub(in crate::core) struct AssignmentTotals {
     /// Tasks whose start an earlier leader stored and this leader resumed.
     pub resumed: u64,
-    /// Tasks whose start an earlier leader stored and this leader withdrew.
+    /// Tasks whose start an earlier leader stored and this leader withdrew, whatever the
+    /// reason.
     pub withdrawn: u64,
+    /// Those of them that their team's limit kept from being resumed.
+    pub withdrawn_for_quota: u64,
     /// Running tasks without an assignment that heartbeats listed; one task counts again in
     /// each heartbeat.
     pub unrecorded: u64,
@@ -70,8 +74,10 @@
     /// Records that a task was removed from its machine. Completed tasks and those that are
     /// assigned again at once are left out.
     pub fn record_removed(&mut self, job: &JobId, reason: RemovalReason) {
-        if reason == RemovalReason::NeverStarted {
+        if let RemovalReason::NotResumed(obstacle) = reason {
             self.totals.withdrawn += 1;
+            let for_quota = obstacle == ResumptionObstacle::TeamLimit;
+            self.totals.withdrawn_for_quota += u64::from(for_quota);
         }
         match reason {
             RemovalReason::Done | RemovalReason::DoneElsewhere | RemovalReason::Resumed => {}
--- a/crates/controller/src/core/leader/command_dispatch.rs
+++ b/crates/controller/src/core/leader/command_dispatch.rs
@@ -67,14 +67,25 @@
 }
 
 /// The commands of one answer to a heartbeat, in the order in which they are sent.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct CommandList {
+    /// The fencing token that the commands carry.
+    token: FencingToken,
     stops: Vec<Command>,
     forgets: Vec<Command>,
     starts: Vec<Command>,
 }
 
 impl CommandList {
+    fn new(token: FencingToken) -> CommandList {
+        CommandList {
+            token,
+            stops: Vec::new(),
+            forgets: Vec::new(),
+            starts: Vec::new(),
+        }
+    }
+
     fn into_commands(self) -> Vec<Command> {
         let mut commands = self.stops;
         commands.extend(self.forgets);
@@ -158,7 +169,7 @@
             return Vec::new();
         };
         let mut usage = machine.unrecorded_usage;
-        let mut list = CommandList::default();
+        let mut list = CommandList::new(self.token);
         let count = reported.len();
         for task in reported {
             add_commands_for_reported_task(&mut list, &mut usage, now, cluster, id, task, count);
@@ -288,15 +299,17 @@
         // this machine.
         Some(job) if job.is_open() && job.unreadable => {}
         _ => {
-            log_unrecorded_task(id, machine, &task, &reported, job);
+            log_unrecorded_task(list.token, id, machine, &task, &reported, job);
             list.stops.push(reported.into_stop_command(0.0));
         }
     }
 }
 
 /// Logs a task that runs without an assignment, with what could explain it: a heartbeat
-/// without this leader's token may be an old copy, and the task may be assigned elsewhere.
+/// without this leader's token may be an old copy, the task may be assigned elsewhere, and
+/// a leader with an outdated token may have been replaced.
 fn log_unrecorded_task(
+    token: FencingToken,
     id: &MachineId,
     machine: &Machine,
     task: &TaskId,
@@ -305,6 +318,7 @@
 ) {
     let assignment = job.and_then(|job| job.assignments.get(&task.index));
     tracing::info!(
+        %token,
         task = %task,
         attempt = %reported.attempt,
         machine = %id,
--- a/crates/controller/src/core/leader/cycle_inputs.rs
+++ b/crates/controller/src/core/leader/cycle_inputs.rs
@@ -2,6 +2,7 @@
 
 use super::cluster_state::ClusterState;
 use crate::core::failpoints::{self, SafetyCheck};
+use crate::core::job_records::Job;
 use crate::core::machine::Machine;
 use crate::core::placement_tables::MachineRow;
 use crate::core::quota::usage::{QuotaUnits, QuotaUsage};
@@ -80,19 +81,20 @@
         let mut teams: BTreeMap<Team, TeamQuotaState> = teams
             .map(|(team, share)| (team.clone(), without_usage(*share)))
             .collect();
-        let count_ended_jobs = failpoints::enforced(SafetyCheck::EndedJobsCountForQuota);
-        for job in self
-            .jobs
-            .values()
-            .filter(|j| count_ended_jobs || j.is_open())
-        {
+        for job in self.jobs.values() {
             if let Some(team) = teams.get_mut(&job.spec.team) {
-                team.used += job.spec.needs().times(job.tasks_possibly_running() as f64);
+                team.used += quota_needs(job);
             }
         }
         teams
     }
 
+    /// The usage of one team, as in `team_use`.
+    pub fn usage_of_team(&self, team: &Team) -> Resources {
+        let jobs = self.jobs.values().filter(|job| &job.spec.team == team);
+        jobs.fold(Resources::default(), |used, job| used + quota_needs(job))
+    }
+
     /// What each team uses of its quota, and how much of that belongs to tasks that are being
     /// stopped.
     pub fn quota_usage(&self) -> QuotaUsage {
@@ -128,6 +130,14 @@
     }
 }
 
+/// What a job uses of its team's quota.
+fn quota_needs(job: &Job) -> Resources {
+    if !job.is_open() && !failpoints::enforced(SafetyCheck::EndedJobsCountForQuota) {
+        return Resources::default();
+    }
+    job.spec.needs().times(job.tasks_possibly_running() as f64)
+}
+
 /// The index of each machine's row.
 pub(super) fn row_index(rows: &[MachineRow]) -> HashMap<&MachineId, usize> {
     let rows = rows.iter().enumerate();
--- a/crates/controller/src/core/leader/inherited_starts.rs
+++ b/crates/controller/src/core/leader/inherited_starts.rs
@@ -4,10 +4,39 @@
 
 use super::assignment_log::StartOrigin;
 use super::cluster_state::ClusterState;
+use super::placement_requests::tasks_in_zones;
 use super::task_lifecycle::RemovalReason;
 use crate::core::assignment::{Assignment, AssignmentPhase};
+use crate::core::failpoints::{self, SafetyCheck};
 use crate::core::job_records::Job;
-use crate::types::{Attempt, TaskId, Time};
+use crate::core::machine::Machine;
+use crate::types::{Attempt, MachineId, TaskId, Time};
+use std::collections::BTreeMap;
+use std::fmt;
+
+/// Why the start of an earlier leader is not resumed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(in crate::core) enum ResumptionObstacle {
+    /// A machine gets no tasks now, or its agent has a new epoch.
+    MachineUnavailable,
+    /// The team would use more than its limit.
+    TeamLimit,
+    /// The tasks of the job would be in zones that it does not allow together.
+    Zone,
+    /// The room on a machine is assigned to other tasks.
+    MachineFull,
+}
+
+impl fmt::Display for ResumptionObstacle {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            ResumptionObstacle::MachineUnavailable => "never started: machine unavailable",
+            ResumptionObstacle::TeamLimit => "never started: team at its limit",
+            ResumptionObstacle::Zone => "never started: zones of the job's other tasks",
+            ResumptionObstacle::MachineFull => "never started: room assigned to others",
+        })
+    }
+}
 
 /// How far the start of a gang that an earlier leader recorded has come.
 enum GangStart {
@@ -59,37 +88,108 @@
         }
     }
 
-    /// Assigns tasks of one job to their machines again, under a new attempt, if all of
-    /// the machines can run them. Otherwise none of the tasks is assigned: a gang is
+    /// Assigns tasks of one job to their machines again, under a new attempt, if nothing
+    /// stands against any of them. Otherwise none of the tasks is assigned: a gang is
     /// placed whole or not at all.
     fn restart_tasks(&mut self, now: Time, tasks: &[TaskId]) {
         let Some(job) = tasks.first().and_then(|task| self.jobs.get(&task.job)) else {
             return;
         };
-        let silence = self.max_silence();
-        let can_restart = |assignment: &Assignment| {
-            let machine = self.machines.get(&assignment.machine);
-            machine.is_some_and(|machine| {
-                machine.is_schedulable(now, silence) && machine.epoch == assignment.epoch
-            })
-        };
-        let can_restart_all = tasks
-            .iter()
-            .all(|task| can_restart(&job.assignments[&task.index]));
+        let obstacle = self.resumption_obstacle(now, job, tasks);
         let attempt = Attempt(job.attempt.0 + 1);
         for task in tasks {
             let machine = self.jobs[&task.job].assignments[&task.index]
                 .machine
                 .clone();
-            if can_restart_all {
-                self.remove_assignment(now, task, RemovalReason::Resumed);
-                let origin = StartOrigin::EarlierLeader;
-                self.place_task(now, task, &machine, attempt, origin);
-            } else {
-                self.remove_assignment(now, task, RemovalReason::NeverStarted);
+            if let Some(obstacle) = obstacle {
+                self.remove_assignment(now, task, RemovalReason::NotResumed(obstacle));
+                continue;
             }
+            self.remove_assignment(now, task, RemovalReason::Resumed);
+            let origin = StartOrigin::EarlierLeader;
+            self.place_task(now, task, &machine, attempt, origin);
+        }
+    }
+
+    /// What stands against the resumption of these tasks of a job. The earlier leader checked
+    /// the same when it placed them, but a start is stored before the removals that made
+    /// room for it, and later starts may be stored before this one's own removal. So all
+    /// that the records place counts, as in a scheduling cycle.
+    fn resumption_obstacle(
+        &self,
+        now: Time,
+        job: &Job,
+        tasks: &[TaskId],
+    ) -> Option<ResumptionObstacle> {
+        let assignments = || tasks.iter().map(|task| &job.assignments[&task.index]);
+        if !assignments().all(|assignment| self.is_still_usable(now, assignment)) {
+            return Some(ResumptionObstacle::MachineUnavailable);
+        }
+        if !self.is_within_team_limit(job)
+            && failpoints::enforced(SafetyCheck::ResumedStartsNeedQuota)
+        {
+            return Some(ResumptionObstacle::TeamLimit);
+        }
+        if !is_within_zone_rules(&self.machines, job) {
+            return Some(ResumptionObstacle::Zone);
         }
+        if !assignments().all(|assignment| self.has_room_for_tasks(&assignment.machine)) {
+            return Some(ResumptionObstacle::MachineFull);
+        }
+        None
+    }
+
+    /// Whether the machine of an assignment may get tasks, and still has the agent epoch for
+    /// which the start was valid.
+    fn is_still_usable(&self, now: Time, assignment: &Assignment) -> bool {
+        let machine = self.machines.get(&assignment.machine);
+        machine.is_some_and(|machine| {
+            machine.is_schedulable(now, self.max_silence()) && machine.epoch == assignment.epoch
+        })
     }
+
+    /// Whether all assignments of the team of a job together are within the team's limit.
+    fn is_within_team_limit(&self, job: &Job) -> bool {
+        let share = self.settings.teams.get(&job.spec.team);
+        share.is_some_and(|share| share.allows(&self.usage_of_team(&job.spec.team)))
+    }
+
+    /// Whether all tasks assigned to a machine fit on it together. Those that are being
+    /// stopped leave room for the start that they were stopped for.
+    fn has_room_for_tasks(&self, id: &MachineId) -> bool {
+        let Some(machine) = self.machines.get(id) else {
+            return false;
+        };
+        let Some(machine_type) = self.type_of(machine) else {
+            return true;
+        };
+        let mut needs = machine.unrecorded_usage;
+        for task in &machine.tasks {
+            let Some(job) = self.jobs.get(&task.job) else {
+                continue;
+            };
+            let assignment = job.assignments.get(&task.index);
+            if assignment.is_some_and(|assignment| assignment.stop.is_none()) {
+                needs += job.spec.needs();
+            }
+        }
+        needs.fits_within(&machine_type.has())
+    }
+}
+
+/// Whether the machines of all assigned tasks of a job are in zones that the job allows
+/// together.
+fn is_within_zone_rules(machines: &BTreeMap<MachineId, Machine>, job: &Job) -> bool {
+    let spec = &job.spec;
+    if !spec.one_zone && !spec.spread {
+        return true;
+    }
+    let Some(zones) = tasks_in_zones(machines, job) else {
+        return false;
+    };
+    let max_per_zone = spec.max_tasks_per_zone();
+    let is_spread = zones.values().all(|tasks| *tasks <= max_per_zone);
+    (!spec.one_zone || zones.len() <= 1) && (!spec.spread || is_spread)
 }
 
 fn is_reserved(assignment: &Assignment) -> bool {
@@ -119,3 +219,6 @@
         GangStart::Unknown
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/controller/src/core/leader/inspection.rs
+++ b/crates/controller/src/core/leader/inspection.rs
@@ -157,7 +157,7 @@
         let totals = self.cluster.assignment_log.totals;
         json!({
             "resumed": totals.resumed, "withdrawn": totals.withdrawn,
-            "unrecorded": totals.unrecorded,
+            "withdrawn_for_quota": totals.withdrawn_for_quota, "unrecorded": totals.unrecorded,
         })
     }
 
--- a/crates/controller/src/core/leader/placement_requests.rs
+++ b/crates/controller/src/core/leader/placement_requests.rs
@@ -207,7 +207,7 @@
             machine_types: spec.kinds.clone(),
             zone: spec.zone.clone(),
             one_zone: spec.one_zone,
-            max_per_zone: spec.spread.then(|| spec.tasks.div_ceil(2)),
+            max_per_zone: spec.spread.then(|| spec.max_tasks_per_zone()),
             tasks_in_zones,
             spot: spec.spot,
             run_time: (spec.shape != JobShape::Service).then(|| TimeSpan::secs(spec.estimate_s)),
@@ -267,7 +267,7 @@
 
 /// How many of a job's assigned tasks are in each zone. `None`: the zone of one of these
 /// tasks is not known, and the job's placement rules (`one_zone`, `spread`) depend on it.
-fn tasks_in_zones(
+pub(super) fn tasks_in_zones(
     machines: &BTreeMap<MachineId, Machine>,
     job: &Job,
 ) -> Option<BTreeMap<Zone, u32>> {
--- a/crates/controller/src/core/leader/task_lifecycle.rs
+++ b/crates/controller/src/core/leader/task_lifecycle.rs
@@ -4,6 +4,7 @@
 
 use super::assignment_log::StartOrigin;
 use super::cluster_state::ClusterState;
+use super::inherited_starts::ResumptionObstacle;
 use crate::core::assignment::{Assignment, AssignmentPhase, Stop};
 use crate::core::failpoints::{self, SafetyCheck};
 use crate::core::job_records::JobOutcome;
@@ -36,7 +37,7 @@
     /// The start was sent and did not arrive.
     NeverArrived,
     /// The start of an earlier leader did not arrive, and is not resumed.
-    NeverStarted,
+    NotResumed(ResumptionObstacle),
     /// The start of an earlier leader did not arrive, and is resumed under a new attempt.
     Resumed,
     /// The start cannot arrive: the machine does not receive the answers to its
@@ -62,7 +63,7 @@
             RemovalReason::Exited => "exited",
             RemovalReason::NeverSent => "never sent",
             RemovalReason::NeverArrived => "never arrived",
-            RemovalReason::NeverStarted => "never started",
+            RemovalReason::NotResumed(obstacle) => return obstacle.fmt(f),
             RemovalReason::Resumed => "resumed under a new attempt",
             RemovalReason::MachineUnreachable => "machine receives no answers",
             RemovalReason::NotReported => "machine no longer reports the task",
--- a/crates/controller/src/core/node.rs
+++ b/crates/controller/src/core/node.rs
@@ -282,6 +282,13 @@
         self.leader.as_ref().map(Leader::count_reporting_machines)
     }
 
+    /// The number of starts of earlier leaders that this leader has withdrawn because of
+    /// their team's limit; 0 if this controller does not lead.
+    pub fn starts_withdrawn_for_quota(&self) -> u64 {
+        let leader = self.leader.as_ref();
+        leader.map_or(0, Leader::starts_withdrawn_for_quota)
+    }
+
     /// Whether this controller leads and tracks the machine. The simulator counts
     /// machines that no controller tracks.
     pub fn tracks_machine(&self, machine: &MachineId) -> bool {
--- a/crates/controller/tests/inspect_format.rs
+++ b/crates/controller/tests/inspect_format.rs
@@ -36,7 +36,7 @@
 }
 
 /// The paths of all values in the inspection of a leader, when an agent runs tasks.
-const LEADER_PATHS: [&str; 133] = [
+const LEADER_PATHS: [&str; 134] = [
     "effort_us",
     "late_share",
     "leader",
@@ -122,6 +122,7 @@
     "leading.starts.resumed",
     "leading.starts.unrecorded",
     "leading.starts.withdrawn",
+    "leading.starts.withdrawn_for_quota",
     "leading.token",
     "leading.totals.jobs",
     "leading.totals.machines",
--- a/crates/simulator/tests/meetings/main.rs
+++ b/crates/simulator/tests/meetings/main.rs
@@ -7,6 +7,7 @@
 mod answers;
 mod cancels;
 mod machines;
+mod resumed_starts;
 
 use common::*;
 use pebblefold_controller::core::failpoints::{SafetyCheck, disable_check};
--- a/crates/wire/src/users.rs
+++ b/crates/wire/src/users.rs
@@ -120,6 +120,11 @@
         }
     }
 
+    /// Most tasks in one zone if the job is spread: half of all, rounded up.
+    pub fn max_tasks_per_zone(&self) -> u32 {
+        self.tasks.div_ceil(2)
+    }
+
     /// Returns the name of the first field with an invalid value, spelled as in the message;
     /// `None` if all are valid.
     pub fn first_invalid_field(&self) -> Option<&'static str> {
