The room check of resumed starts has a safety check of its own

Two checks now cover the same case, so the control sees the fault only with both off.

Change: SafetyCheck::ResumedStartsNeedRoom; the control switches both off, with the same bound. What holds with all checks on is asserted as before. The test of the room check has a control too.

--- a/crates/controller/src/core/failpoints.rs
+++ b/crates/controller/src/core/failpoints.rs
@@ -90,6 +90,10 @@
     /// records can show more than the limit, as a start is stored before the removal that
     /// made room for it.
     ResumedStartsNeedQuota,
+    /// A start that an earlier leader stored is resumed only if its machine has room beside
+    /// all other tasks assigned to it. Otherwise one of them would wait for the end of
+    /// another, and its gang with it.
+    ResumedStartsNeedRoom,
     /// A new leader watches changes from the revision of the first page of its load on.
     /// Otherwise it would miss changes made during the load.
     WatchStartsAtFirstPage,
--- a/crates/controller/src/core/leader/inherited_starts.rs
+++ b/crates/controller/src/core/leader/inherited_starts.rs
@@ -133,7 +133,9 @@
         if !is_within_zone_rules(&self.machines, job) {
             return Some(ResumptionObstacle::Zone);
         }
-        if !assignments().all(|assignment| self.has_room_for_tasks(&assignment.machine)) {
+        if !assignments().all(|assignment| self.has_room_for_tasks(&assignment.machine))
+            && failpoints::enforced(SafetyCheck::ResumedStartsNeedRoom)
+        {
             return Some(ResumptionObstacle::MachineFull);
         }
         None
--- a/crates/controller/src/core/leader/inherited_starts/tests.rs
+++ b/crates/controller/src/core/leader/inherited_starts/tests.rs
@@ -293,8 +293,12 @@
 #[test]
 fn failover_resumes_no_start_whose_room_is_assigned_to_others() {
     let jobs = [gang("wk-1", 1), gang("wk-2", 1)];
-    let records = Records::from([record("wk-1", 0, 0, &[3]), record("wk-2", 0, 0, &[3])]);
-    assert_eq!(resumed_on(&jobs, records), [machine_id(3)]);
+    let records = || Records::from([record("wk-1", 0, 0, &[3]), record("wk-2", 0, 0, &[3])]);
+    assert_eq!(resumed_on(&jobs, records()), [machine_id(3)]);
+    disable_check(&[SafetyCheck::ResumedStartsNeedRoom]);
+    let without_check = resumed_on(&jobs, records());
+    disable_check(&[]);
+    assert_eq!(without_check, [machine_id(3), machine_id(3)]);
 }
 
 #[test]
--- a/crates/simulator/tests/duties.rs
+++ b/crates/simulator/tests/duties.rs
@@ -470,7 +470,12 @@
         // Four tasks had to go, and no other one was started twice.
         assert_eq!((start < 25.0, v.starts), (true, 32 + 2 + 4), "{start} s");
     }
-    disable_check(&[SafetyCheck::StopsAreStored]);
+    // Without the stored stops the successor finds the room still assigned, withdraws the
+    // start and makes room anew, unless that check is off too.
+    disable_check(&[
+        SafetyCheck::StopsAreStored,
+        SafetyCheck::ResumedStartsNeedRoom,
+    ]);
     let starts: Vec<f64> = (0..4)
         .map(|seed| decider_dies(seed).classes["urgent"].start_s[2])
         .collect();
