--- a/crates/pebblectl/tests/program.rs
+++ b/crates/pebblectl/tests/program.rs
@@ -243,6 +243,51 @@
     assert!(Path::new(&dir.path("kept/node-0.log")).exists());
 }
 
+/// The shipped crash loop, cut down to its first `length_s` seconds: the faults before `until_s`,
+/// and jobs in proportion.
+fn short_crash_loop(length_s: i64, until_s: f64) -> String {
+    let text = std::fs::read_to_string(root().join("rehearsals/crash-loop.toml")).unwrap();
+    let mut script: toml::Table = text.parse().unwrap();
+    script["length_s"] = length_s.into();
+    for jobs in script["jobs"].as_array_mut().unwrap() {
+        let count = jobs["count"].as_integer().unwrap();
+        let over_s = jobs["over_s"].as_integer().unwrap();
+        let share = until_s / over_s as f64;
+        jobs["count"] = ((count as f64 * share).ceil() as i64).into();
+        jobs["over_s"] = until_s.into();
+    }
+    let number = |v: &toml::Value| v.as_float().or(v.as_integer().map(|n| n as f64)).unwrap();
+    let faults = script["faults"].as_array_mut().unwrap();
+    faults.retain(|fault| {
+        let at_s = fault.get("at_s");
+        let after_s = fault.get("when").map(|when| &when["after_s"]);
+        at_s.or(after_s).is_some_and(|time| number(time) < until_s)
+    });
+    script.to_string()
+}
+
+// Real controllers end again and again while a team is at its limit and machines vanish.
+// Which jobs are over by the end depends on the machine; no rule may break on any.
+#[test]
+fn crash_loop_on_loopback_keeps_team_within_limit() {
+    let dir = TempDir::new("crash-loop");
+    let script = dir.path("crash-loop.toml");
+    std::fs::write(&script, short_crash_loop(75, 45.0)).unwrap();
+    let o = pebblectl(&["--output", "json", "rehearse", &script, "--seed", "8"]);
+    let verdicts: Value = serde_json::from_slice(&o.stdout)
+        .unwrap_or_else(|e| panic!("{e}: {}{}", text(&o.stdout), text(&o.stderr)));
+    let verdict = &verdicts[0];
+    let broken = verdict["broken"].as_array().unwrap().iter();
+    let broken: Vec<&Value> = broken.filter(|b| b["rule"] != "unfinished").collect();
+    assert!(broken.is_empty(), "{broken:?}");
+    let models = &verdict["peak_usage"]["models"];
+    let (used, limit) = (models["gpus"].as_f64(), models["gpus_max"].as_f64());
+    assert!(used > Some(0.0) && used <= limit, "{models}");
+    let faults = verdict["faults"].as_array().unwrap().iter();
+    let kills = faults.filter(|fault| fault[1] == "kill").count();
+    assert!(kills >= 3, "all controllers end several times: {verdict}");
+}
+
 #[test]
 fn restore_refuses_invalid_snapshot_and_creates_no_store() {
     let dir = TempDir::new("state");
--- a/crates/simulator/src/checker.rs
+++ b/crates/simulator/src/checker.rs
@@ -252,6 +252,8 @@
     /// Number of task placements after the job was confirmed as cancelled.
     starts_after_cancel: u64,
     usage_by_team: BTreeMap<String, Resources>,
+    /// The most that each team's tasks on machines used at one time.
+    peak_usage_by_team: BTreeMap<String, Resources>,
 }
 
 /// Splits `job/index` into the job's id and the task's index.
@@ -277,6 +279,7 @@
             starts: 0,
             starts_after_cancel: 0,
             usage_by_team: BTreeMap::new(),
+            peak_usage_by_team: BTreeMap::new(),
         }
     }
 
@@ -361,6 +364,11 @@
         &self.usage_by_team
     }
 
+    /// The most that each team's tasks on machines used at one time.
+    pub fn peak_usage_by_team(&self) -> &BTreeMap<String, Resources> {
+        &self.peak_usage_by_team
+    }
+
     /// All recorded events in order, each with the time of its recording.
     pub fn history(&self) -> &[(Time, HistoryEvent)] {
         &self.history
@@ -639,6 +647,9 @@
             let used = self.usage_by_team.entry(spec.team.to_string()).or_default();
             *used += spec.needs();
             let used = *used;
+            let peak = self.peak_usage_by_team.entry(spec.team.to_string());
+            let peak = peak.or_default();
+            *peak = peak.component_max(&used);
             let team = self.teams.iter().find(|t| t.name == spec.team.as_str());
             let over = |limit: f64, used: f64| limit > 0.0 && used > limit + 1e-6;
             if team.is_some_and(|t| over(t.gpus_max, used.gpus) || over(t.cpus_max, used.cpus)) {
--- a/crates/simulator/src/report.rs
+++ b/crates/simulator/src/report.rs
@@ -4,7 +4,7 @@
 use crate::stand::{Sample, Stand};
 use crate::tally::ProvisioningStats;
 use hdrhistogram::Histogram;
-use pebblefold_controller::types::Time;
+use pebblefold_controller::types::{Resources, Time};
 use pebblefold_controller::wire::users::JobStage;
 use plotters::prelude::*;
 use serde::Serialize;
@@ -62,6 +62,19 @@
     }
 }
 
+/// The most that a team's tasks on machines used at one time, as the machines counted it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
+pub struct PeakUsage {
+    /// Graphics processors in use.
+    pub gpus: f64,
+    /// The team's limit on them; 0: none.
+    pub gpus_max: f64,
+    /// Processors in use.
+    pub cpus: f64,
+    /// The team's limit on them; 0: none.
+    pub cpus_max: f64,
+}
+
 /// Outcome of one run of a script.
 #[derive(Clone, Debug, Serialize)]
 pub struct Verdict {
@@ -103,6 +116,8 @@
     pub classes: BTreeMap<String, ClassReport>,
     /// Outcomes by team.
     pub teams: BTreeMap<String, ClassReport>,
+    /// The most that each team used at one time.
+    pub peak_usage: BTreeMap<String, PeakUsage>,
     /// Injected faults: the time in seconds, and a description.
     pub faults: Vec<(f64, String)>,
     /// Descriptions of the faults that were never injected.
@@ -133,6 +148,31 @@
     [at(0.5), at(0.9), at(1.0)]
 }
 
+/// The most that each team with tasks on machines used at one time, with its limits.
+fn peak_usage(stand: &Stand) -> BTreeMap<String, PeakUsage> {
+    let checker = stand.checker();
+    let peak_of = |(name, used): (&String, &Resources)| {
+        let team = checker.teams().iter().find(|team| &team.name == name);
+        let peak = PeakUsage {
+            gpus: used.gpus,
+            gpus_max: team.map_or(0.0, |team| team.gpus_max),
+            cpus: used.cpus,
+            cpus_max: team.map_or(0.0, |team| team.cpus_max),
+        };
+        (name.clone(), peak)
+    };
+    checker.peak_usage_by_team().iter().map(peak_of).collect()
+}
+
+/// A limit as text; 0: none.
+fn limit_text(limit: f64) -> String {
+    if limit > 0.0 {
+        limit.to_string()
+    } else {
+        "none".into()
+    }
+}
+
 impl Verdict {
     /// Collects the outcome of a run that ended at `now` and took `took` in real time. The
     /// field `world` is `simulated`, and `replay` is empty.
@@ -182,6 +222,7 @@
             renting: stand.tally().clone(),
             classes,
             teams,
+            peak_usage: peak_usage(stand),
             faults: stand.marks().to_vec(),
             not_struck: stand.left(),
             samples: stand.samples().to_vec(),
@@ -247,6 +288,16 @@
                 k.jobs, k.started
             )?;
         }
+        for (team, peak) in &self.peak_usage {
+            writeln!(
+                out,
+                "  most in use by {team}: {} GPUs (limit {}), {} CPUs (limit {})",
+                peak.gpus,
+                limit_text(peak.gpus_max),
+                peak.cpus,
+                limit_text(peak.cpus_max)
+            )?;
+        }
         for (at, what) in &self.faults {
             writeln!(out, "  {at:>8.2} s  {what}")?;
         }
