--- a/crates/controller/src/core/leader/assignment_log.rs
+++ b/crates/controller/src/core/leader/assignment_log.rs
@@ -140,3 +140,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
