Tests execute a copy of pebblectl that no other test can hold open

Cause: the test copied the program with fs::copy, in a process in which other tests fork children at the same moment. A child that has not executed its program yet has the copy open for writing, and such a file cannot be executed. The neighbouring test knew this and retried without end; this one did not.

Change: `cp` writes the copy for both tests, so no descriptor of this process was ever open for writing. The endless retry is gone; both tests now fail at once if the copy cannot be executed.

--- a/crates/pebblectl/tests/program.rs
+++ b/crates/pebblectl/tests/program.rs
@@ -43,6 +43,17 @@
     }
 }
 
+/// A copy of pebblectl in `dir`, without the other programs beside it. A process of its own writes
+/// it: if this one did, a child that another test has forked, but that has not executed its program
+/// yet, could still hold the copy open for writing, and the copy could not be executed.
+fn copy_of_pebblectl(dir: &TempDir) -> PathBuf {
+    let copy = dir.0.join("pebblectl");
+    let source = env!("CARGO_BIN_EXE_pebblectl");
+    let copied = Command::new("cp").arg(source).arg(&copy).status().unwrap();
+    assert!(copied.success());
+    copy
+}
+
 // A job runs to its end on real sockets; a second `up` resumes from the stored state,
 // in which the same job is already done.
 #[test]
@@ -78,9 +89,7 @@
 #[test]
 fn up_works_without_pebblefold_in_its_directory() {
     let dir = TempDir::new("alone");
-    let copy = dir.0.join("pebblectl");
-    std::fs::copy(env!("CARGO_BIN_EXE_pebblectl"), &copy).unwrap();
-    let o = Command::new(&copy)
+    let o = Command::new(copy_of_pebblectl(&dir))
         .args(["--output", "json", "up", "--port", "0", "--dir"])
         .arg(dir.path("up"))
         .args(["--job", "deploy/job.json"])
@@ -94,25 +103,12 @@
 #[test]
 fn up_reports_controllers_that_exit_by_themselves() {
     let dir = TempDir::new("ends");
-    let copy = dir.0.join("pebblectl");
-    std::fs::copy(env!("CARGO_BIN_EXE_pebblectl"), &copy).unwrap();
     std::os::unix::fs::symlink("/bin/false", dir.0.join("pebblefold")).unwrap();
-    // A program that was just written cannot be executed while a child process that
-    // another test has forked, but that has not executed its program yet, still holds
-    // the file open for writing.
-    let run = || {
-        let mut up = Command::new(&copy);
-        up.args(["up", "--port", "0", "--dir"]).arg(dir.path("up"));
-        up.output()
-    };
-    let o = loop {
-        match run() {
-            Err(e) if e.kind() == std::io::ErrorKind::ExecutableFileBusy => {
-                std::thread::sleep(std::time::Duration::from_millis(10));
-            }
-            o => break o.unwrap(),
-        }
-    };
+    let o = Command::new(copy_of_pebblectl(&dir))
+        .args(["up", "--port", "0", "--dir"])
+        .arg(dir.path("up"))
+        .output()
+        .unwrap();
     assert_eq!(o.status.code(), Some(3));
     let stderr = text(&o.stderr);
     // Which controller is first seen to have exited depends on timing.
