The simulator's faults and the checks of a script stand in short functions

Two functions had grown to 262 and 234 lines: one match that carried out every kind of fault, and one that checked every field of a script.

Random numbers are drawn in the same order. - script/check.rs: a function for the cluster, machines, jobs, and for a fault's moment, numbers and references; a problem is a type of its own, limits have names. A fault with two wrong references now reports both. With no controllers at all, an error about a controller's number said "they are 0 to"; now "there are none" (tested).

--- a/crates/simulator/src/script.rs
+++ b/crates/simulator/src/script.rs
@@ -899,11 +899,11 @@
         let document = toml_edit::Document::parse(text).map_err(|e| form(e.to_string()))?;
         Err(problems
             .into_iter()
-            .map(|(path, reason)| ScriptError::Value {
+            .map(|problem| ScriptError::Value {
                 file: file.into(),
-                line: line_of(&document, text, &path),
-                field: name_of(&path),
-                reason,
+                line: line_of(&document, text, &problem.path),
+                field: name_of(&problem.path),
+                reason: problem.reason,
             })
             .collect())
     }
--- a/crates/simulator/src/script/check.rs
+++ b/crates/simulator/src/script/check.rs
@@ -1,6 +1,13 @@
 //! What is wrong with a script's values, and on which line.
 
-use super::{JobShape, Nodes, Script, Side, What};
+use super::{Fault, JobShape, Jobs, Machines, Nodes, Script, Side, What};
+
+/// Longest time that a field may name, a day.
+const MAX_TIME_S: f64 = 86_400.0;
+/// Most controllers of a cluster.
+const MAX_CONTROLLERS: usize = 9;
+/// Most tasks of a job.
+const MAX_TASKS: f64 = 100_000.0;
 
 /// A step of a field's path.
 pub(super) enum Step {
@@ -8,8 +15,13 @@
     Index(usize),
 }
 
-/// Where, and what is wrong.
-pub(super) type Problem = (Vec<Step>, String);
+/// A field whose value cannot be used.
+pub(super) struct Problem {
+    /// The field's path from the script's root.
+    pub(super) path: Vec<Step>,
+    /// What is wrong with its value.
+    pub(super) reason: String,
+}
 
 macro_rules! path {
     ($($step:expr),*) => { vec![$(Step::from($step)),*] };
@@ -29,238 +41,243 @@
 impl Script {
     /// Everything that cannot be used, field by field.
     pub(super) fn problems(&self) -> Vec<Problem> {
-        let mut out: Vec<Problem> = Vec::new();
-        let c = &self.cluster;
-        let mut bad = |path: Vec<Step>, reason: String| out.push((path, reason));
-        let zone_known = |z: &str| c.zones.iter().any(|k| k == z);
-        let zones = || c.zones.join(", ");
-        if !(1.0..=86_400.0).contains(&self.length_s) {
-            bad(path!["length_s"], "has to be 1 to 86400 seconds".into());
-        }
-        if c.zones.is_empty() {
-            bad(path!["cluster", "zones"], "at least one is needed".into());
-        }
-        if !(1..=9).contains(&c.controllers.len()) {
-            bad(path!["cluster", "controllers"], "1 to 9 are needed".into());
-        }
-        for (i, z) in c.controllers.iter().enumerate() {
-            if !zone_known(z) {
-                bad(
-                    path!["cluster", "controllers", i],
-                    format!("no zone {z}; there are {}", zones()),
-                );
-            }
+        let mut check = Check {
+            script: self,
+            problems: Vec::new(),
+        };
+        check.check_cluster();
+        for (index, machines) in self.cluster.machines.iter().enumerate() {
+            check.check_machines(index, machines);
         }
-        let w = &c.workers;
-        if w.lease_s <= 2.0 * w.report_s {
-            bad(
-                path!["cluster", "workers", "lease_s"],
-                "has to be over twice report_s".into(),
-            );
-        }
-        for (i, m) in c.machines.iter().enumerate() {
-            if !c.kinds.iter().any(|k| k.name == m.kind) {
-                bad(
-                    path!["cluster", "machines", i, "kind"],
-                    format!("no kind {}", m.kind),
-                );
-            }
-            if !zone_known(&m.zone) {
-                bad(
-                    path!["cluster", "machines", i, "zone"],
-                    format!("no zone {}; there are {}", m.zone, zones()),
-                );
-            }
-            if m.up > m.capacity {
-                bad(
-                    path!["cluster", "machines", i, "up"],
-                    format!("{} are up, but the capacity is {}", m.up, m.capacity),
-                );
-            }
+        for (index, jobs) in self.jobs.iter().enumerate() {
+            check.check_jobs(index, jobs);
         }
-        for (i, j) in self.jobs.iter().enumerate() {
-            let team = c.teams.iter().find(|t| t.name == j.team);
-            if team.is_none() {
-                bad(path!["jobs", i, "team"], format!("no team {}", j.team));
-            }
-            if !(1.0..=100_000.0).contains(&j.tasks.least()) || j.tasks.most() < j.tasks.least() {
-                bad(
-                    path!["jobs", i, "tasks"],
-                    "1 to 100000, the least first".into(),
-                );
-            }
-            if j.run_s.least() < 0.0 || j.run_s.most() < j.run_s.least() {
-                bad(path!["jobs", i, "run_s"], "the least first".into());
-            }
-            if !c.kinds.iter().any(|k| j.needs().fits_within(&k.has())) {
-                bad(
-                    path!["jobs", i, "cpus"],
-                    "a task fits no machine type".into(),
-                );
-            }
-            let at_once = if j.shape == JobShape::Array {
-                1.0
-            } else {
-                j.tasks.most()
-            };
-            if team.is_some_and(|t| t.gpus_max > 0.0 && j.gpus * at_once > t.gpus_max) {
-                bad(
-                    path!["jobs", i, "gpus"],
-                    format!("a job takes more than its team's {}", "gpus_max"),
-                );
-            }
-            if let Some(z) = j.zone.as_ref().filter(|z| !zone_known(z)) {
-                bad(path!["jobs", i, "zone"], format!("no zone {z}"));
-            }
-            if !(0.0..=1.0).contains(&j.cancelled) {
-                bad(path!["jobs", i, "cancelled"], "a share, 0 to 1".into());
-            }
+        check.check_build(path!["cluster", "build"], self.cluster.build.as_deref());
+        for (index, fault) in self.faults.iter().enumerate() {
+            check.check_fault_moment(index, fault);
+            check.check_fault_numbers(index, &fault.what);
+            check.check_fault_references(index, &fault.what);
+        }
+        check.problems
+    }
+}
+
+/// A script and what was found to be wrong with it so far.
+struct Check<'a> {
+    script: &'a Script,
+    problems: Vec<Problem>,
+}
+
+impl Check<'_> {
+    fn report(&mut self, path: Vec<Step>, reason: impl Into<String>) {
+        let reason = reason.into();
+        self.problems.push(Problem { path, reason });
+    }
+
+    fn check_cluster(&mut self) {
+        let cluster = &self.script.cluster;
+        if !(1.0..=MAX_TIME_S).contains(&self.script.length_s) {
+            let reason = format!("has to be 1 to {MAX_TIME_S} seconds");
+            self.report(path!["length_s"], reason);
+        }
+        if cluster.zones.is_empty() {
+            self.report(path!["cluster", "zones"], "at least one is needed");
+        }
+        if !(1..=MAX_CONTROLLERS).contains(&cluster.controllers.len()) {
+            let reason = format!("1 to {MAX_CONTROLLERS} are needed");
+            self.report(path!["cluster", "controllers"], reason);
+        }
+        for (index, zone) in cluster.controllers.iter().enumerate() {
+            self.check_zone(path!["cluster", "controllers", index], zone);
+        }
+        let workers = &cluster.workers;
+        if workers.lease_s <= 2.0 * workers.report_s {
+            let path = path!["cluster", "workers", "lease_s"];
+            self.report(path, "has to be over twice report_s");
+        }
+    }
+
+    fn check_machines(&mut self, index: usize, machines: &Machines) {
+        let kinds = &self.script.cluster.kinds;
+        if !kinds.iter().any(|kind| kind.name == machines.kind) {
+            let path = path!["cluster", "machines", index, "kind"];
+            self.report(path, format!("no kind {}", machines.kind));
+        }
+        let path = path!["cluster", "machines", index, "zone"];
+        self.check_zone(path, &machines.zone);
+        let Machines { up, capacity, .. } = machines;
+        if up > capacity {
+            let path = path!["cluster", "machines", index, "up"];
+            let reason = format!("{up} are up, but the capacity is {capacity}");
+            self.report(path, reason);
+        }
+    }
+
+    fn check_jobs(&mut self, index: usize, jobs: &Jobs) {
+        let cluster = &self.script.cluster;
+        let team = cluster.teams.iter().find(|team| team.name == jobs.team);
+        if team.is_none() {
+            let reason = format!("no team {}", jobs.team);
+            self.report(path!["jobs", index, "team"], reason);
+        }
+        let (least, most) = (jobs.tasks.least(), jobs.tasks.most());
+        if !(1.0..=MAX_TASKS).contains(&least) || most < least {
+            let reason = format!("1 to {MAX_TASKS}, the least first");
+            self.report(path!["jobs", index, "tasks"], reason);
+        }
+        if jobs.run_s.least() < 0.0 || jobs.run_s.most() < jobs.run_s.least() {
+            self.report(path!["jobs", index, "run_s"], "the least first");
+        }
+        let mut kinds = cluster.kinds.iter();
+        if !kinds.any(|kind| jobs.needs().fits_within(&kind.has())) {
+            self.report(path!["jobs", index, "cpus"], "a task fits no machine type");
+        }
+        let tasks_at_once = match jobs.shape {
+            JobShape::Array => 1.0,
+            _ => most,
+        };
+        let gpus_at_once = jobs.gpus * tasks_at_once;
+        if team.is_some_and(|team| team.gpus_max > 0.0 && gpus_at_once > team.gpus_max) {
+            let reason = "a job takes more than its team's gpus_max";
+            self.report(path!["jobs", index, "gpus"], reason);
+        }
+        if let Some(zone) = jobs.zone.as_ref().filter(|zone| !self.is_zone(zone)) {
+            self.report(path!["jobs", index, "zone"], format!("no zone {zone}"));
+        }
+        if !(0.0..=1.0).contains(&jobs.cancelled) {
+            self.report(path!["jobs", index, "cancelled"], "a share, 0 to 1");
+        }
+    }
+
+    /// When a fault strikes: at a time within the script, or at a moment.
+    fn check_fault_moment(&mut self, index: usize, fault: &Fault) {
+        if fault.at_s.is_some() == fault.when.is_some() {
+            self.report(path!["faults", index, "kind"], "needs either at_s or when");
         }
-        if let Some(name) = c.build.as_deref()
-            && self.build(Some(name)).is_none()
+        let length = 0.0..=self.script.length_s;
+        if fault.at_s.is_some_and(|time| !length.contains(&time)) {
+            self.report(path!["faults", index, "at_s"], "has to lie within length_s");
+        }
+        let class = fault.when.as_ref().and_then(|when| when.class.as_ref());
+        let is_class = |name: &String| self.script.jobs.iter().any(|jobs| jobs.class == *name);
+        if let Some(name) = class.filter(|name| !is_class(name)) {
+            let path = path!["faults", index, "when", "class"];
+            self.report(path, format!("no jobs of class {name}"));
+        }
+        let needs_moment = matches!(
+            fault.what,
+            What::Vanish { that: true, .. } | What::Hang { that: true, .. } | What::LoseAnswer {}
+        );
+        if needs_moment && fault.when.is_none() {
+            let reason = "is about a moment: give when, not at_s";
+            self.report(path!["faults", index, "kind"], reason);
+        }
+    }
+
+    /// Shares, times and limits of a fault.
+    fn check_fault_numbers(&mut self, index: usize, what: &What) {
+        let value = serde_json::to_value(what).unwrap_or_default();
+        if let Some(share) = value["share"].as_f64()
+            && !(0.0..=1.0).contains(&share)
         {
-            bad(
-                path!["cluster", "build"],
-                format!("no build {name}; name it under [[builds]]"),
-            );
-        }
-        let nodes = c.controllers.len();
-        for (i, f) in self.faults.iter().enumerate() {
-            if f.at_s.is_some() == f.when.is_some() {
-                bad(
-                    path!["faults", i, "kind"],
-                    "needs either at_s or when".into(),
-                );
-            }
-            if f.at_s.is_some_and(|s| !(0.0..=self.length_s).contains(&s)) {
-                bad(
-                    path!["faults", i, "at_s"],
-                    "has to lie within length_s".into(),
-                );
-            }
-            let class = f.when.as_ref().and_then(|w| w.class.as_ref());
-            if let Some(k) = class.filter(|k| self.jobs.iter().all(|j| j.class != **k)) {
-                bad(
-                    path!["faults", i, "when", "class"],
-                    format!("no jobs of class {k}"),
-                );
+            let reason = format!("{share} is no share; it has to lie between 0 and 1");
+            self.report(path!["faults", index, "share"], reason);
+        }
+        let is_time = |time: &serde_json::Value| {
+            let seconds = time.as_f64();
+            seconds.is_some_and(|seconds| (0.0..=MAX_TIME_S).contains(&seconds))
+        };
+        for name in ["for_s", "hang_s", "notice_s", "delay_s", "most_s"] {
+            // What is no number to JSON is none here either.
+            if let Some(time) = value.get(name).filter(|time| !is_time(time)) {
+                let reason = format!("{time} is no time; it has to be 0 to {MAX_TIME_S} seconds");
+                self.report(path!["faults", index, name], reason);
             }
-            let that = matches!(
-                f.what,
-                What::Vanish { that: true, .. }
-                    | What::Hang { that: true, .. }
-                    | What::LoseAnswer {}
-            );
-            if that && f.when.is_none() {
-                bad(
-                    path!["faults", i, "kind"],
-                    "is about a moment: give when, not at_s".into(),
-                );
+        }
+        if !matches!(what, What::StateLimits { .. }) {
+            return;
+        }
+        for name in ["value_kb", "txn_ops", "write_rps"] {
+            if let Some(limit) = value[name].as_f64().filter(|limit| *limit <= 0.0) {
+                let reason = format!("{limit} is no limit; it has to be above 0");
+                self.report(path!["faults", index, name], reason);
             }
-            let value = serde_json::to_value(&f.what).unwrap_or_default();
-            if let Some(share) = value["share"].as_f64()
-                && !(0.0..=1.0).contains(&share)
-            {
-                bad(
-                    path!["faults", i, "share"],
-                    format!("{share} is no share; it has to lie between 0 and 1"),
-                );
+        }
+    }
+
+    /// The zones, controllers and builds that a fault names.
+    fn check_fault_references(&mut self, index: usize, what: &What) {
+        match what {
+            What::SitePower { zone, .. } => {
+                self.check_zone(path!["faults", index, "zone"], zone);
             }
-            for time in ["for_s", "hang_s", "notice_s", "delay_s", "most_s"] {
-                // What is no number to JSON is none here either.
-                if let Some(s) = value.get(time)
-                    && !s.as_f64().is_some_and(|s| (0.0..=86_400.0).contains(&s))
-                {
-                    bad(
-                        path!["faults", i, time],
-                        format!("{s} is no time; it has to be 0 to 86400 seconds"),
-                    );
+            What::Vanish { zone, .. }
+            | What::Faulty { zone, .. }
+            | What::MachineDeaf { zone, .. }
+            | What::MachineMute { zone, .. } => {
+                if let Some(zone) = zone {
+                    self.check_zone(path!["faults", index, "zone"], zone);
                 }
             }
-            let missing = |n: &u32| *n as usize >= nodes;
-            match &f.what {
-                What::SitePower { zone, .. }
-                | What::Vanish {
-                    zone: Some(zone), ..
-                }
-                | What::Faulty {
-                    zone: Some(zone), ..
-                }
-                | What::MachineDeaf {
-                    zone: Some(zone), ..
-                }
-                | What::MachineMute {
-                    zone: Some(zone), ..
-                } if !zone_known(zone) => bad(
-                    path!["faults", i, "zone"],
-                    format!("no zone {zone}; there are {}", zones()),
-                ),
-                What::Kill {
-                    nodes: Nodes::Number(n),
-                    ..
-                }
-                | What::Pause {
-                    nodes: Nodes::Number(n),
-                    ..
-                }
-                | What::Busy {
-                    nodes: Nodes::Number(n),
-                    ..
-                }
-                | What::Roll {
-                    nodes: Nodes::Number(n),
-                    ..
-                }
-                | What::StateRefuses {
-                    nodes: Nodes::Number(n),
-                    ..
-                } if missing(n) => bad(
-                    path!["faults", i, "nodes"],
-                    format!("no controller {n}; they are 0 to {}", nodes - 1),
-                ),
-                What::StateLimits {
-                    value_kb,
-                    txn_ops,
-                    write_rps,
-                    ..
-                } => {
-                    let limits = [
-                        ("value_kb", *value_kb),
-                        ("txn_ops", f64::from(*txn_ops)),
-                        ("write_rps", *write_rps),
-                    ];
-                    for (name, limit) in limits.into_iter().filter(|(_, limit)| *limit <= 0.0) {
-                        bad(
-                            path!["faults", i, name],
-                            format!("{limit} is no limit; it has to be above 0"),
-                        );
-                    }
-                }
-                What::Roll {
-                    build: Some(name), ..
-                } if self.build(Some(name)).is_none() => bad(
-                    path!["faults", i, "build"],
-                    format!("no build {name}; name it under [[builds]]"),
-                ),
-                What::Cut { a, b, .. } => {
-                    for (name, side) in [("a", a), ("b", b)] {
-                        match side {
-                            Side::Zone(z) if !zone_known(z) => bad(
-                                path!["faults", i, name],
-                                format!("no zone {z}; there are {}", zones()),
-                            ),
-                            Side::Controller(n) if missing(n) => bad(
-                                path!["faults", i, name],
-                                format!("no controller {n}; they are 0 to {}", nodes - 1),
-                            ),
-                            _ => {}
-                        }
-                    }
-                }
-                _ => {}
+            What::Kill { nodes, .. }
+            | What::Pause { nodes, .. }
+            | What::Busy { nodes, .. }
+            | What::StateRefuses { nodes, .. } => self.check_nodes(index, nodes),
+            What::Roll { nodes, build, .. } => {
+                self.check_nodes(index, nodes);
+                self.check_build(path!["faults", index, "build"], build.as_deref());
+            }
+            What::Cut { a, b, .. } => {
+                self.check_side(path!["faults", index, "a"], a);
+                self.check_side(path!["faults", index, "b"], b);
             }
+            _ => {}
+        }
+    }
+
+    fn check_nodes(&mut self, index: usize, nodes: &Nodes) {
+        if let Nodes::Number(number) = nodes {
+            self.check_controller(path!["faults", index, "nodes"], *number);
+        }
+    }
+
+    fn check_side(&mut self, path: Vec<Step>, side: &Side) {
+        match side {
+            Side::Zone(zone) => self.check_zone(path, zone),
+            Side::Controller(number) => self.check_controller(path, *number),
+            _ => {}
+        }
+    }
+
+    fn check_controller(&mut self, path: Vec<Step>, number: u32) {
+        let controllers = self.script.cluster.controllers.len();
+        if (number as usize) < controllers {
+            return;
+        }
+        let known = match controllers.checked_sub(1) {
+            Some(last) => format!("they are 0 to {last}"),
+            None => "there are none".into(),
+        };
+        self.report(path, format!("no controller {number}; {known}"));
+    }
+
+    fn check_zone(&mut self, path: Vec<Step>, zone: &str) {
+        if !self.is_zone(zone) {
+            let zones = self.script.cluster.zones.join(", ");
+            self.report(path, format!("no zone {zone}; there are {zones}"));
+        }
+    }
+
+    fn is_zone(&self, zone: &str) -> bool {
+        let mut zones = self.script.cluster.zones.iter();
+        zones.any(|known| known == zone)
+    }
+
+    fn check_build(&mut self, path: Vec<Step>, build: Option<&str>) {
+        if let Some(name) = build.filter(|name| self.script.build(Some(name)).is_none()) {
+            let reason = format!("no build {name}; name it under [[builds]]");
+            self.report(path, reason);
         }
-        out
     }
 }
 
--- a/crates/simulator/src/stand/faults.rs
+++ b/crates/simulator/src/stand/faults.rs
@@ -1,12 +1,16 @@
 //! Faults: how each strikes, and how it heals.
 
+mod controllers;
+mod machines;
+mod state_service;
+
 use super::{About, Heal, NodeAction, Out, Returned, Stand, Store};
 use crate::checker::HistoryEvent;
 use crate::links::{Group, Host};
-use crate::script::{LastWrite, Moment, Nodes, PowerLoss, Side, What};
+use crate::script::{Moment, Nodes, Side, What};
 use crate::worker::HEARTBEAT_TIMEOUT;
+use machines::is_in;
 use pebblefold_controller::types::{Time, TimeSpan};
-use pebblefold_kvstore::faulty_disk::UnsyncedWrites;
 use pebblefold_kvstore::{ClientId, Limits, RequestId};
 use rand::RngExt;
 
@@ -37,34 +41,6 @@
         }
     }
 
-    /// Some of the machines, chosen by chance.
-    pub(super) fn pick_machines(
-        &mut self,
-        count: usize,
-        fits: impl Fn(&crate::worker::Worker) -> bool,
-    ) -> Vec<String> {
-        let workers = self.fleet.workers().iter();
-        let mut names: Vec<String> = workers
-            .filter(|(_, w)| fits(w))
-            .map(|(m, _)| m.clone())
-            .collect();
-        let mut out = Vec::new();
-        while out.len() < count && !names.is_empty() {
-            let i = self.rng.random_range(0..names.len());
-            out.push(names.swap_remove(i));
-        }
-        out
-    }
-
-    /// So many machines with tasks, in a zone if one is named; 0: all that are there.
-    fn pick_in(&mut self, count: u32, zone: Option<&str>) -> Vec<String> {
-        let there = |w: &crate::worker::Worker| zone.is_none_or(|z| w.machine.zone.as_str() == z);
-        match count {
-            0 => self.pick_machines(usize::MAX, there),
-            n => self.pick_machines(n as usize, |w| there(w) && !w.tasks.is_empty()),
-        }
-    }
-
     /// Users call off jobs that run; some of the machines hang from then on.
     fn cancel_now(&mut self, now: Time, count: u32, hang_s: f64) {
         let mut running: Vec<(String, Vec<String>)> = self
@@ -123,54 +99,15 @@
         }
     }
 
-    pub(super) fn stop_nodes(&mut self, now: Time, nodes: Vec<usize>, for_s: f64, pause: bool) {
-        for n in nodes {
-            let (stop, go) = if pause {
-                (NodeAction::Pause(n), NodeAction::Continue(n))
-            } else {
-                (NodeAction::Kill(n), NodeAction::Start(n))
-            };
-            self.out.push(Out::Node(stop));
-            self.heal_at(now + TimeSpan::secs(for_s), Heal::Node(go));
-        }
-    }
-
     pub(super) fn strike(&mut self, now: Time, what: &What, about: &About) {
-        let value = serde_json::to_value(what).unwrap_or_default();
-        let lasts = ["for_s", "hang_s"].map(|f| value[f].as_f64().unwrap_or(0.0));
-        self.quiet = self.quiet.max(now + TimeSpan::secs(lasts[0].max(lasts[1])));
-        let text = value.to_string();
-        tracing::info!(at_s = now.0 as f64 / 1e6, fault = %text, "fault");
-        self.marks.push((now.0 as f64 / 1e6, what.name()));
-        self.checker
-            .record(now, HistoryEvent::FaultInjected { what: text });
+        self.record_fault(now, what);
         let until = |s: f64| now + TimeSpan::secs(s);
         match what {
             What::SitePower {
                 zone,
                 for_s,
                 machines,
-            } => {
-                let here = |n: &usize| self.script.cluster.controllers[*n] == *zone;
-                let nodes: Vec<usize> = (0..self.labels.len()).filter(here).collect();
-                self.stop_nodes(now, nodes, *for_s, false);
-                match machines {
-                    PowerLoss::Freeze => self.fleet.freeze(zone, true),
-                    PowerLoss::Die => {
-                        let there = self.cloud.machines();
-                        let names: Vec<String> = there
-                            .filter(|m| m.zone.as_str() == zone)
-                            .map(|m| m.id.to_string())
-                            .collect();
-                        for m in names {
-                            self.cloud.kill(now, &m);
-                        }
-                    }
-                }
-                self.cloud.dark.insert(zone.clone());
-                self.heal_at(until(*for_s), Heal::Power(zone.clone()));
-                self.happen(now);
-            }
+            } => self.cut_power(now, zone, *for_s, *machines),
             What::Kill { nodes, for_s } => {
                 let nodes = self.pick_nodes(nodes, about);
                 self.stop_nodes(now, nodes, *for_s, false);
@@ -182,15 +119,8 @@
                 for_s,
             } => {
                 let build = self.script.build(build.as_deref());
-                for n in self.pick_nodes(nodes, about) {
-                    self.out.push(Out::Node(NodeAction::Install(n, build)));
-                    if *gently {
-                        self.out.push(Out::Node(NodeAction::End(n)));
-                        self.heal_at(until(*for_s), Heal::Node(NodeAction::Start(n)));
-                    } else {
-                        self.stop_nodes(now, vec![n], *for_s, false);
-                    }
-                }
+                let nodes = self.pick_nodes(nodes, about);
+                self.roll_nodes(now, nodes, build, *gently, *for_s);
             }
             What::Pause { nodes, for_s } => {
                 let nodes = self.pick_nodes(nodes, about);
@@ -201,77 +131,29 @@
                 each_ms,
                 for_s,
             } => {
-                for n in self.pick_nodes(nodes, about) {
-                    let slow = NodeAction::Busy(n, TimeSpan::secs(each_ms / 1000.0));
-                    self.out.push(Out::Node(slow));
-                    let heal = Heal::Node(NodeAction::Busy(n, TimeSpan::ZERO));
-                    self.heal_at(until(*for_s), heal);
-                }
+                let nodes = self.pick_nodes(nodes, about);
+                self.slow_nodes(now, nodes, *each_ms, *for_s);
             }
             What::Vanish { count, that, zone } => {
-                let mut names = self.pick_machines(*count as usize, |w| {
-                    zone.as_ref().is_none_or(|z| w.machine.zone.as_str() == z)
-                });
-                names.extend(about.machine.clone().filter(|_| *that));
-                for m in names {
-                    self.cloud.kill(now, &m);
-                }
-                self.happen(now);
+                let that = about.machine.clone().filter(|_| *that);
+                self.vanish(now, *count as usize, zone.as_deref(), that);
             }
             What::Hang { count, that, for_s } => {
                 let mut names = self.pick_machines(*count as usize, |w| !w.tasks.is_empty());
                 names.extend(about.machine.clone().filter(|_| *that));
-                for m in names {
-                    if let Some(w) = self.fleet.worker(&m) {
-                        w.hung = Some(until(*for_s));
-                    }
-                }
+                self.change_workers(names, |w| w.hung = Some(until(*for_s)));
             }
             What::Faulty { count, zone, for_s } => {
-                let there = |w: &crate::worker::Worker| {
-                    zone.as_ref().is_none_or(|z| w.machine.zone.as_str() == z)
-                };
-                let count = match count {
-                    0 => usize::MAX,
-                    n => *n as usize,
-                };
-                for m in self.pick_machines(count, there) {
-                    if let Some(w) = self.fleet.worker(&m) {
-                        w.faulty = Some(until(*for_s));
-                    }
-                }
+                let count = if *count == 0 { u32::MAX } else { *count };
+                let names = self.pick_machines(count as usize, is_in(zone.as_deref()));
+                self.change_workers(names, |w| w.faulty = Some(until(*for_s)));
             }
             What::Slow {
                 count,
                 factor,
                 for_s,
-            } => {
-                let names = self.pick_machines(*count as usize, |_| true);
-                let mut before = Vec::new();
-                for m in names {
-                    if let Some(w) = self.fleet.worker(&m) {
-                        before.push((m.clone(), w.speed));
-                        w.speed /= factor.max(1.0);
-                    }
-                }
-                self.heal_at(until(*for_s), Heal::Fast(before));
-            }
-            What::SpotTaken { share, notice_s } => {
-                let spots = self
-                    .fleet
-                    .workers()
-                    .values()
-                    .filter(|w| w.machine.spot)
-                    .count();
-                let count = (spots as f64 * share).ceil() as usize;
-                for m in self.pick_machines(count, |w| w.machine.spot && w.taken.is_none()) {
-                    let notice = notice_s * self.rng.random_range(0.5..1.5);
-                    if let Some(w) = self.fleet.worker(&m) {
-                        w.taken = Some(now + TimeSpan::secs(notice));
-                        w.touch();
-                    }
-                }
-            }
+            } => self.slow_machines(now, *count as usize, *factor, *for_s),
+            What::SpotTaken { share, notice_s } => self.take_spot_machines(now, *share, *notice_s),
             What::StateOut { for_s } => self.state_out(now, *for_s, Heal::StateOut),
             What::StateLimits {
                 value_kb,
@@ -290,44 +172,18 @@
                     self.heal_at(until(*for_s), Heal::StateLimits);
                 }
             }
-            What::StateFull { for_s } => match &self.store {
-                Store::Memory(disk) => {
-                    disk.set_full(true);
-                    self.heal_at(until(*for_s), Heal::StateFull);
-                }
-                // A real disk is not filled for a rehearsal: the service does
-                // what it would do.
-                Store::File(_) => self.state_out(now, *for_s, Heal::StateOut),
-            },
+            What::StateFull { for_s } => self.fill_state_disk(now, *for_s),
             What::StateKilled { for_s, last_write } => {
-                let down = TimeSpan::secs(*for_s);
-                match (&self.store, last_write) {
-                    (Store::Memory(disk), LastWrite::Everything | LastWrite::Torn) => {
-                        let left = match last_write {
-                            LastWrite::Torn => UnsyncedWrites::Torn(self.rng.random()),
-                            _ => UnsyncedWrites::Kept,
-                        };
-                        disk.schedule_power_failure(
-                            disk.operation_count() + self.rng.random_range(1..6),
-                            left,
-                        );
-                        self.dying = Some(down);
-                    }
-                    _ => self.end_state(now, down),
-                }
+                self.kill_state(now, TimeSpan::secs(*for_s), *last_write);
             }
             What::StateRefuses { nodes, for_s } => {
                 let nodes = self.pick_nodes(nodes, about);
-                for n in &nodes {
-                    if let Some(s) = &mut self.state {
-                        s.set_client_refused(ClientId(*n as u32), true);
-                    }
-                }
+                self.set_refused(&nodes, true);
                 self.heal_at(until(*for_s), Heal::StateRefuses(nodes));
             }
             What::StateSlow { delay_s, for_s } => {
-                self.links
-                    .slow_state(TimeSpan::secs(*delay_s), until(*for_s));
+                let delay = TimeSpan::secs(*delay_s);
+                self.links.slow_state(delay, until(*for_s));
             }
             What::CloudOut { for_s } => {
                 self.cloud.out = true;
@@ -338,8 +194,8 @@
                 self.heal_at(until(*for_s), Heal::CloudShort);
             }
             What::CloudSlow { delay_s, for_s } => {
-                self.links
-                    .slow_cloud(TimeSpan::secs(*delay_s), until(*for_s));
+                let delay = TimeSpan::secs(*delay_s);
+                self.links.slow_cloud(delay, until(*for_s));
             }
             What::Cut {
                 a,
@@ -377,39 +233,32 @@
                 self.late_commands.begin(*share, *again, *most_s, until);
             }
             What::MachineMute { count, zone, for_s } => {
-                for m in self.pick_in(*count, zone.as_deref()) {
-                    if let Some(w) = self.fleet.worker(&m) {
-                        w.mute = Some(until(*for_s));
-                    }
-                }
+                let names = self.pick_in(*count, zone.as_deref());
+                self.change_workers(names, |w| w.mute = Some(until(*for_s)));
             }
             What::CancelNow { count, hang_s } => self.cancel_now(now, *count, *hang_s),
             What::CancelAtEnd { share, for_s } => self.cancel_at_end = (*share, until(*for_s)),
             What::OddRequests { for_s } => self.users.be_odd(until(*for_s)),
             What::CloseLooks { for_s } => self.users.look_closely(until(*for_s)),
             What::MachineDeaf { count, zone, for_s } => {
-                for m in self.pick_in(*count, zone.as_deref()) {
-                    if let Some(w) = self.fleet.worker(&m) {
-                        w.deaf = Some(until(*for_s));
-                    }
-                }
+                let names = self.pick_in(*count, zone.as_deref());
+                self.change_workers(names, |w| w.deaf = Some(until(*for_s)));
             }
             What::LoseAnswer {} => self.lost_calls.extend(about.call),
         }
     }
 
-    fn set_state_limits(&mut self, now: Time, limits: Limits) {
-        self.state_limits = limits;
-        if let Some(state) = &mut self.state {
-            state.set_limits(now, limits);
-        }
-    }
-
-    pub(super) fn state_out(&mut self, now: Time, for_s: f64, heal: Heal) {
-        if let Some(s) = &mut self.state {
-            s.set_outage(now, true);
-        }
-        self.heal_at(now + TimeSpan::secs(for_s), heal);
+    /// Notes the fault in the log and the history, and until when it lasts at least.
+    fn record_fault(&mut self, now: Time, what: &What) {
+        let value = serde_json::to_value(what).unwrap_or_default();
+        let lasts = ["for_s", "hang_s"].map(|field| value[field].as_f64().unwrap_or(0.0));
+        self.quiet = self.quiet.max(now + TimeSpan::secs(lasts[0].max(lasts[1])));
+        let text = value.to_string();
+        let at_s = now.0 as f64 / 1e6;
+        tracing::info!(at_s, fault = %text, "fault");
+        self.marks.push((at_s, what.name()));
+        let event = HistoryEvent::FaultInjected { what: text };
+        self.checker.record(now, event);
     }
 
     pub(super) fn heal(&mut self, now: Time, heal: Heal) {
@@ -446,11 +295,7 @@
                 }
             }
             Heal::StateRefuses(nodes) => {
-                for n in nodes {
-                    if let Some(s) = &mut self.state {
-                        s.set_client_refused(ClientId(n as u32), false);
-                    }
-                }
+                self.set_refused(&nodes, false);
             }
             Heal::Write(node, r) => {
                 self.numbers += 1;
--- a/crates/simulator/tests/scripts.rs
+++ b/crates/simulator/tests/scripts.rs
@@ -199,4 +199,17 @@
         .replace("team = \"archive\"", "team = \"x\"")
         .replace("at_s = 90", "at_s = 900");
     assert_eq!(Script::parse("f", &two).unwrap_err().len(), 2);
+    // Without controllers no number is one of theirs.
+    let none = text.replace(
+        r#"controllers = ["river", "market", "hill"]"#,
+        "controllers = []",
+    );
+    let named = "[[faults]]\nat_s = 3.0\nkind = \"kill\"\nnodes = { number = 0 }\nfor_s = 3.0\n";
+    let errors = Script::parse("f", &format!("{none}\n{named}")).unwrap_err();
+    let told: Vec<String> = errors.iter().map(ToString::to_string).collect();
+    assert!(told[0].contains("1 to 9 are needed"), "{told:?}");
+    let fault = told
+        .iter()
+        .filter(|error| error.contains("no controller 0; there are none"));
+    assert_eq!(fault.count(), 1, "{told:?}");
 }
